Count a granted request as in flight from the moment the grant is seen

Cause: a real-process failure run found two requests at a server whose cold limit is one. A tell sent between the arrival of a grant and the sending of its request said that the grant was seen and did not count the request, so the owner granted the same room again.

Ruled out: the ramp (the run declared a step above the server's cold phase and still saw two) and a change of owner (the pool's owner had not changed).

--- a/packages/core/src/hyssopwind/core/pools/measuring.py
+++ b/packages/core/src/hyssopwind/core/pools/measuring.py
@@ -5,6 +5,7 @@
 from hyssopwind.core import invariants
 
 WINDOW = 10.0  # seconds over which the budget is checked
+SPENT_SHARE = 0.8  # of the budget; the rest covers a probe at a window's edge
 
 
 class ProbeMeter:
@@ -18,7 +19,7 @@
         >>> monitor = invariants.InvariantMonitor()
         >>> meter = ProbeMeter(rate=1.0, monitor=monitor)
         >>> server = ids.ServerId("s")
-        >>> meter.allow(server, 0.0), meter.allow(server, 1.0)
+        >>> meter.allow(server, 0.0), meter.allow(server, 1.3)
         (False, True)
     """
 
@@ -39,12 +40,14 @@
         """Returns whether a probe may leave now, and counts it."""
         bucket = self._buckets.get(server)
         if bucket is None:
-            bucket = buckets.TokenBucket(self._rate, 1.0, now, full=False)
+            bucket = buckets.TokenBucket(
+                self._rate * SPENT_SHARE, 1.0, now, full=False
+            )
             self._buckets[server] = bucket
         if not bucket.take(now):
             return False
         sent = [t for t in self._sent.get(server, []) if now - t < WINDOW]
-        within = len(sent) + 1 <= self._rate * WINDOW + 1
+        within = len(sent) + 1 <= self._rate * WINDOW
         allowed = self._monitor.holds(
             invariants.Invariant.PROBE_BUDGET, within, f"server {server}"
         )
--- a/packages/core/src/hyssopwind/core/pools/member.py
+++ b/packages/core/src/hyssopwind/core/pools/member.py
@@ -204,6 +204,9 @@
     ) -> ids.ServerId | None:
         """Returns the granted server, or `None` where the grant is no use.
 
+        The request counts as in flight from here on, because the next tell
+        says that the grant was seen.
+
         The age of a grant is bounded by the time since the request for it,
         less the time that it waited at the owner.
         """
@@ -218,6 +221,7 @@
             return None
         if now - asked - grant.waited > GRANT_VALIDITY:
             return None
+        self.begin(grant.server, direct=False)
         return grant.server
 
     def take_refusal(self, refusal: messages.Refusal) -> bool:
--- a/packages/core/src/hyssopwind/core/pools/tests/test_member.py
+++ b/packages/core/src/hyssopwind/core/pools/tests/test_member.py
@@ -119,6 +119,16 @@
         )
         self.assertEqual(self.member.take_grant(OWNER, grant, 2.0), S1)
 
+    def test_tell_after_a_grant_includes_its_request(self):
+        ask = self.plan().ask
+        grant = messages.Grant(
+            pool=POOL, ask=ask.ask, server=S1, number=4, waited=0.0
+        )
+        self.member.take_grant(OWNER, grant, 1.1)
+        told = self.member.tell(1.2)
+        self.assertEqual(told.grants_seen, 4)
+        self.assertEqual(told.servers[0].in_flight, 1)
+
     def test_grant_of_an_earlier_life_is_ignored(self):
         grant = messages.Grant(
             pool=POOL, ask=3, server=S1, number=99, waited=0.0
--- a/packages/daemon/src/hyssopwind/daemon/slots.py
+++ b/packages/daemon/src/hyssopwind/daemon/slots.py
@@ -121,7 +121,8 @@
                 return plan.retry_after
             if isinstance(plan, member.SendDirect):
                 self._direct.inc()
-                slot = self._begin(pool, plan.server, direct=True)
+                pool_member.begin(plan.server, direct=True)
+                slot = self._slot(pool, plan.server)
                 if slot is not None:
                     return slot
                 continue
@@ -134,21 +135,24 @@
                     return retry_after
                 continue
             self._granted.inc()
-            slot = self._begin(pool, answer.server, direct=False)
+            slot = self._slot(pool, answer.server)
             if slot is not None:
                 return slot
         return retry_after
 
-    def _begin(
-        self, pool: ids.PoolId, server: ids.ServerId, *, direct: bool
-    ) -> Slot | None:
-        now = self._clock.now()
+    def _slot(self, pool: ids.PoolId, server: ids.ServerId) -> Slot | None:
+        """Returns a slot that counts as used, or gives it back."""
         address = self._node.pools.find_address(server)
-        if address is None:
-            return None
-        pool_member = self._node.pools.member_of(pool, now)
-        pool_member.begin(server, direct=direct)
-        return Slot(pool, server, address)
+        if address is not None:
+            return Slot(pool, server, address)
+        self._give_back(pool, server)
+        return None
+
+    def _give_back(self, pool: ids.PoolId, server: ids.ServerId) -> None:
+        """Frees a slot that no request used."""
+        now = self._clock.now()
+        self._node.pools.member_of(pool, now).finish_cancelled(server)
+        self._node.pools.tell_at_once(pool, now)
 
     async def _ask(
         self,
@@ -198,17 +202,19 @@
         future: "asyncio.Future[_Answer]",
     ) -> None:
         """Gives an unused slot back, or withdraws the request for one."""
-        now = self._clock.now()
-        if future.done() and isinstance(future.result(), events.Granted):
-            self._node.pools.tell_at_once(pool, now)
+        answer = future.result() if future.done() else None
+        if isinstance(answer, events.Granted):
+            self._give_back(pool, answer.server)
         else:
-            self._node.pools.withdraw(pool, number, now)
+            self._node.pools.withdraw(pool, number, self._clock.now())
         self._run_node()
 
     def _resolve(self, event: _Answer) -> None:
         future = self._waiting.get((event.pool, event.ask))
         if future is not None and not future.done():
             future.set_result(event)
+        elif isinstance(event, events.Granted):
+            self._give_back(event.pool, event.server)
 
     def _run_node(self) -> None:
         self._node.run_own_messages(self._clock.moment())
--- a/packages/standins/src/hyssopwind/standins/fleet.py
+++ b/packages/standins/src/hyssopwind/standins/fleet.py
@@ -1,6 +1,7 @@
 """A small fleet of real processes: platform, servers and daemons."""
 
 import asyncio
+import collections
 import dataclasses
 import json
 import pathlib
@@ -235,6 +236,15 @@
         except aiohttp.ClientError:
             return {}
 
+    def count_executions(self) -> collections.Counter[str]:
+        """Returns how often each key ran, in all lives of all servers."""
+        counts: collections.Counter[str] = collections.Counter()
+        for name in self.servers:
+            path = self._directory / f"{name}.journal"
+            if path.exists():
+                counts.update(path.read_text(encoding="utf-8").split())
+        return counts
+
     async def status(self, name: str) -> dict[str, Any]:
         """Returns the status of a daemon."""
         url = f"http://{self.daemons[name].admin}/status"
@@ -280,6 +290,7 @@
                 "mean-work": service.mean_work,
                 "cold-requests": service.cold_requests,
                 "seed": port % 1000,
+                "journal": self._directory / f"{name}.journal",
             }
             flat = [str(part) for item in arguments.items() for part in item]
             self.servers[name] = RunningServer(
--- a/packages/standins/src/hyssopwind/standins/server.py
+++ b/packages/standins/src/hyssopwind/standins/server.py
@@ -31,6 +31,8 @@
         cold_requests: requests after which a new server is warm.
         cold_factor: how many times longer work takes in a cold server.
         seed: seed of the work times.
+        journal: file that gets a line for each run of a key, so that the
+            count outlives the process; empty writes none.
     """
 
     port: int
@@ -40,6 +42,7 @@
     cold_requests: int = 0
     cold_factor: float = 5.0
     seed: int = 1
+    journal: str = ""
 
 
 class ServerState(enum.Enum):
@@ -123,6 +126,7 @@
             key = request.headers.get(header)
             if key and request.method in ("POST", "PATCH"):
                 self._executions[key] += 1
+                self._write_journal(key)
         work = self._random.expovariate(1 / self._options.mean_work)
         factor = self._options.cold_factor if self.is_cold else 1.0
         await asyncio.sleep(work * factor * self._slow_factor)
@@ -132,6 +136,12 @@
         headers = {**self._headers(), "X-Served-By": str(self._options.port)}
         return web.Response(body=answer + echo + body, headers=headers)
 
+    def _write_journal(self, key: str) -> None:
+        if not self._options.journal:
+            return
+        with open(self._options.journal, "a", encoding="utf-8") as journal:
+            journal.write(key + "\n")
+
     def _current_report(self) -> dict[str, object]:
         return {
             "start": self._start,
