End a wait for a grant when less than 0.1 ms is left

A wait shorter than the resolution of the event loop's clock returned at once and was begun again without time passing. Ruled out: the retry loop of the attempt stage, by a stack dump (asyncio.wait below the slot keeper).

--- a/packages/daemon/src/hyssopwind/daemon/slots.py
+++ b/packages/daemon/src/hyssopwind/daemon/slots.py
@@ -21,6 +21,7 @@
 
 NO_ROOM_RETRY_AFTER = 0.5  # seconds
 MAX_PLANS_PER_POOL = 3
+SHORTEST_WAIT = 1e-4  # seconds; less than that is not worth a wait
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,9 +191,9 @@
         """Waits until the owner answers, falls silent, or it is too late."""
         while not future.done():
             now = self._clock.now()
-            if now >= deadline or pool_member.note_silence(now):
-                return
             patience = min(member.OWNER_SILENCE, deadline - now)
+            if patience < SHORTEST_WAIT or pool_member.note_silence(now):
+                return
             await asyncio.wait([future], timeout=patience)
 
     def _abandon(
