Spread the load of a data centre that left over all others by expected wait

Data centres at the same delay were taken in the order of their names, so all of Chicago's calls went to Detroit, which was offered 120% of its capacity.

Owners now say the wait they expect, and data centres are ordered by delay and wait, equals at random.

Ruled out: the ramp of the return (the phase after it has the quiet tail).

--- a/packages/core/src/hyssopwind/core/attempts/quarantine.py
+++ b/packages/core/src/hyssopwind/core/attempts/quarantine.py
@@ -72,7 +72,7 @@
             now: when it broke.
         """
         known = self._find(fingerprint, now)
-        if known is not None and sent <= known.last:
+        if known is not None and sent < known.last:
             return False
         self._add(fingerprint, 1, now)
         return True
@@ -99,7 +99,7 @@
         if len(self._survived) > MAX_FINGERPRINTS:
             self._survived.popitem(last=False)
         known = self._suspicions.get(fingerprint)
-        if known is None or sent <= known.last:
+        if known is None or sent < known.last:
             return False
         del self._suspicions[fingerprint]
         return True
--- a/packages/core/src/hyssopwind/core/messages.py
+++ b/packages/core/src/hyssopwind/core/messages.py
@@ -278,11 +278,13 @@
         pool: the pool.
         open: whether requests may go out without a grant.
         servers: the usable servers.
+        wait: expected seconds in the queue, rounded to milliseconds.
     """
 
     pool: ids.PoolId
     open: bool
     servers: list[ServerSummary]
+    wait: float = 0.0
 
 
 class CrashNotice(Message, frozen=True, kw_only=True, tag=15):
--- a/packages/core/src/hyssopwind/core/node/pooling.py
+++ b/packages/core/src/hyssopwind/core/node/pooling.py
@@ -100,6 +100,18 @@
         self._equip_member(created, now)
         return created
 
+    def expected_waits(
+        self, service: snapshot.Service, now: float
+    ) -> dict[ids.DataCentreId, float]:
+        """Returns the expected wait in each data centre of a service."""
+        waits = {}
+        for name in service.settings.load:
+            data_centre = ids.DataCentreId(name)
+            known = self._members.get(ids.pool_id(service.id, data_centre))
+            if known is not None:
+                waits[data_centre] = known.expected_wait(now)
+        return waits
+
     def is_server_usable(self, pool: ids.PoolId, server: ids.ServerId) -> bool:
         """Whether a server is listed for a pool and not leaving."""
         return server in self._servers.get(pool, frozenset())
--- a/packages/core/src/hyssopwind/core/placement/data_centres.py
+++ b/packages/core/src/hyssopwind/core/placement/data_centres.py
@@ -69,13 +69,23 @@
     service: snapshot.Service,
     near: ids.DataCentreId,
     returns: Returns,
+    waits: Mapping[ids.DataCentreId, float],
     generator: random.Random,
     now: float,
 ) -> list[ids.DataCentreId]:
     """Returns the data centres that may serve a request, the best first.
 
-    A data centre that came back lately is put last for the part of the
-    requests that it may not take yet.
+    The best has the shortest way and wait, in the same region first. A data
+    centre that came back lately is put last for the part of the requests
+    that it may not take yet.
+
+    Args:
+        service: the service.
+        near: the data centre of the daemon.
+        returns: the data centres that came back.
+        waits: expected seconds in the queue of each data centre.
+        generator: decides between equals and about a ramp.
+        now: monotonic time in seconds.
     """
     ranked = []
     origin = service.data_centres.get(near)
@@ -87,26 +97,25 @@
             (service.id, data_centre), settings.return_ramp, now
         )
         is_ramping = share < 1.0 and generator.random() >= share
-        ranked.append(
-            (
-                is_ramping,
-                _distance(near, name, origin, settings),
-                data_centre,
-            )
+        rank = (
+            is_ramping,
+            origin is None or origin.region != settings.region,
+            _delay(near, name, origin, settings) + waits.get(data_centre, 0.0),
+            generator.random(),
         )
+        ranked.append((rank, data_centre))
     ranked.sort()
-    return [data_centre for _, _, data_centre in ranked]
+    return [data_centre for _, data_centre in ranked]
 
 
-def _distance(
+def _delay(
     near: str,
     name: str,
     origin: documents.DataCentreSettings | None,
     target: documents.DataCentreSettings,
-) -> tuple[bool, float]:
+) -> float:
+    """Returns the declared one-way delay in seconds."""
     if name == near:
-        return False, 0.0
+        return 0.0
     delays: Mapping[str, float] = origin.delay if origin else {}
-    delay = delays.get(name, target.delay.get(near, _FAR))
-    is_other_region = origin is None or origin.region != target.region
-    return is_other_region, delay
+    return delays.get(name, target.delay.get(near, _FAR))
--- a/packages/core/src/hyssopwind/core/pools/member.py
+++ b/packages/core/src/hyssopwind/core/pools/member.py
@@ -148,6 +148,14 @@
         """Whether a server is listed and not leaving."""
         return server in self._usable
 
+    def expected_wait(self, now: float) -> float:
+        """Returns the wait that the owner expects; zero if it is unknown."""
+        if self._summary is None:
+            return 0.0
+        if now - self._summary_time > SUMMARY_VALIDITY:
+            return 0.0
+        return self._summary.wait
+
     def warm_servers(self) -> dict[ids.ServerId, str]:
         """Returns the start identities of the servers last known as warm."""
         if self._summary is None:
--- a/packages/core/src/hyssopwind/core/pools/owner.py
+++ b/packages/core/src/hyssopwind/core/pools/owner.py
@@ -28,7 +28,7 @@
 INTEREST = 10.0  # seconds for which a daemon is told the state of the pool
 SUMMARY_INTERVAL = 0.02  # seconds between two summaries that differ
 SUMMARY_REFRESH = 0.1  # seconds between two summaries that are the same
-QUEUE_PER_SLOT = 10
+QUEUE_PER_SLOT = 100
 DEFAULT_LATENCY = 0.01  # seconds, before the first answer
 LOWEST_RETRY_AFTER = 0.05  # seconds
 OPEN_SHARE = 0.75  # share of the slots in use below which the pool is open
@@ -521,4 +521,9 @@
                     ranking.slowness(load.latency_at(now), fastest),
                 )
             )
-        return messages.Summary(pool=self._pool, open=is_open, servers=entries)
+        wait = 0.0
+        if len(self._queue):
+            wait = round(self._wait(now), 3)
+        return messages.Summary(
+            pool=self._pool, open=is_open, servers=entries, wait=wait
+        )
--- a/packages/daemon/src/hyssopwind/daemon/slots.py
+++ b/packages/daemon/src/hyssopwind/daemon/slots.py
@@ -76,12 +76,14 @@
         """Returns a slot, or why there is none; the slot counts as used."""
         retry_after = NO_ROOM_RETRY_AFTER
         near = self._node.members.data_centre
+        now = self._clock.now()
         order = data_centres.order_data_centres(
             service,
             near,
             self._node.returns,
+            self._node.pools.expected_waits(service, now),
             self._node.generator,
-            self._clock.now(),
+            now,
         )
         for data_centre in order:
             pool = ids.pool_id(service.id, data_centre)
--- a/packages/standins/src/hyssopwind/standins/bench/decisions.py
+++ b/packages/standins/src/hyssopwind/standins/bench/decisions.py
@@ -112,6 +112,7 @@
         item.service,
         built.members.data_centre,
         built.returns,
+        built.pools.expected_waits(item.service, now),
         built.generator,
         now,
     )
--- a/packages/standins/src/hyssopwind/standins/virtual/world.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/world.py
@@ -318,7 +318,7 @@
         daemon = VirtualDaemon(self, name, data_centre)
         self.daemons[name] = daemon
         daemon.begin()
-        self._later(PLATFORM_DELAY, lambda: self._inform(daemon))
+        self._later(PLATFORM_DELAY, lambda: self.inform(daemon))
         return daemon
 
     def replace_daemon(self, name: str) -> VirtualDaemon:
@@ -335,7 +335,7 @@
         self._documents["team"] = document
         for daemon in self.daemons.values():
             delay = self.random.uniform(0.005, 0.2)
-            self._later(delay, functools.partial(self._inform, daemon))
+            self._later(delay, functools.partial(self.inform, daemon))
 
     def set_data_centre(self, name: str, state: str) -> None:
         """Publishes a data centre as `in` or `out`."""
@@ -459,7 +459,7 @@
                 lines.append(f'{name} = "10000/s"')
         return "\n".join(lines) + "\n"
 
-    def _inform(self, daemon: VirtualDaemon) -> None:
+    def inform(self, daemon: VirtualDaemon) -> None:
         """Gives a daemon what the platform publishes now."""
         if not daemon.is_alive:
             return
