--- a/packages/daemon/src/hyssopwind/daemon/frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/frontend.py
@@ -32,6 +32,7 @@
 MAX_TICKETS = 16
 NOT_READY_RETRY_AFTER = 1.0  # seconds
 KEEPALIVE = 75.0  # seconds
+LINGERING = 1.0  # seconds in which the rest of a refused body is read
 
 _log = logbook.Logger("frontend")
 _NO_ACCESS_LOG = logging.getLogger("hyssopwind.no-access-log")
@@ -79,6 +80,7 @@
             loop=asyncio.get_running_loop(),
             access_log=_NO_ACCESS_LOG,
             keepalive_timeout=KEEPALIVE,
+            lingering_time=LINGERING,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=False,
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -2,6 +2,7 @@
 import json
 import random
 import unittest
+from unittest import mock
 
 from hyssopwind.core import invariants
 from hyssopwind.core import messages
@@ -182,6 +183,18 @@
         answer = await self.send(self.request("PUT", body="x" * 1001))
         self.assert_problem(answer, 413, "request-too-large", "not-run")
 
+    async def test_slow_body_is_refused(self):
+        with mock.patch.object(frontend, "READ_TIMEOUT", 0.05):
+            text = self.request("PUT", Content_Length="10") + "part"
+            answer = await self.send(text)
+        self.assert_problem(answer, 408, "request-too-slow", "not-run")
+        self.assertEqual(self.servers.orders, [])
+
+    async def test_oversized_field_is_refused(self):
+        answer = await self.send(self.request(X_Long="x" * 20_000))
+        self.assertIn(" 400 ", answer[0])
+        self.assertEqual(self.servers.orders, [])
+
     async def test_dot_segments_are_refused(self):
         answer = await self.send(self.request(path="/team/ledger/%2e%2e/x"))
         self.assert_problem(answer, 400, "malformed", "not-run")
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
@@ -0,0 +1,151 @@
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+import multidict
+
+from hyssopwind.core.attempts import judgement
+from hyssopwind.core.requests import classification
+from hyssopwind.daemon import upstream
+
+WHOLE = (
+    b"HTTP/1.1 200 OK\r\nServer-Start: a\r\nConnection: keep-alive, X-Once\r\n"
+    b"X-Once: 1\r\nContent-Length: 5\r\n\r\nwhole"
+)
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"
+SHED = (
+    b"HTTP/1.1 503 Busy\r\nServer-Shed: full\r\nRetry-After: 2\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"
+)
+
+
+class FakeServer:
+    """Answers each request of a connection with the next answer in line.
+
+    `None` leaves the request without an answer, `b""` closes the connection.
+    """
+
+    def __init__(self, *connections):
+        self._connections = list(connections)
+        self._writers = []
+        self.opened = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        answers = self._connections[self.opened]
+        self.opened += 1
+        for answer in answers:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                return
+            if answer is None:
+                await reader.read()
+                return
+            writer.write(answer)
+            if answer in (b"", SHORT):
+                writer.close()
+                return
+
+    def close(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *connections):
+        self.server = FakeServer(*connections)
+        self.address = await self.server.start()
+        self.upstream = upstream.Upstream()
+        self.addAsyncCleanup(self.upstream.close)
+        self.addCleanup(self.server.close)
+
+    async def attempt(self, patience=5.0, may_repeat=True):
+        request = classification.Request("GET", "/a?b", "/a", {}, b"")
+        order = upstream.AttemptOrder(
+            "s1",
+            self.address,
+            request,
+            multidict.CIMultiDict(),
+            time.monotonic() + patience,
+            1000,
+            may_repeat,
+        )
+        return await self.upstream.attempt(order)
+
+    async def test_whole_answer_without_hop_by_hop_fields(self):
+        await self.start([WHOLE])
+        result = await self.attempt()
+        self.assertEqual(result.answer.body, b"whole")
+        self.assertEqual(result.start, "a")
+        names = {name.lower() for name, _ in result.answer.headers}
+        self.assertFalse(names & {"connection", "x-once", "content-length"})
+
+    async def test_chunked_answer(self):
+        await self.start([CHUNKED])
+        self.assertEqual((await self.attempt()).answer.body, b"whole")
+
+    async def test_short_answer_is_a_failure(self):
+        await self.start([SHORT], [SHORT])
+        result = await self.attempt()
+        broken = judgement.Failed(judgement.FailureKind.BROKEN)
+        self.assertEqual(result, broken)
+
+    async def test_large_answer_is_a_failure(self):
+        await self.start([LARGE])
+        result = await self.attempt()
+        large = judgement.Failed(judgement.FailureKind.TOO_LARGE)
+        self.assertEqual(result, large)
+
+    async def test_shed_request(self):
+        await self.start([SHED])
+        self.assertEqual(await self.attempt(), judgement.Shed("", 2.0))
+
+    async def test_refused_connection(self):
+        await self.start([])
+        self.server.close()
+        result = await self.attempt()
+        self.assertIs(
+            judgement.judge_execution(result), judgement.Execution.NEVER
+        )
+
+    async def test_past_deadline_is_not_sent(self):
+        await self.start([WHOLE])
+        result = await self.attempt(patience=-1.0)
+        withheld = judgement.Failed(judgement.FailureKind.WITHHELD)
+        self.assertEqual(result, withheld)
+        self.assertEqual(self.server.opened, 0)
+
+    async def test_silent_connection_is_replaced(self):
+        await self.start([WHOLE, None], [WHOLE])
+        await self.attempt()
+        result = await self.attempt(patience=0.2)
+        timed_out = judgement.Failed(judgement.FailureKind.TIMED_OUT)
+        self.assertEqual(result, timed_out)
+        self.assertEqual((await self.attempt()).answer.body, b"whole")
+        self.assertEqual(self.server.opened, 2)
+
+    async def test_quiet_connection_is_not_used_for_a_non_idempotent(self):
+        await self.start([WHOLE, None], [WHOLE])
+        with mock.patch.object(upstream, "KEPT_NON_IDEMPOTENT", 0.05):
+            await self.attempt(may_repeat=False)
+            await asyncio.sleep(0.3)
+            result = await self.attempt(may_repeat=False)
+        self.assertEqual(result.answer.body, b"whole")
+        self.assertEqual(self.server.opened, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/standins/src/hyssopwind/standins/tests/test_sessions.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_sessions.py
@@ -1,9 +1,13 @@
+import asyncio
 import pathlib
+import random
 import statistics
 import unittest
 
+from hyssopwind.standins.virtual import callers
 from hyssopwind.standins.virtual import loop
 from hyssopwind.standins.virtual import sessions
+from hyssopwind.standins.virtual import world
 
 GOLDEN = pathlib.Path(__file__).parent / "golden"
 
@@ -20,6 +24,26 @@
                 )
 
 
+class LeavingServerTest(unittest.TestCase):
+    def test_leaving_server_gets_no_new_work(self):
+        arrivals, left = loop.run_virtual(self.leave())
+        self.assertGreater(sum(time < left for time in arrivals), 10)
+        self.assertEqual([t for t in arrivals if t > left + 3.0], [])
+
+    async def leave(self):
+        target = world.World(world.WorldModel(), seed=5)
+        await target.start()
+        caller = callers.VirtualCaller(target, random.Random(5))
+        server = target.servers["ledger-chicago-1"]
+        left = float("inf")
+        for number in range(600):
+            await caller.get(sessions.PATH)
+            if number == 200:
+                target.set_leaving([server.server])
+                left = asyncio.get_running_loop().time()
+        return server.arrivals, left
+
+
 class MorningTest(unittest.TestCase):
     """A data centre leaves and returns at 60% load."""
 
