--- a/packages/core/src/hyssopwind/core/configuration/tests/test_store.py
+++ b/packages/core/src/hyssopwind/core/configuration/tests/test_store.py
@@ -1,7 +1,6 @@
 import unittest
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies
 
 from hyssopwind.core import ids
@@ -56,8 +55,8 @@
         self.assertEqual(revisions, [5, 7])
         self.assertEqual(self.store.newer_than({"studio": 7}), [])
 
-    @settings(derandomize=True, deadline=None)
-    @given(
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
         strategies.lists(
             strategies.tuples(
                 strategies.integers(1, 12),
@@ -76,8 +75,8 @@
             other.offer(document(STUDIO, revision, text))
         self.assertEqual(one.teams, other.teams)
 
-    @settings(derandomize=True, deadline=None)
-    @given(
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
         strategies.lists(
             strategies.tuples(
                 strategies.integers(1, 12),
--- a/packages/standins/src/hyssopwind/standins/bench/path.py
+++ b/packages/standins/src/hyssopwind/standins/bench/path.py
@@ -54,7 +54,15 @@
         async with aiohttp.ClientSession() as session:
             plan = fleet.FleetPlan(
                 ("only",),
-                (fleet.ServicePlan("team", "plain", servers=2, load=100_000),),
+                (
+                    fleet.ServicePlan(
+                        "team",
+                        "plain",
+                        slots=64,
+                        load=100_000,
+                        extra="cold_start = { limit = 8, step = 1 }",
+                    ),
+                ),
                 daemons=1,
                 server_module="hyssopwind.standins.bench.instant_server",
             )
