--- a/packages/core/src/hyssopwind/core/configuration/tests/test_store.py
+++ b/packages/core/src/hyssopwind/core/configuration/tests/test_store.py
@@ -11,6 +11,12 @@
 BAD = "[data_centres.chicago]\ncolour = 1\n[services]\n"
 STUDIO = ids.TeamId("studio")
 OFFICE = ids.TeamId("office")
+OFFERS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(1, 12),
+        strategies.sampled_from([GOOD, BAD, None]),
+    )
+)
 
 
 def document(team, revision, text=GOOD):
@@ -56,14 +62,7 @@
         self.assertEqual(self.store.newer_than({"studio": 7}), [])
 
     @hypothesis.settings(derandomize=True, deadline=None)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.integers(1, 12),
-                strategies.sampled_from([GOOD, BAD, None]),
-            )
-        )
-    )
+    @hypothesis.given(OFFERS)
     def test_order_of_arrival_does_not_matter(self, offers):
         by_revision = dict(offers)
         offers = list(by_revision.items())
@@ -76,14 +75,7 @@
         self.assertEqual(one.teams, other.teams)
 
     @hypothesis.settings(derandomize=True, deadline=None)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.integers(1, 12),
-                strategies.sampled_from([GOOD, BAD, None]),
-            )
-        )
-    )
+    @hypothesis.given(OFFERS)
     def test_revision_in_force_never_goes_back(self, offers):
         kept = store.ConfigurationStore(self.monitor)
         last = 0
--- a/packages/core/src/hyssopwind/core/node/pooling.py
+++ b/packages/core/src/hyssopwind/core/node/pooling.py
@@ -138,6 +138,12 @@
         for pool_member in self._members.values():
             self._equip_member(pool_member, now)
 
+    def is_idle(self) -> bool:
+        """Whether no pool needs a tick soon."""
+        if any(pool_owner.queue_length for pool_owner in self._owners.values()):
+            return False
+        return all(known.is_idle for known in self._members.values())
+
     def tick(self, now: float) -> None:
         """Sends tells and summaries that are due."""
         for pool, pool_owner in self._owners.items():
--- a/packages/core/src/hyssopwind/core/pools/member.py
+++ b/packages/core/src/hyssopwind/core/pools/member.py
@@ -128,6 +128,11 @@
         """What the daemon has at each server."""
         return self._counts
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight and nothing is left to tell."""
+        return not self._changed and self.in_flight == 0
+
     def set_servers(
         self,
         usable: frozenset[ids.ServerId],
--- a/packages/core/src/hyssopwind/core/pools/owner.py
+++ b/packages/core/src/hyssopwind/core/pools/owner.py
@@ -7,7 +7,6 @@
     Trials of sharing few slots among many daemons: docs/design/pools.md.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -17,6 +16,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import invariants
 from hyssopwind.core import messages
+from hyssopwind.core.pools import accounts
 from hyssopwind.core.pools import queue
 from hyssopwind.core.pools import ranking
 from hyssopwind.core.pools import server_load
@@ -36,56 +36,6 @@
 LOAD_BURST = 0.2  # seconds of the declared load that may come at once
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OutstandingGrant:
-    """A grant that no tell includes yet."""
-
-    number: int
-    server: ids.ServerId
-    time: float
-
-
-@dataclasses.dataclass(slots=True)
-class DaemonCounts:
-    """What one daemon told.
-
-    Attributes:
-        sender: the process.
-        heard: monotonic time of its last message.
-        counts: its last tell of each server.
-        started: direct requests that it told.
-        last_grant: number of the last grant to it.
-        outstanding: grants that its tells do not include yet.
-        summary: the last summary sent to it.
-        summary_time: monotonic time of that summary.
-    """
-
-    sender: messages.Sender
-    heard: float
-    counts: dict[ids.ServerId, messages.ServerTell] = dataclasses.field(
-        default_factory=dict
-    )
-    started: int = 0
-    last_grant: int = 0
-    outstanding: list[OutstandingGrant] = dataclasses.field(
-        default_factory=list
-    )
-    summary: messages.Summary | None = None
-    summary_time: float = float("-inf")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerExplanation:
-    """Why a server is used or not, for operators."""
-
-    server: ids.ServerId
-    in_flight: int
-    limit: int
-    usable: bool
-    cold: bool
-    latency: float
-
-
 class PoolOwner:
     """Decides for one pool; all times are monotonic seconds."""
 
@@ -101,7 +51,7 @@
         self._service = service
         self._monitor = monitor
         self._servers: dict[ids.ServerId, server_load.ServerLoad] = {}
-        self._daemons: dict[ids.DaemonId, DaemonCounts] = {}
+        self._daemons: dict[ids.DaemonId, accounts.DaemonCounts] = {}
         self._queue = queue.WaitingQueue()
         self._inherited: Mapping[ids.ServerId, str] = {}
         self._returned = float("-inf")
@@ -261,10 +211,10 @@
             in_flight += load.in_flight
         return in_flight < OPEN_SHARE * slots
 
-    def explain(self, now: float) -> list[ServerExplanation]:
+    def explain(self, now: float) -> list[accounts.ServerExplanation]:
         """Returns why each server is used or not."""
         return [
-            ServerExplanation(
+            accounts.ServerExplanation(
                 load.server,
                 load.in_flight,
                 load.limit,
@@ -292,18 +242,20 @@
         share = (now - self._returned) / declared.return_ramp
         return min(1.0, max(LOWEST_RAMP, share))
 
-    def _daemon(self, sender: messages.Sender, now: float) -> DaemonCounts:
+    def _daemon(
+        self, sender: messages.Sender, now: float
+    ) -> accounts.DaemonCounts:
         daemon = self._daemons.get(sender.daemon)
         if daemon is not None and daemon.sender != sender:
             self._drop_daemon(daemon)
             daemon = None
         if daemon is None:
-            daemon = DaemonCounts(sender, now)
+            daemon = accounts.DaemonCounts(sender, now)
             self._daemons[sender.daemon] = daemon
         daemon.heard = now
         return daemon
 
-    def _include_grants(self, daemon: DaemonCounts, seen: int) -> None:
+    def _include_grants(self, daemon: accounts.DaemonCounts, seen: int) -> None:
         rest = []
         for grant in daemon.outstanding:
             if grant.number > seen:
@@ -313,7 +265,10 @@
         daemon.outstanding = rest
 
     def _take_counts(
-        self, daemon: DaemonCounts, new: messages.ServerTell, now: float
+        self,
+        daemon: accounts.DaemonCounts,
+        new: messages.ServerTell,
+        now: float,
     ) -> None:
         old = daemon.counts.get(new.server)
         daemon.counts[new.server] = new
@@ -336,7 +291,7 @@
             total += sum(g.server == server for g in daemon.outstanding)
         return total
 
-    def _drop_daemon(self, daemon: DaemonCounts) -> None:
+    def _drop_daemon(self, daemon: accounts.DaemonCounts) -> None:
         for counts in daemon.counts.values():
             self._add_in_flight(counts.server, -counts.in_flight)
         for grant in daemon.outstanding:
@@ -440,7 +395,7 @@
         daemon = self._daemons[waiting.sender.daemon]
         daemon.last_grant += 1
         daemon.outstanding.append(
-            OutstandingGrant(daemon.last_grant, load.server, now)
+            accounts.OutstandingGrant(daemon.last_grant, load.server, now)
         )
         load.add_in_flight(1)
         self._load.charge(1.0, now)
@@ -498,7 +453,7 @@
         )
 
     def _summarize(
-        self, daemon: DaemonCounts, is_open: bool, now: float
+        self, daemon: accounts.DaemonCounts, is_open: bool, now: float
     ) -> messages.Summary:
         entries = []
         fastest = self._fastest(now)
--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -30,7 +30,8 @@
 from hyssopwind.daemon import upstream
 from hyssopwind.daemon import watching
 
-TICK = 0.02  # seconds
+TICK = 0.02  # seconds between two ticks while requests are under way
+IDLE_TICK = 0.05  # seconds between two ticks otherwise
 SETTINGS_FILE = "settings.toml"
 READY_CHECK = 0.05  # seconds
 HAND_OVER_TIMEOUT = 5.0  # seconds
@@ -229,7 +230,8 @@
             if self._clock.now() >= connected + heartbeat:
                 connected = self._clock.now()
                 self._links.connect(self._node.members.addresses())
-            await asyncio.sleep(TICK)
+            is_idle = self._node.pools.is_idle()
+            await asyncio.sleep(IDLE_TICK if is_idle else TICK)
 
     async def _probe(self) -> None:
         """Sends the load probes that the budget allows."""
--- a/packages/standins/src/hyssopwind/standins/virtual/callers.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/callers.py
@@ -10,6 +10,7 @@
 
 from hyssopwind.core import outcomes
 from hyssopwind.core.requests import classification
+from hyssopwind.standins.virtual import transports
 from hyssopwind.standins.virtual import world
 
 RESEND_PAUSE = 0.3  # seconds
@@ -49,7 +50,7 @@
     def new_key(self, error: float = 0.0) -> str:
         """Returns a UUID of version 7, by a wall clock with an error."""
         now = asyncio.get_running_loop().time()
-        milliseconds = int((world.WALL_EPOCH + now + error) * 1000)
+        milliseconds = int((transports.WALL_EPOCH + now + error) * 1000)
         value = milliseconds << 80 | 7 << 76 | 2 << 62
         value |= self._random.getrandbits(12) << 64
         value |= self._random.getrandbits(62)
--- a/packages/standins/src/hyssopwind/standins/virtual/world.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/world.py
@@ -22,11 +22,9 @@
 from hyssopwind.core import messages
 from hyssopwind.core import outcomes
 from hyssopwind.core import units
-from hyssopwind.core.attempts import judgement
 from hyssopwind.core.configuration import store
 from hyssopwind.core.membership import machines
 from hyssopwind.core.node import node
-from hyssopwind.core.node import owning
 from hyssopwind.core.node import pooling
 from hyssopwind.core.pools import member
 from hyssopwind.core.requests import classification
@@ -34,22 +32,18 @@
 from hyssopwind.core.settings import documents
 from hyssopwind.daemon import clock
 from hyssopwind.daemon import exchange
-from hyssopwind.daemon import forwarding
-from hyssopwind.daemon import headers
 from hyssopwind.daemon import metrics
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import tracing
-from hyssopwind.daemon import upstream
 from hyssopwind.standins.virtual import servers
+from hyssopwind.standins.virtual import transports
 
-WALL_EPOCH = 1_800_000_000.0  # Unix time at the start of the world
 TICK = 0.01  # seconds
 PROBE_TICK = 0.05  # seconds
 PLATFORM_DELAY = 0.02  # seconds
 _NOT_READY = outcomes.NotRun(
     outcomes.Reason.NOT_READY, "the daemon is starting", 1.0
 )
-SERVER_DELAY = 0.0002  # seconds, one way inside a data centre
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +110,7 @@
 
     def wall(self) -> float:
         """Returns virtual Unix time with the error of this clock."""
-        return WALL_EPOCH + self.now() + self._wall_error
+        return transports.WALL_EPOCH + self.now() + self._wall_error
 
 
 class VirtualDaemon:
@@ -127,7 +121,9 @@
         self.name = ids.DaemonId(name)
         self.data_centre = data_centre
         error = world.model.wall_error
-        self.clock = VirtualClock(world.random.uniform(-error, error))
+        self.clock: clock.Clock = VirtualClock(
+            world.random.uniform(-error, error)
+        )
         start = ids.StartId(f"{world.random.getrandbits(48):012x}")
         self.sender = messages.Sender(self.name, start)
         self.settings = world.daemon_settings(name, data_centre)
@@ -143,8 +139,8 @@
         self.serving = serving.Serving(
             self.node,
             self.clock,
-            _ServerTransport(world, self),
-            _PeerTransport(world, self),
+            transports.ServerTransport(world, self),
+            transports.PeerTransport(world, self),
             self._send,
             tracing.Tracer(
                 documents.TraceSettings(), name, self.node.generator
@@ -379,7 +375,16 @@
             delay = self._delay(origin.data_centre, outgoing.receiver)
             self._later(delay, lambda: self._arrive(outgoing.receiver, data))
 
-    async def travel(self, origin: VirtualDaemon, receiver: str) -> bool:
+    @property
+    def far_delay(self) -> float:
+        """One-way seconds between data centres."""
+        return self.model.network.far_delay
+
+    def find_daemon(self, name: str) -> VirtualDaemon | None:
+        """Returns the present life of a daemon, or `None`."""
+        return self.daemons.get(name)
+
+    async def travel(self, origin: transports.Daemon, receiver: str) -> bool:
         """Takes the time of one way; returns whether it arrives."""
         await asyncio.sleep(self._delay(origin.data_centre, receiver))
         return not self.is_cut(origin.name, receiver)
@@ -521,92 +526,3 @@
 
     def _later(self, delay: float, action: Callable[[], None]) -> None:
         asyncio.get_running_loop().call_later(delay, action)
-
-
-class _ServerTransport:
-    """Carries attempts to virtual servers."""
-
-    def __init__(self, world: World, daemon: VirtualDaemon):
-        self._world = world
-        self._daemon = daemon
-
-    async def attempt(
-        self, order: upstream.AttemptOrder
-    ) -> judgement.AttemptResult:
-        """Runs an attempt, after the pause of the daemon if there is one."""
-        await self._daemon.until_running()
-        if not self._daemon.is_alive:
-            return judgement.Failed(judgement.FailureKind.WITHHELD)
-        patience = order.deadline - self._daemon.clock.now()
-        not_after = None
-        text = order.fields.get(headers.NOT_AFTER)
-        if text is not None:
-            not_after = int(text) / 1000 - WALL_EPOCH
-        server = self._world.servers[order.server]
-        working = asyncio.create_task(
-            self._exchange(server, order.request, not_after)
-        )
-        try:
-            return await asyncio.wait_for(working, max(0.0, patience))
-        except TimeoutError:
-            return judgement.Failed(judgement.FailureKind.TIMED_OUT)
-
-    async def _exchange(
-        self,
-        server: servers.VirtualServer,
-        request: classification.Request,
-        not_after: float | None,
-    ) -> judgement.AttemptResult:
-        place = ids.pool_data_centre(server.pool)
-        network = self._world.model.network
-        delay = SERVER_DELAY
-        if place != self._daemon.data_centre:
-            delay = network.far_delay
-        await asyncio.sleep(delay)
-        result = await server.serve(request, not_after)
-        await asyncio.sleep(delay)
-        await self._daemon.until_running()
-        return result
-
-
-class _PeerTransport:
-    """Carries forwarded requests to other virtual daemons."""
-
-    def __init__(self, world: World, daemon: VirtualDaemon):
-        self._world = world
-        self._daemon = daemon
-
-    async def forward(
-        self, traffic: exchange.Exchange, target: owning.Forward
-    ) -> outcomes.Outcome:
-        """Runs a request at another daemon and returns its outcome."""
-        unknown = outcomes.Unknown(
-            outcomes.Reason.KEY_OWNER_UNKNOWN,
-            "the daemon that decides about the key gave no answer",
-            forwarding.RETRY_AFTER,
-        )
-        patience = traffic.item.deadline - self._daemon.clock.now()
-        working = asyncio.create_task(self._exchange(traffic, target))
-        try:
-            outcome = await asyncio.wait_for(
-                asyncio.shield(working), max(0.0, patience)
-            )
-        except TimeoutError:
-            return unknown
-        return outcome or unknown
-
-    async def _exchange(
-        self, traffic: exchange.Exchange, target: owning.Forward
-    ) -> outcomes.Outcome | None:
-        if not await self._world.travel(self._daemon, target.daemon):
-            return None
-        daemon = self._world.daemons.get(target.daemon)
-        if daemon is None or not daemon.is_alive:
-            return None
-        start = target.start or forwarding.ANY_START
-        outcome = await daemon.handle(traffic.item.request, start)
-        if not daemon.is_alive:
-            return None
-        if not await self._world.travel(daemon, self._daemon.name):
-            return None
-        return outcome
