Check the owners' choice in the tests, without the choices of the warm-up

The counts included the cold start of the whole fleet before the measured calls, whose calls are left out of all other figures. Ruled out: the threshold of the open pool (the same in both).

--- a/packages/standins/src/hyssopwind/standins/virtual/comparison.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/comparison.py
@@ -149,6 +149,7 @@
     clock = asyncio.get_running_loop()
     begin = clock.time() + WARM_UP
     end = begin + plan.seconds
+    clock.call_at(begin, _reset_counts, target)
     slowing = asyncio.create_task(_slow_servers(target, plan))
     tasks = []
     while clock.time() < end:
@@ -173,6 +174,15 @@
         server.slow_factor = 1.0
 
 
+def _reset_counts(target: world.World) -> None:
+    """Forgets the choices of the warm-up, as its calls are left out too."""
+    for daemon in target.daemons.values():
+        for pool_member in daemon.node.pools.members.values():
+            if isinstance(pool_member, CountingMember):
+                pool_member.direct = 0
+                pool_member.asked = 0
+
+
 def _count_choices(target: world.World) -> tuple[int, int]:
     direct = 0
     asked = 0
