Ask the owner of a pool again after it refused to be the owner

Cause: a daemon whose view was behind refused a request for a slot as not the owner; the daemon that asked dropped it as owner and was told of it again only when membership changed, so it kept to its static share until then. Ruled out: the share itself (it is bounded as intended).

--- a/packages/core/src/hyssopwind/core/node/node.py
+++ b/packages/core/src/hyssopwind/core/node/node.py
@@ -153,6 +153,7 @@
             self._send_heartbeats(moment.now)
             self._follow_membership(moment.now)
             self._keys.tick(moment)
+            self._pools.refresh_members(moment.now)
         self._pools.tick(moment.now)
         self._deliver_own(moment)
 
--- a/packages/core/src/hyssopwind/core/node/pooling.py
+++ b/packages/core/src/hyssopwind/core/node/pooling.py
@@ -45,6 +45,7 @@
         self._keys = keys
         self._settings = snapshot.Snapshot([])
         self._machines = machines.EMPTY_LIST
+        self._daemons: tuple[ids.DaemonId, ...] = ()
         self._members: dict[ids.PoolId, member.PoolMember] = {}
         self._owners: dict[ids.PoolId, owner.PoolOwner] = {}
         self._meters: dict[ids.PoolId, measuring.ProbeMeter] = {}
@@ -80,6 +81,7 @@
         if listing.revision < self._machines.revision:
             return
         self._machines = listing
+        self._daemons = tuple(sorted(listing.entries))
         self._shared.members.set_listed(listing.entries)
         servers: dict[ids.PoolId, set[ids.ServerId]] = {}
         for server, record in listing.servers.items():
@@ -135,6 +137,10 @@
         for pool in sorted(owned):
             self._equip_owner(pool, now)
         self._keys.want_pools(frozenset(f"pool/{pool}" for pool in owned))
+        self.refresh_members(now)
+
+    def refresh_members(self, now: float) -> None:
+        """Tells members their owners, also one that they dropped."""
         for pool_member in self._members.values():
             self._equip_member(pool_member, now)
 
@@ -302,9 +308,8 @@
 
     def _equip_member(self, pool_member: member.PoolMember, now: float) -> None:
         pool = pool_member.pool
-        daemons = tuple(sorted(self._machines.entries))
         servers = self._servers.get(pool, frozenset())
-        pool_member.set_servers(servers, daemons)
+        pool_member.set_servers(servers, self._daemons)
         pool_member.set_owner(self._owner_sender(pool, now))
 
     def _equip_owner(self, pool: ids.PoolId, now: float) -> None:
