Take what a daemon tells a new owner first as history

Cause: read as a newcomer. Tells carry counts since the start of the daemon. An owner that had just taken a pool over counted them all as news: past failures chilled every warm server, past sheds lowered its limit and past calls used up the declared load. Ruled out: sending differences instead (a lost message would not heal). Before: the new test failed (a server inherited as warm was cold after one tell). The other tests of the owner introduce their daemons first; their assertions are the same.

--- a/packages/core/src/hyssopwind/core/pools/owner.py
+++ b/packages/core/src/hyssopwind/core/pools/owner.py
@@ -116,13 +116,20 @@
     def take_tell(
         self, sender: messages.Sender, tell: messages.Tell, now: float
     ) -> list[messages.Outgoing]:
-        """Takes counts of a daemon, and serves the queue with what is free."""
+        """Takes counts of a daemon, and serves the queue with what is free.
+
+        What a daemon tells first is its history under an owner before; only
+        its requests in flight are news.
+        """
+        known = self._daemons.get(sender.daemon)
+        is_history = known is None or known.sender != sender
         daemon = self._daemon(sender, now)
         self._include_grants(daemon, tell.grants_seen)
-        self._load.charge(max(0, tell.started - daemon.started), now)
+        if not is_history:
+            self._load.charge(max(0, tell.started - daemon.started), now)
         daemon.started = tell.started
         for item in tell.servers:
-            self._take_counts(daemon, item, now)
+            self._take_counts(daemon, item, is_history, now)
         return self._serve_queue(now, lease_held=None)
 
     def take_ask(
@@ -268,6 +275,7 @@
         self,
         daemon: accounts.DaemonCounts,
         new: messages.ServerTell,
+        is_history: bool,
         now: float,
     ) -> None:
         old = daemon.counts.get(new.server)
@@ -276,6 +284,9 @@
         if load is None:
             return
         load.add_in_flight(new.in_flight - (old.in_flight if old else 0))
+        if is_history:
+            load.warmth.note_start(new.start)
+            return
         load.note_tell(old, new, now)
 
     def _add_in_flight(self, server: ids.ServerId, change: int) -> None:
--- a/packages/core/src/hyssopwind/core/pools/tests/test_owner.py
+++ b/packages/core/src/hyssopwind/core/pools/tests/test_owner.py
@@ -12,6 +12,7 @@
 ONE = messages.Sender(ids.DaemonId("one"), ids.StartId("1"))
 ONE_ANEW = messages.Sender(ids.DaemonId("one"), ids.StartId("2"))
 TWO = messages.Sender(ids.DaemonId("two"), ids.StartId("1"))
+THREE = messages.Sender(ids.DaemonId("three"), ids.StartId("1"))
 SERVER = ids.ServerId("s1")
 
 
@@ -36,6 +37,12 @@
         self.monitor = invariants.InvariantMonitor()
         self.owner = owner.PoolOwner(POOL, make_service(), self.monitor, 0.0)
         self.number = 0
+        self.introduce()
+
+    def introduce(self):
+        """Lets the owner hear both daemons, so that later tells are news."""
+        for sender in (ONE, TWO):
+            self.owner.take_tell(sender, self.tell(), 0.0)
 
     def add_warm_servers(self, *names):
         self.owner.inherit({ids.ServerId(name): "start" for name in names})
@@ -146,6 +153,29 @@
         self.assertNotEqual(refused[0].ask, self.number)
 
 
+class NewOwnerTest(OwnerTestCase):
+    def test_history_told_to_a_new_owner_is_no_news(self):
+        self.owner.inherit({SERVER: "start"})
+        self.owner.set_servers([SERVER])
+        history = messages.ServerTell(SERVER, 1, 900, 7, 5, "start", 9.0)
+        told = self.tell([history], started=900)
+        self.owner.take_tell(THREE, told, 0.1)
+        load = self.owner.servers[SERVER]
+        self.assertFalse(load.is_cold)
+        self.assertTrue(load.is_usable(0.1))
+        self.assertEqual((load.limit, load.in_flight), (3, 1))
+        self.assertTrue(self.owner.is_open(0.1))
+
+    def test_news_after_the_history_counts(self):
+        self.owner.inherit({SERVER: "start"})
+        self.owner.set_servers([SERVER])
+        history = messages.ServerTell(SERVER, 1, 900, 7, 5, "start", 9.0)
+        self.owner.take_tell(THREE, self.tell([history]), 0.1)
+        broken = messages.ServerTell(SERVER, 0, 900, 7, 6, "start", 9.0)
+        self.owner.take_tell(THREE, self.tell([broken]), 0.2)
+        self.assertTrue(self.owner.servers[SERVER].is_cold)
+
+
 class ColdStartTest(OwnerTestCase):
     def setUp(self):
         super().setUp()
@@ -222,6 +252,7 @@
         self.owner = owner.PoolOwner(
             POOL, make_service(load="10/s", slots=50), self.monitor, 0.0
         )
+        self.introduce()
         self.add_warm_servers("s1", "s2")
         granted = 0
         for step in range(1000):
