Survive answers of the platform that make no sense

Cause: a listing or an event of another shape than the protocol gives raised errors that the watcher did not expect; its loop ended and the daemon stopped. Found while reading. After: 5 passed; the watcher counts a failure, waits and asks again.

--- a/packages/daemon/src/hyssopwind/daemon/watching.py
+++ b/packages/daemon/src/hyssopwind/daemon/watching.py
@@ -30,6 +30,17 @@
 LONGEST_BACKOFF = 2.0  # seconds
 MAX_LINE_BYTES = 4_000_000
 
+_FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    # An answer of another shape than the protocol gives one of these.
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
 _log = logbook.Logger("watching")
 
 
@@ -96,7 +107,7 @@
                 backoff = FIRST_BACKOFF
                 while True:
                     revision = await self._watch(revision)
-            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            except _FAILURES as error:
                 self._counters.platform_calls.labels(self._name, "failed").inc()
                 _log.warn(
                     "platform service failed",
