Remove unused methods, and keep a shared prefix and margin in one place

Five methods had no caller left (TicketIssuer.is_own, MembershipView.is_listed, MachineList.servers_of, TokenBucket.set_rate, ProcessGroup.is_running). The prefix of the problem types stood in the code that writes and in the code that reads them, and the margin around a key's birth in three places.

--- a/packages/core/src/hyssopwind/core/buckets.py
+++ b/packages/core/src/hyssopwind/core/buckets.py
@@ -23,11 +23,6 @@
         """Tokens per second."""
         return self._rate
 
-    def set_rate(self, rate: float, now: float) -> None:
-        """Changes the rate from now on."""
-        self._refill(now)
-        self._rate = rate
-
     def available(self, now: float) -> float:
         """Returns the tokens at hand; negative after `charge` took too many."""
         self._refill(now)
--- a/packages/core/src/hyssopwind/core/membership/machines.py
+++ b/packages/core/src/hyssopwind/core/membership/machines.py
@@ -82,14 +82,6 @@
     entries: Mapping[ids.DaemonId, EntryRecord]
     unreadable: tuple[findings.Finding, ...] = ()
 
-    def servers_of(self, pool: ids.PoolId) -> dict[ids.ServerId, ServerRecord]:
-        """Returns the servers of a pool that are not leaving."""
-        return {
-            server: record
-            for server, record in self.servers.items()
-            if record.pool == pool and record.state is MachineState.LIVE
-        }
-
 
 EMPTY_LIST = MachineList(-1, {}, {})
 
--- a/packages/core/src/hyssopwind/core/membership/view.py
+++ b/packages/core/src/hyssopwind/core/membership/view.py
@@ -105,10 +105,6 @@
         """Returns the last heartbeat of a peer, however old."""
         return self._peers.get(daemon)
 
-    def is_listed(self, daemon: ids.DaemonId) -> bool:
-        """Whether the list of VMs names a daemon."""
-        return daemon in self._listed
-
     def live_peers(self, now: float) -> list[Peer]:
         """Returns the peers that were heard lately, in any phase."""
         return [p for p in self._peers.values() if self._is_heard(p, now)]
--- a/packages/core/src/hyssopwind/core/node/owning.py
+++ b/packages/core/src/hyssopwind/core/node/owning.py
@@ -251,7 +251,7 @@
 
     def is_settled(self, moment: moments.Moment) -> bool:
         """Whether new keys of all partitions that it should own may run."""
-        margin = 2 * self._shared.settings.cluster.clock_error
+        margin = self._partitions.birth_margin
         wanted = partitions.wanted_partitions(
             self._shared.members, self._shared.sender.daemon, moment.now
         )
--- a/packages/core/src/hyssopwind/core/ownership/partitions.py
+++ b/packages/core/src/hyssopwind/core/ownership/partitions.py
@@ -82,6 +82,14 @@
         self._successors: dict[str, ids.DaemonId] = {}
         self._nonce = first_nonce
 
+    @property
+    def birth_margin(self) -> float:
+        """Seconds by which two readings of a birth may be apart.
+
+        The caller's clock and the owner's each err by the clock error.
+        """
+        return 2 * self._cluster.clock_error
+
     def claim(
         self, key: str, fingerprint: ids.Fingerprint, now: float, wall: float
     ) -> ledger.Claim:
@@ -211,12 +219,12 @@
                 "the key was born later than now",
                 OWNER_RETRY_AFTER,
             )
-        if wall > birth + self._keys.retention - 2 * error:
+        if wall > birth + self._keys.retention - self.birth_margin:
             return outcomes.Unknown(
                 outcomes.Reason.KEY_EXPIRED,
                 "the key is older than the memory of its outcome",
             )
-        if birth <= complete_since + 2 * error:
+        if birth <= complete_since + self.birth_margin:
             return _owner_gone()
         return None
 
--- a/packages/core/src/hyssopwind/core/ownership/tickets.py
+++ b/packages/core/src/hyssopwind/core/ownership/tickets.py
@@ -132,7 +132,3 @@
     def read(self, text: str) -> Ticket | BadTicket:
         """Returns the ticket of a text, or what is wrong with it."""
         return read_ticket(text, self._settings.signing_keys)
-
-    def is_own(self, ticket: Ticket) -> bool:
-        """Whether this process, in this life, issued the ticket."""
-        return ticket.issuer == self._sender and ticket.number <= self._last
--- a/packages/daemon/src/hyssopwind/daemon/answers.py
+++ b/packages/daemon/src/hyssopwind/daemon/answers.py
@@ -15,7 +15,7 @@
 from hyssopwind.daemon import headers
 
 PROBLEM_TYPE = "application/problem+json"
-_TYPE_PREFIX = "urn:hyssopwind:problem:"
+TYPE_PREFIX = "urn:hyssopwind:problem:"
 
 
 def render_outcome(
@@ -43,7 +43,7 @@
 def render_failure(failure: outcomes.Failure) -> web.Response:
     """Returns the problem document of a request without a server's answer."""
     problem = {
-        "type": _TYPE_PREFIX + failure.reason.slug,
+        "type": TYPE_PREFIX + failure.reason.slug,
         "title": http.HTTPStatus(failure.reason.status).phrase,
         "status": failure.reason.status,
         "detail": failure.detail,
--- a/packages/daemon/src/hyssopwind/daemon/forwarding.py
+++ b/packages/daemon/src/hyssopwind/daemon/forwarding.py
@@ -10,6 +10,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.node import owning
 from hyssopwind.core.requests import classification
+from hyssopwind.daemon import answers
 from hyssopwind.daemon import exchange
 from hyssopwind.daemon import headers
 
@@ -17,7 +18,6 @@
 CONNECT_TIMEOUT = 0.3  # seconds
 RETRY_AFTER = 1.0  # seconds
 ANSWER_MARGIN = 0.05  # seconds before the deadline at which waiting ends
-_TYPE_PREFIX = "urn:hyssopwind:problem:"
 
 
 class _Problem(msgspec.Struct, frozen=True):
@@ -99,7 +99,7 @@
     try:
         problem = _DECODER.decode(body)
         reason = outcomes.Reason.from_slug(
-            problem.type.removeprefix(_TYPE_PREFIX)
+            problem.type.removeprefix(answers.TYPE_PREFIX)
         )
     except (msgspec.DecodeError, ValueError):
         return outcomes.Unknown(
--- a/packages/standins/src/hyssopwind/standins/processes.py
+++ b/packages/standins/src/hyssopwind/standins/processes.py
@@ -44,10 +44,6 @@
         """Returns the process id."""
         return self._processes[name].pid
 
-    def is_running(self, name: str) -> bool:
-        """Whether a process has not ended."""
-        return self._processes[name].poll() is None
-
     def kill(self, name: str) -> None:
         """Ends a process without warning."""
         self._processes[name].kill()
