--- a/packages/core/src/hyssopwind/core/attempts/judgement.py
+++ b/packages/core/src/hyssopwind/core/attempts/judgement.py
@@ -15,6 +15,7 @@
 
     NOT_CONNECTED = "no connection was made"
     BROKEN = "the connection broke after the request was sent"
+    GARBLED = "the server sent bytes that are no answer to the request"
     TIMED_OUT = "no whole answer came in time"
     TOO_LARGE = "the answer is over the limit"
     WITHHELD = "the request was not sent"
@@ -124,6 +125,7 @@
 _FAILURE_REASONS = {
     FailureKind.NOT_CONNECTED: outcomes.Reason.NO_SERVER,
     FailureKind.BROKEN: outcomes.Reason.SERVER_FAILED,
+    FailureKind.GARBLED: outcomes.Reason.SERVER_FAILED,
     FailureKind.TIMED_OUT: outcomes.Reason.DEADLINE,
     FailureKind.TOO_LARGE: outcomes.Reason.ANSWER_TOO_LARGE,
     FailureKind.WITHHELD: outcomes.Reason.NO_SERVER,
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform publishes: items, servers, evacuations, freshness."""
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about one request: which server, when, how often, or none."""
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -0,0 +1,81 @@
+"""What follows an attempt at a server."""
+
+import enum
+
+from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import judgement
+
+# A second attempt starts when the first one takes this many times longer
+# than estimated.
+HEDGE_FACTOR = 1.7
+# Latest start of a second attempt as a share of the latency target, so that
+# it can still end within the target.
+LATEST_HEDGE_SHARE = 0.55
+SHORTEST_USEFUL = 0.02  # seconds; less time than a server needs to answer
+# Bounds of the time after which a refused caller may come back, as shares of
+# the latency target; drawn at random so that callers don't return together.
+EARLIEST_RETURN_SHARE = 0.15
+LATEST_RETURN_SHARE = 0.5
+
+
+class Step(enum.Enum):
+    """What to do after an attempt."""
+
+    FINISH = "finish"
+    TRY_AGAIN = "try again"
+
+
+def is_failure(result: judgement.AttemptResult) -> bool:
+    """Whether another server might do better.
+
+    Examples:
+        >>> is_failure(judgement.Shed("", 0.0))
+        True
+        >>> answer = outcomes.Answered(200, (), b"")
+        >>> is_failure(judgement.WholeAnswer(answer, "", 0.1))
+        False
+    """
+    if isinstance(result, judgement.WholeAnswer):
+        return result.answer.status >= 500
+    return True
+
+
+def next_step(
+    result: judgement.AttemptResult,
+    *,
+    idempotent: bool,
+    tries_left: int,
+    remaining: float,
+) -> Step:
+    """Returns whether another server is tried.
+
+    Args:
+        result: how the attempt ended.
+        idempotent: whether the request may run more than once.
+        tries_left: servers that it may still be sent to.
+        remaining: seconds until the caller or the route gives up.
+    """
+    if tries_left <= 0 or remaining < SHORTEST_USEFUL:
+        return Step.FINISH
+    if not is_failure(result):
+        return Step.FINISH
+    execution = judgement.judge_execution(result)
+    if execution is judgement.Execution.NEVER or idempotent:
+        return Step.TRY_AGAIN
+    return Step.FINISH
+
+
+def hedge_delay(estimate: float, target: float) -> float:
+    """Returns the seconds after which a second attempt starts."""
+    return min(HEDGE_FACTOR * estimate, LATEST_HEDGE_SHARE * target)
+
+
+def retry_after(target: float, draw: float) -> float:
+    """Returns the seconds after which a refused caller may come back.
+
+    Args:
+        target: latency target of the route in seconds.
+        draw: a random number from 0 to 1.
+    """
+    spread = LATEST_RETURN_SHARE - EARLIEST_RETURN_SHARE
+    return target * (EARLIEST_RETURN_SHARE + spread * draw)
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -0,0 +1,188 @@
+"""Chooses the server of a request from load reports that were just asked for.
+
+The load of a server shifts within about 150 ms while its work takes several
+hundred, and the speed at the start decides how long the work takes. Reports
+are therefore asked for when a request arrives, first in the data centre of
+the daemon, and then elsewhere if no near server is free and undisturbed.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import TypeAlias
+
+from hyssopwind.core import ids
+from hyssopwind.core.dispatch import readings
+
+# Share of the slots above which servers slow down.
+CROWDED_SHARE = 0.8
+# How much longer work takes on a crowded server.
+CROWDED_FACTOR = 1.6
+# A server is good if work takes at most this many times the usual.
+GOOD_FACTOR = 1.3
+# Seconds of estimated time for which the bytes to another data centre are
+# worth it: they are billed, and add a round trip.
+FAR_PENALTY = 0.03
+# Requests that wait at a server for each slot before it refuses more.
+QUEUE_PER_SLOT = 2.0
+# Seconds between two rounds of load checks while no server is good; a
+# disturbed server recovers after 150 ms on average.
+WAIT_STEP = 0.03
+# Share of the latency target that a request may wait when all servers are
+# full, so that a refusal still leaves the caller time to come back.
+REFUSAL_SHARE = 0.12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server that answered the load check just now.
+
+    Attributes:
+        server: the server.
+        near: whether it is in the data centre of the daemon.
+        load: its load; `None` where the service does not tell it.
+        slots: requests that it works on at a time, as listed.
+        in_flight: requests of this daemon at the server that its report
+            does not show yet, or all of them without a report.
+        penalty: how many times longer than expected it took lately.
+    """
+
+    server: ids.ServerId
+    near: bool
+    load: readings.Load | None
+    slots: int
+    in_flight: int = 0
+    penalty: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """What is known of the time of a request.
+
+    Attributes:
+        work: seconds that an undisturbed server is expected to take.
+        waited: seconds since the request arrived.
+        target: seconds within which the answer is worth most.
+        remaining: seconds until the caller or the route gives up.
+    """
+
+    work: float
+    waited: float
+    target: float
+    remaining: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to a server."""
+
+    server: ids.ServerId
+    estimate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Widen:
+    """Ask servers in other data centres too."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Ask again after some seconds."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """No server can answer in time."""
+
+    reason: str
+
+
+Decision: TypeAlias = Send | Widen | Wait | Refuse
+
+
+def estimate(candidate: Candidate, work: float) -> float:
+    """Returns the seconds until a server would have answered.
+
+    Examples:
+        >>> load = readings.Load(running=1, waiting=0, slots=4, slowdown=2.0)
+        >>> estimate(Candidate(ids.ServerId("a"), True, load, 4), work=0.1)
+        0.2
+    """
+    load = candidate.load
+    if load is None:
+        slots = max(1, candidate.slots)
+        occupied = candidate.in_flight
+        slowdown = 1.0
+    else:
+        slots = load.slots
+        occupied = load.running + load.waiting + candidate.in_flight
+        slowdown = load.slowdown
+    duration = work * slowdown * candidate.penalty
+    if (occupied + 1) / slots > CROWDED_SHARE and slots > 1:
+        duration *= CROWDED_FACTOR
+    queued = max(0, occupied - slots + 1)
+    return duration * (1.0 + queued / slots)
+
+
+def has_room(candidate: Candidate) -> bool:
+    """Whether a server is likely to accept one more request."""
+    load = candidate.load
+    if load is None:
+        return True
+    waiting = load.waiting + candidate.in_flight
+    return waiting < max(2.0, QUEUE_PER_SLOT * load.slots)
+
+
+def decide(
+    candidates: Sequence[Candidate], timing: Timing, *, widened: bool
+) -> Decision:
+    """Returns what to do with a request.
+
+    Args:
+        candidates: the servers that answered.
+        timing: the time of the request.
+        widened: whether servers of other data centres were asked too.
+    """
+    best, cost = _cheapest(candidates, timing.work)
+    good = GOOD_FACTOR * timing.work
+    if best is not None and cost <= good + (0.0 if best.near else FAR_PENALTY):
+        return Send(best.server, estimate(best, timing.work))
+    if not widened:
+        return Widen()
+    return _settle(best, timing)
+
+
+def _cheapest(
+    candidates: Sequence[Candidate], work: float
+) -> tuple[Candidate | None, float]:
+    best = None
+    lowest = float("inf")
+    for candidate in candidates:
+        if not has_room(candidate):
+            continue
+        cost = estimate(candidate, work)
+        if not candidate.near:
+            cost += FAR_PENALTY
+        if cost < lowest:
+            best, lowest = candidate, cost
+    return best, lowest
+
+
+def _settle(best: Candidate | None, timing: Timing) -> Decision:
+    """Decides when no server is good, here or elsewhere."""
+    left = timing.target - timing.waited
+    if best is None:
+        if timing.waited < REFUSAL_SHARE * timing.target:
+            return Wait(WAIT_STEP)
+        return Refuse("all servers are full")
+    cost = estimate(best, timing.work)
+    # Waiting for an undisturbed server gains more than it costs as long as
+    # the work would still end within the target.
+    if cost > left and left > WAIT_STEP + GOOD_FACTOR * timing.work:
+        return Wait(WAIT_STEP)
+    if cost <= max(timing.remaining, 0.0):
+        return Send(best.server, cost)
+    if timing.waited < REFUSAL_SHARE * timing.target:
+        return Wait(WAIT_STEP)
+    return Refuse("no server can answer in time")
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -0,0 +1,67 @@
+"""Settings of a daemon that serves on the platform."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from hyssopwind.core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Where a daemon listens, whom it knows, and the bounds that it keeps.
+
+    Attributes:
+        name: name of the daemon.
+        ip: IP address of its VM.
+        data_centre: where it runs.
+        region: region of its data centre.
+        regions: region of each data centre.
+        callers_address: for callers.
+        ready_address: for the readiness checks of the platform's balancer.
+        peers_address: for bulk transfers between daemons.
+        gossip_port: UDP port for messages between daemons, on every VM.
+        metrics_port: HTTP port of the metrics.
+        seeds: peer addresses of a few daemons, some of which may be down.
+        first_start: whether the whole fleet starts for the first time.
+        store_address: the platform's store.
+        store_history: seconds for which the store keeps its history.
+        grace: seconds from SIGTERM to SIGKILL.
+        drain_bound: seconds within which a leaving server gets no new work.
+        configuration_bound: seconds within which a change is in force.
+        evacuation_bound: seconds within which a data centre is left.
+        contact: seconds of undisturbed running after which bounds hold.
+        retry_ratio: repeats as a share of the requests, over all daemons.
+        retry_window: seconds over which repeats are counted.
+        retry_slack: repeats allowed in a window beyond the share.
+        warmup_overshoot: factor on the rate that a cold server tolerates.
+        warmup_slack: requests a second beyond that.
+        probe_rate: health checks of one server a second, over all daemons.
+        max_descriptors: file descriptors of the process.
+    """
+
+    name: ids.DaemonId
+    ip: str
+    data_centre: ids.DataCentreId
+    region: str
+    regions: Mapping[ids.DataCentreId, str]
+    callers_address: str
+    ready_address: str
+    peers_address: str
+    gossip_port: int
+    metrics_port: int
+    seeds: tuple[str, ...]
+    first_start: bool
+    store_address: str
+    store_history: float
+    grace: float
+    drain_bound: float
+    configuration_bound: float
+    evacuation_bound: float
+    contact: float
+    retry_ratio: float
+    retry_window: float
+    retry_slack: float
+    warmup_overshoot: float
+    warmup_slack: float
+    probe_rate: float
+    max_descriptors: int
--- a/packages/core/src/hyssopwind/core/outcomes.py
+++ b/packages/core/src/hyssopwind/core/outcomes.py
@@ -15,6 +15,7 @@
     MALFORMED = ("malformed", 400)
     REQUEST_TOO_LARGE = ("request-too-large", 413)
     REQUEST_TOO_SLOW = ("request-too-slow", 408)
+    HEADER_TOO_LARGE = ("header-too-large", 431)
     KEY_REQUIRED = ("key-required", 428)
     KEY_REUSED = ("key-reused", 422)
     KEY_IN_PROGRESS = ("key-in-progress", 409)
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of published configurations: matching, splits, limits."""
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/routing/tables.py
@@ -0,0 +1,92 @@
+"""A published configuration: routes, services and limits for callers."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from hyssopwind.core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One part of a split.
+
+    Attributes:
+        service: the service that the part goes to.
+        weight: its share relative to the weights of the other parts.
+    """
+
+    service: ids.ServiceId
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests below a path of a host go, and under which terms.
+
+    Attributes:
+        name: unique name within the configuration.
+        host: host name without a port, in lower case.
+        prefix: start of the path, with a slash at both ends.
+        idempotent: whether a request may run more than once.
+        timeout: longest time in seconds that a caller is kept waiting.
+        latency_target: seconds within which an answer is worth most.
+        priority: rank among the routes; 0 is the most urgent.
+        max_attempts: servers that one request may be sent to.
+        parts: the services that take the requests; one without a split.
+        regions: regions whose servers may be used; empty for all.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout: float
+    latency_target: float
+    priority: int
+    max_attempts: int
+    parts: tuple[WeightedService, ...]
+    regions: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceTerms:
+    """What a service tolerates.
+
+    Attributes:
+        health_path: path of the health check of its servers.
+        max_connections: connections that one server accepts from all callers.
+        warmup_duration: seconds for which a started server stays cold.
+        warmup_rate: requests per second that a cold server tolerates.
+    """
+
+    health_path: str
+    max_connections: int
+    warmup_duration: float
+    warmup_rate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits on what a caller may send.
+
+    Attributes:
+        header_bytes: longest head of a request.
+        body_bytes: longest body of a request.
+        header_timeout: seconds from the first byte of a head to its last.
+        idle_timeout: seconds for which a kept connection may stay unused.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 8_000_000
+    header_timeout: float = 10.0
+    idle_timeout: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """All that operators have published, at one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ids.ServiceId, ServiceTerms]
+    limits: CallerLimits
--- a/packages/daemon/src/hyssopwind/daemon/answers.py
+++ b/packages/daemon/src/hyssopwind/daemon/answers.py
@@ -42,16 +42,9 @@
 
 def render_failure(failure: outcomes.Failure) -> web.Response:
     """Returns the problem document of a request without a server's answer."""
-    problem = {
-        "type": TYPE_PREFIX + failure.reason.slug,
-        "title": http.HTTPStatus(failure.reason.status).phrase,
-        "status": failure.reason.status,
-        "detail": failure.detail,
-        "outcome": failure.tag,
-    }
+    problem = problem_document(failure, failure.reason.status)
     fields = {headers.OUTCOME: failure.tag}
     if failure.retry_after is not None:
-        problem["retry_after"] = round(failure.retry_after, 3)
         fields["Retry-After"] = str(max(1, math.ceil(failure.retry_after)))
     return web.Response(
         status=failure.reason.status,
@@ -59,3 +52,19 @@
         body=msgspec.json.encode(problem),
         content_type=PROBLEM_TYPE,
     )
+
+
+def problem_document(
+    failure: outcomes.Failure, status: int
+) -> dict[str, str | int | float]:
+    """Returns the problem document of a failure, by field."""
+    problem: dict[str, str | int | float] = {
+        "type": TYPE_PREFIX + failure.reason.slug,
+        "title": http.HTTPStatus(status).phrase,
+        "status": status,
+        "detail": failure.detail,
+        "outcome": failure.tag,
+    }
+    if failure.retry_after is not None:
+        problem["retry_after"] = round(failure.retry_after, 3)
+    return problem
--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -333,3 +333,8 @@
     if change.value is not None:
         text = change.value.decode("utf-8", errors="replace")
     return store.TeamDocument(ids.TeamId(team), change.revision, text)
+
+
+async def run(settings: documents.DaemonSettings) -> None:
+    """Runs a daemon until SIGTERM."""
+    await Daemon(settings).run()
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon as it serves on the platform: connections, reading, peers."""
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -0,0 +1,288 @@
+"""One connection of a caller.
+
+Requests that may run twice are served side by side when a caller sends
+several before the first answer; answers leave in the order of the requests.
+Any other request waits until all before it have been answered.
+"""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import base_protocol
+from aiohttp import http_exceptions
+from aiohttp import http_parser
+
+from hyssopwind.core import outcomes
+from hyssopwind.core.routing import tables
+from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import rendering
+from hyssopwind.daemon.gateway import requests
+
+MAX_PIPELINED = 64  # requests in hand on one connection
+LINGER = 1.0  # seconds for which the caller may read the last answer
+_PARSER_BUFFER = 2**30  # bytes; the body limit is checked here instead
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHandling:
+    """What the connections of callers need of the daemon.
+
+    Attributes:
+        serve: serves one request.
+        may_overlap: whether a request may run beside earlier ones.
+        limits: the limits in force.
+        is_stopping: whether connections are to be closed.
+        note: logs a request that ended before it was served.
+    """
+
+    serve: Callable[
+        [requests.CallerRequest], Coroutine[Any, Any, outcomes.Outcome]
+    ]
+    may_overlap: Callable[[requests.CallerRequest], bool]
+    limits: Callable[[], tables.CallerLimits]
+    is_stopping: Callable[[], bool]
+    note: Callable[[outcomes.Failure], None]
+
+
+class _Slot:
+    """One request in the order of its connection."""
+
+    def __init__(self, request: requests.CallerRequest | None):
+        self.request = request
+        self.task: asyncio.Task[None] | None = None
+        self.answer: bytes | None = None
+        self.closes = request is None or request.closes
+
+
+class CallerConnection(base_protocol.BaseProtocol):
+    """Reads requests, has them served and writes the answers in order."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        handling: CallerHandling,
+        connections: "set[CallerConnection]",
+    ):
+        super().__init__(loop)
+        self._loop = loop
+        self._handling = handling
+        self._connections = connections
+        limits = handling.limits()
+        self._parser = http_parser.HttpRequestParser(
+            self,
+            loop,
+            _PARSER_BUFFER,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            auto_decompress=False,
+        )
+        self._slots: collections.deque[_Slot] = collections.deque()
+        self._incoming: (
+            tuple[http_parser.RawRequestMessage, Any] | None
+        ) = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._reads_head = False
+        self._ended = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in hand or on its way in."""
+        return not self._slots and not self._reads_head
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to wait for the first request."""
+        super().connection_made(transport)
+        self._connections.add(self)
+        self._arm(self._handling.limits().header_timeout)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the caller."""
+        if self._ended:
+            return
+        if not self._reads_head:
+            self._reads_head = True
+            self._arm(self._handling.limits().header_timeout)
+        try:
+            messages, upgraded, _ = self._parser.feed_data(data)
+        except http_exceptions.LineTooLong as error:
+            self._reject(outcomes.Reason.HEADER_TOO_LARGE, repr(error)[:200])
+            return
+        except http_exceptions.HttpProcessingError as error:
+            self._reject(outcomes.Reason.MALFORMED, repr(error)[:200])
+            return
+        self._collect()
+        for message, payload in messages:
+            self._incoming = (message, payload)
+            self._reads_head = False
+            self._continue_body(message)
+            self._collect()
+            if self._ended:
+                return
+        if upgraded:
+            self._reject(outcomes.Reason.MALFORMED, "upgrades are not served")
+
+    def eof_received(self) -> bool:
+        """Takes the caller's end of the connection as its leaving."""
+        return False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Gives up the requests of a caller that has left."""
+        super().connection_lost(exc)
+        self._ended = True
+        self._connections.discard(self)
+        self._disarm()
+        for slot in self._slots:
+            if slot.task is not None:
+                slot.task.cancel()
+        self._slots.clear()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is in hand."""
+        if self.is_idle:
+            self._close()
+
+    def _continue_body(self, message: http_parser.RawRequestMessage) -> None:
+        if message.headers.get("Expect", "").lower() != "100-continue":
+            return
+        if self.transport is not None and not self._slots:
+            self.transport.write(rendering.CONTINUE)
+
+    def _collect(self) -> None:
+        """Starts the request that is being read once its body is whole."""
+        if self._incoming is None:
+            return
+        message, payload = self._incoming
+        limit = self._handling.limits().body_bytes
+        if payload.total_bytes > limit:
+            self._incoming = None
+            self._reject(
+                outcomes.Reason.REQUEST_TOO_LARGE,
+                f"the body is over the limit of {limit} bytes",
+            )
+            return
+        if payload.exception() is not None:
+            self._incoming = None
+            self._reject(outcomes.Reason.MALFORMED, repr(payload.exception()))
+            return
+        if not payload.is_eof():
+            return
+        self._incoming = None
+        self._disarm()
+        body = payload.read_nowait() if payload.total_bytes else b""
+        self._enqueue(
+            requests.CallerRequest(
+                method=message.method,
+                target=message.path,
+                fields=message.headers,
+                body=body,
+                arrived=clock.now(),
+                version=(message.version.major, message.version.minor),
+                closes=message.should_close,
+            )
+        )
+
+    def _enqueue(self, request: requests.CallerRequest) -> None:
+        if len(self._slots) >= MAX_PIPELINED:
+            self._reject(outcomes.Reason.OVERLOADED, "too many requests ahead")
+            return
+        self._slots.append(_Slot(request))
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        """Starts the requests that no longer wait for earlier ones."""
+        for position, slot in enumerate(self._slots):
+            if slot.task is not None or slot.answer is not None:
+                continue
+            if slot.request is None:
+                return
+            if position and not self._handling.may_overlap(slot.request):
+                return
+            slot.task = self._loop.create_task(self._serve(slot))
+
+    async def _serve(self, slot: _Slot) -> None:
+        assert slot.request is not None
+        outcome = await self._handling.serve(slot.request)
+        self._answer(slot, outcome)
+
+    def _answer(self, slot: _Slot, outcome: outcomes.Outcome) -> None:
+        # A connection is closed only behind its last request, so that no
+        # request that was sent on loses its answer.
+        is_last = self._slots and self._slots[-1] is slot
+        if is_last and self._incoming is None and self._handling.is_stopping():
+            slot.closes = True
+        is_head = slot.request is not None and slot.request.method == "HEAD"
+        slot.answer = rendering.render(
+            outcome, slot.request, closes=slot.closes, is_head=is_head
+        )
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._slots and self._slots[0].answer is not None:
+            slot = self._slots.popleft()
+            if self.transport is None or self._ended:
+                return
+            assert slot.answer is not None
+            self.transport.write(slot.answer)
+            if slot.closes:
+                self._close()
+                return
+        self._start_waiting()
+        if not self._slots and not self._reads_head and not self._incoming:
+            self._arm(self._handling.limits().idle_timeout)
+
+    def _reject(self, reason: outcomes.Reason, detail: str) -> None:
+        """Answers bytes that are no request and reads nothing more."""
+        failure = outcomes.NotRun(reason, detail)
+        self._handling.note(failure)
+        slot = _Slot(None)
+        self._slots.append(slot)
+        self._ended_reading()
+        self._answer(slot, failure)
+
+    def _ended_reading(self) -> None:
+        self._incoming = None
+        self._disarm()
+        if self.transport is not None:
+            self.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def _close(self) -> None:
+        self._ended = True
+        self._disarm()
+        for slot in self._slots:
+            if slot.task is not None:
+                slot.task.cancel()
+        self._slots.clear()
+        transport = self.transport
+        if transport is None:
+            return
+        if not transport.can_write_eof():  # type: ignore[attr-defined]
+            transport.close()
+            return
+        # Bytes that arrive after a close would reset the connection, and
+        # with it an answer that the caller has not read yet.
+        transport.write_eof()  # type: ignore[attr-defined]
+        self._loop.call_later(LINGER, transport.abort)  # type: ignore
+
+    def _arm(self, seconds: float) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(seconds, self._expire)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._timer = None
+        if self._slots or self._ended:
+            return
+        if self._reads_head or self._incoming is not None:
+            self._reject(
+                outcomes.Reason.REQUEST_TOO_SLOW, "the request came too slowly"
+            )
+            return
+        self._close()
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -0,0 +1,180 @@
+"""Composes the daemon that serves on the platform, and runs it."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+from collections.abc import Sequence
+from typing import Any
+
+import logbook
+
+from hyssopwind.core import ids
+from hyssopwind.core import outcomes
+from hyssopwind.core.dispatch import evidence
+from hyssopwind.core.dispatch import repeats
+from hyssopwind.core.dispatch import settings
+from hyssopwind.core.routing import tables
+from hyssopwind.daemon.gateway import caller_connection
+from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import dispatcher
+from hyssopwind.daemon.gateway import http_side
+from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.daemon.gateway import picker
+from hyssopwind.daemon.gateway import sending
+from hyssopwind.daemon.gateway import server_pool
+from hyssopwind.daemon.gateway import store_reader
+from hyssopwind.platform import store
+
+LISTEN_BACKLOG = 1_024  # connections
+HOUSEKEEPING = 0.25  # seconds between two rounds
+STOP_MARGIN = 0.4  # seconds before the platform kills the process
+# Seconds after SIGTERM in which the balancer still sends connections: two
+# readiness checks, one a second, and their time-outs.
+BALANCER_DELAY = 3.0
+
+_log = logbook.Logger("gateway")
+
+
+class Gateway:
+    """The daemon of one entry VM on the platform."""
+
+    def __init__(self, options: settings.GatewaySettings, metrics_port: int):
+        self._options = options
+        self._metrics_port = metrics_port
+        self._loop = asyncio.get_running_loop()
+        self._stopping = asyncio.Event()
+        self._connections: set[caller_connection.CallerConnection] = set()
+        self._known = knowledge.Knowledge()
+        self._evidence = evidence.Evidence()
+        self._pool = server_pool.ServerPool()
+        self._store = store.StoreClient(options.store_address)
+        self._reader = store_reader.StoreReader(
+            self._store, self._known, self._should_read
+        )
+        self._picker = picker.Picker(
+            options,
+            self._known.catalogue,
+            self._evidence,
+            self._pool,
+            self._daemons,
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            self._known,
+            self._picker,
+            sending.Sender(self._pool, self._evidence),
+            self._evidence,
+            repeats.RepeatBudget(
+                repeats.RepeatTerms(
+                    options.retry_ratio,
+                    options.retry_window,
+                    options.retry_slack,
+                )
+            ),
+            lambda: len(self._daemons()),
+        )
+        self._side = http_side.HttpSide(self._is_ready)
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then ends what is in hand."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._side.start(self._options, self._metrics_port)
+        server = await self._listen()
+        self._spawn(self._reader.run())
+        self._spawn(self._keep_house())
+        _log.info(
+            "started",
+            extra={
+                "daemon": self._options.name,
+                "data_centre": self._options.data_centre,
+            },
+        )
+        await self._stopping.wait()
+        await self._drain(server)
+        for task in self._tasks:
+            task.cancel()
+        await self._side.stop()
+
+    async def _listen(self) -> asyncio.Server:
+        host, _, port = self._options.callers_address.rpartition(":")
+        handling = caller_connection.CallerHandling(
+            serve=self._dispatcher.serve,
+            may_overlap=self._dispatcher.may_overlap,
+            limits=self._limits,
+            is_stopping=self._stopping.is_set,
+            note=self._note_rejected,
+        )
+        return await self._loop.create_server(
+            lambda: caller_connection.CallerConnection(
+                self._loop, handling, self._connections
+            ),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+        )
+
+    async def _drain(self, server: asyncio.Server) -> None:
+        """Answers what is in hand; new connections may still come."""
+        stopped = clock.now()
+        last = stopped + self._options.grace - STOP_MARGIN
+        _log.info("stopping", extra={"connections": len(self._connections)})
+        while clock.now() < last:
+            await asyncio.sleep(0.05)
+            if clock.now() < stopped + BALANCER_DELAY:
+                continue
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if all(connection.is_idle for connection in self._connections):
+                break
+        server.close()
+        _log.info("stopped", extra={"connections": len(self._connections)})
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING)
+            self._known.expire()
+            known = self._known.catalogue
+            self._pool.keep_only(known.addresses())
+            listed = known.servers()
+            self._evidence.keep_only(listed)
+            self._picker.forget(listed)
+
+    def _limits(self) -> tables.CallerLimits:
+        configuration = self._known.catalogue.configuration
+        if configuration is None:
+            return tables.CallerLimits()
+        return configuration.limits
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._known.catalogue.configuration is not None
+        )
+
+    def _should_read(self) -> bool:
+        return True
+
+    def _daemons(self) -> Sequence[ids.DaemonId]:
+        return (self._options.name,)
+
+    def _reload(self) -> None:
+        _log.info("reload requested")
+
+    def _note_rejected(self, failure: outcomes.Failure) -> None:
+        _log.info(
+            "rejected",
+            extra={"reason": failure.reason.slug, "detail": failure.detail},
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.error("task failed", extra={"error": repr(task.exception())})
+        self._stopping.set()
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/http_side.py
@@ -0,0 +1,46 @@
+"""Readiness for the platform's balancer, metrics, and bulk between daemons."""
+
+from collections.abc import Callable
+
+import prometheus_client
+from aiohttp import web
+
+from hyssopwind.core.dispatch import settings
+
+
+class HttpSide:
+    """The HTTP listeners beside the one for callers."""
+
+    def __init__(self, is_ready: Callable[[], bool]):
+        self._is_ready = is_ready
+        self._runners: list[web.ServerRunner] = []
+
+    async def start(
+        self, options: settings.GatewaySettings, metrics_port: int
+    ) -> None:
+        """Listens on all side addresses."""
+        await self._listen(options.ready_address, self._answer_ready)
+        await self._listen(options.peers_address, self._answer_peer)
+        await self._listen(f"{options.ip}:{metrics_port}", self._answer_metrics)
+
+    async def stop(self) -> None:
+        """Ends all side listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, address: str, answer: web.RequestHandler) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(web.Server(answer))
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def _answer_peer(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(status=404)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        body = prometheus_client.generate_latest()
+        return web.Response(body=body, content_type="text/plain")
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -0,0 +1,296 @@
+"""Asks servers for their load and picks one for a request."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from hyssopwind.core import ids
+from hyssopwind.core.discovery import catalogue
+from hyssopwind.core.dispatch import choice
+from hyssopwind.core.dispatch import coldness
+from hyssopwind.core.dispatch import evidence
+from hyssopwind.core.dispatch import readings
+from hyssopwind.core.dispatch import settings
+from hyssopwind.core.routing import tables
+from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import server_pool
+
+NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
+FAR_SAMPLE = 4  # servers elsewhere asked when no near one is good
+STRAGGLER_WAIT = 0.006  # seconds for the other answers after the first one
+REPORT_LIFE = 0.002  # seconds; an answer serves requests that come together
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PickOrder:
+    """What a server is wanted for.
+
+    Attributes:
+        route: the route of the request.
+        service: the service chosen for it.
+        arrived: when the request arrived.
+        expires: when the caller or the route gives up.
+        tried: servers that it was sent to before.
+    """
+
+    route: tables.Route
+    service: ids.ServiceId
+    arrived: float
+    expires: float
+    tried: frozenset[ids.ServerId]
+
+
+@dataclasses.dataclass(slots=True)
+class _Report:
+    at: float
+    report: readings.HealthReport | None
+
+
+class Picker:
+    """Picks servers by fresh load reports."""
+
+    def __init__(
+        self,
+        options: settings.GatewaySettings,
+        known: catalogue.Catalogue,
+        seen: evidence.Evidence,
+        pool: server_pool.ServerPool,
+        daemons: Callable[[], Sequence[ids.DaemonId]],
+    ):
+        self._options = options
+        self._catalogue = known
+        self._evidence = seen
+        self._pool = pool
+        self._daemons = daemons
+        self._permits = coldness.ColdPermits(options.name)
+        self._random = random.Random()
+        self._reports: dict[ids.ServerId, _Report] = {}
+        self._checking: dict[
+            ids.ServerId, asyncio.Task[readings.HealthReport | None]
+        ] = {}
+        self._cold_until: dict[ids.ServerId, float] = {}
+        self._sent_at: dict[ids.ServerId, list[float]] = {}
+
+    async def pick(self, order: PickOrder) -> choice.Send | choice.Refuse:
+        """Returns the server for a request, or why there is none.
+
+        A cold server that is returned has been counted as sent to.
+        """
+        widened = False
+        while True:
+            now = clock.now()
+            listed = self._eligible(order, now)
+            asked = self._sample(listed, widened)
+            candidates = await self._ask(order.service, asked)
+            now = clock.now()
+            timing = choice.Timing(
+                work=self._evidence.work(
+                    order.service, order.route.latency_target
+                ),
+                waited=now - order.arrived,
+                target=order.route.latency_target,
+                remaining=order.expires - now,
+            )
+            decision = choice.decide(candidates, timing, widened=widened)
+            if isinstance(decision, choice.Widen):
+                widened = True
+                continue
+            if isinstance(decision, choice.Wait):
+                await asyncio.sleep(decision.seconds)
+                continue
+            if isinstance(decision, choice.Refuse):
+                return decision
+            if not self._claim(decision.server, now):
+                continue
+            return decision
+
+    def forget(self, servers: set[ids.ServerId]) -> None:
+        """Forgets servers other than these."""
+        for table in (self._reports, self._cold_until, self._sent_at):
+            for server in list(table):
+                if server not in servers:
+                    del table[server]  # type: ignore[attr-defined]
+
+    def note_cold(self, server: ids.ServerId, seconds: float) -> None:
+        """Notes that a server is cold for some more seconds."""
+        until = clock.now() + seconds
+        self._cold_until[server] = max(
+            until, self._cold_until.get(server, until)
+        )
+
+    def _claim(self, server: ids.ServerId, now: float) -> bool:
+        """Takes a place at a server that was chosen."""
+        listed = self._catalogue.find(server)
+        if listed is None or not self._catalogue.may_send(server, now):
+            return False
+        if self._is_cold(listed, now):
+            if not self._cold_permit(listed, now):
+                return False
+        self._permits.note_sent(server, now)
+        self._sent_at.setdefault(server, []).append(now)
+        return True
+
+    def _eligible(
+        self, order: PickOrder, now: float
+    ) -> list[catalogue.Listed]:
+        found = []
+        resting = []
+        for listed in self._catalogue.usable(order.service, now):
+            server = listed.entry.id
+            if server in order.tried:
+                continue
+            if not self._in_region(order.route, listed):
+                continue
+            if self._is_cold(listed, now) and not self._cold_permit(
+                listed, now
+            ):
+                continue
+            if self._evidence.is_resting(server, now):
+                resting.append(listed)
+                continue
+            found.append(listed)
+        # Better a doubtful server than none.
+        return found or resting
+
+    def _in_region(
+        self, route: tables.Route, listed: catalogue.Listed
+    ) -> bool:
+        if not route.regions:
+            return True
+        region = self._options.regions.get(listed.entry.data_centre, "")
+        return region in route.regions
+
+    def _is_cold(self, listed: catalogue.Listed, now: float) -> bool:
+        until = self._cold_until.get(listed.entry.id, listed.cold_until)
+        return now < max(until, listed.cold_until)
+
+    def _cold_permit(self, listed: catalogue.Listed, now: float) -> bool:
+        terms = self._catalogue.terms(listed.entry.service)
+        rate = terms.warmup_rate if terms else 1.0
+        return self._permits.may_send(
+            listed.entry.id, self._daemons(), rate, now
+        )
+
+    def _sample(
+        self, listed: list[catalogue.Listed], widened: bool
+    ) -> list[catalogue.Listed]:
+        near = []
+        far = []
+        for server in listed:
+            if server.entry.data_centre == self._options.data_centre:
+                near.append(server)
+            else:
+                far.append(server)
+        chosen = _draw(self._random, near, NEAR_SAMPLE)
+        if widened or not chosen:
+            chosen += _draw(self._random, far, FAR_SAMPLE)
+        return chosen
+
+    async def _ask(
+        self, service: ids.ServiceId, asked: Iterable[catalogue.Listed]
+    ) -> list[choice.Candidate]:
+        terms = self._catalogue.terms(service)
+        path = terms.health_path if terms else "/health"
+        tasks = {}
+        candidates = []
+        now = clock.now()
+        for listed in asked:
+            server = listed.entry.id
+            recent = self._reports.get(server)
+            if recent is not None and now - recent.at < REPORT_LIFE:
+                self._add(candidates, listed, recent.report)
+                continue
+            tasks[self._start_check(listed, path)] = listed
+        await self._gather(tasks, candidates)
+        return candidates
+
+    async def _gather(
+        self,
+        tasks: dict[
+            "asyncio.Task[readings.HealthReport | None]", catalogue.Listed
+        ],
+        candidates: list[choice.Candidate],
+    ) -> None:
+        if not tasks:
+            return
+        pending = set(tasks)
+        timeout = None
+        while pending:
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            for task in done:
+                self._add(candidates, tasks[task], task.result())
+            if candidates:
+                timeout = STRAGGLER_WAIT
+
+    def _start_check(
+        self, listed: catalogue.Listed, path: str
+    ) -> "asyncio.Task[readings.HealthReport | None]":
+        server = listed.entry.id
+        task = self._checking.get(server)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(
+                self._check(listed, path)
+            )
+            self._checking[server] = task
+        return task
+
+    async def _check(
+        self, listed: catalogue.Listed, path: str
+    ) -> readings.HealthReport | None:
+        server = listed.entry.id
+        try:
+            report = await self._pool.check(listed.entry, path)
+        finally:
+            self._checking.pop(server, None)
+        now = clock.now()
+        if report is None:
+            self._evidence.note_silence(server, now)
+        elif report.warmup_left > 0.0:
+            self.note_cold(server, report.warmup_left)
+        self._sent_at.pop(server, None)
+        self._reports[server] = _Report(now, report)
+        return report
+
+    def _add(
+        self,
+        candidates: list[choice.Candidate],
+        listed: catalogue.Listed,
+        report: readings.HealthReport | None,
+    ) -> None:
+        if report is None or not report.healthy:
+            return
+        server = listed.entry.id
+        now = clock.now()
+        if self._is_cold(listed, now) and not self._cold_permit(listed, now):
+            return
+        in_flight = len(self._sent_at.get(server, ()))
+        if report.load is None:
+            in_flight = self._evidence.in_flight(server)
+        near = listed.entry.data_centre == self._options.data_centre
+        candidates.append(
+            choice.Candidate(
+                server=server,
+                near=near,
+                load=report.load,
+                slots=listed.entry.slots,
+                in_flight=in_flight,
+                penalty=self._evidence.penalty(server, now),
+            )
+        )
+
+
+def _draw(
+    randomness: random.Random, listed: list[catalogue.Listed], count: int
+) -> list[catalogue.Listed]:
+    if len(listed) <= count:
+        return list(listed)
+    return randomness.sample(listed, count)
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
@@ -0,0 +1,100 @@
+"""Bytes of answers to callers."""
+
+import http
+import math
+
+import msgspec
+
+from hyssopwind.core import outcomes
+from hyssopwind.daemon import answers
+from hyssopwind.daemon import headers
+from hyssopwind.daemon.gateway import requests
+from hyssopwind.platform import fields
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+# A status with a promise that the request has not run goes only with an
+# outcome that makes the same promise.
+_STATUSES = {
+    outcomes.Reason.QUARANTINED: 503,
+    outcomes.Reason.HEADER_TOO_LARGE: 431,
+}
+
+
+def render(
+    outcome: outcomes.Outcome,
+    request: requests.CallerRequest | None,
+    *,
+    closes: bool,
+    is_head: bool,
+) -> bytes:
+    """Returns the bytes of an answer.
+
+    Args:
+        outcome: how the request ended.
+        request: the request, or `None` where none could be read.
+        closes: whether the connection ends with this answer.
+        is_head: whether the answer goes without a body.
+    """
+    if isinstance(outcome, outcomes.Answered):
+        status = outcome.status
+        pairs = list(outcome.headers)
+        body = outcome.body
+    else:
+        status, pairs, body = _render_failure(outcome, request)
+    pairs = [(n, v) for n, v in pairs if n.lower() != "content-length"]
+    has_body = status not in (204, 304)
+    if has_body:
+        pairs.append(("Content-Length", str(len(body))))
+    if closes:
+        pairs.append(("Connection", "close"))
+    elif request is not None and request.version < (1, 1):
+        pairs.append(("Connection", "keep-alive"))
+    lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
+    lines.extend(f"{name}: {value}" for name, value in pairs)
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode("utf-8", "surrogateescape")
+    if is_head or not has_body:
+        return head
+    return head + body
+
+
+def failure_status(failure: outcomes.Failure) -> int:
+    """Returns the status of a request without a server's answer.
+
+    Examples:
+        >>> failure_status(outcomes.NotRun(outcomes.Reason.NO_SERVER, ""))
+        503
+        >>> failure_status(outcomes.Unknown(outcomes.Reason.NO_SERVER, ""))
+        502
+        >>> failure_status(outcomes.Unknown(outcomes.Reason.DEADLINE, ""))
+        504
+    """
+    status = _STATUSES.get(failure.reason, failure.reason.status)
+    if isinstance(failure, outcomes.Unknown):
+        return status if status in (502, 504) else 502
+    if status >= 500:
+        return 503
+    return status
+
+
+def _render_failure(
+    failure: outcomes.Failure, request: requests.CallerRequest | None
+) -> tuple[int, list[tuple[str, str]], bytes]:
+    status = failure_status(failure)
+    pairs = [("Content-Type", answers.PROBLEM_TYPE)]
+    pairs.append((headers.OUTCOME, failure.tag))
+    if request is not None and fields.REQUEST_ID in request.fields:
+        pairs.append((fields.REQUEST_ID, request.fields[fields.REQUEST_ID]))
+    if failure.retry_after is not None:
+        seconds = math.ceil(failure.retry_after * 1000) / 1000
+        pairs.append((fields.RETRY_AFTER, f"{seconds:.3f}"))
+    problem = answers.problem_document(failure, status)
+    return status, pairs, msgspec.json.encode(problem)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/requests.py
@@ -0,0 +1,63 @@
+"""Requests of callers, as read off a connection."""
+
+import dataclasses
+
+import multidict
+
+from hyssopwind.daemon import headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request.
+
+    Attributes:
+        method: the HTTP method.
+        target: path and query as the caller sent them.
+        fields: header fields.
+        body: the whole body.
+        arrived: when its last byte was read, on the clock of the gateway.
+        version: HTTP version, such as (1, 1).
+        closes: whether the caller wants the connection closed afterwards.
+    """
+
+    method: str
+    target: str
+    fields: "multidict.CIMultiDictProxy[str]"
+    body: bytes
+    arrived: float
+    version: tuple[int, int]
+    closes: bool
+
+    @property
+    def path(self) -> str:
+        """The target without the query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def host(self) -> str:
+        """The host field; empty where there is none."""
+        return self.fields.get("Host", "")
+
+
+def encode_request(
+    request: CallerRequest, extra: tuple[tuple[str, str], ...]
+) -> bytes:
+    """Returns the bytes that a server gets.
+
+    Args:
+        request: the request of the caller.
+        extra: fields that replace those of the caller.
+    """
+    fields = headers.end_to_end(request.fields)
+    for name, value in extra:
+        fields[name] = value
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines.extend(f"{name}: {value}" for name, value in fields.items())
+    if request.body or "Content-Length" in request.fields:
+        lines.append(f"Content-Length: {len(request.body)}")
+    elif "Transfer-Encoding" in request.fields:
+        lines.append("Content-Length: 0")
+    lines.append("\r\n")
+    head = "\r\n".join(lines)
+    return head.encode("utf-8", "surrogateescape") + request.body
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -0,0 +1,156 @@
+"""One attempt of a request at a server."""
+
+import asyncio
+import dataclasses
+
+import logbook
+
+from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import judgement
+from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import evidence
+from hyssopwind.daemon import headers
+from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import requests
+from hyssopwind.daemon.gateway import server_connection
+from hyssopwind.daemon.gateway import server_pool
+from hyssopwind.platform import fields
+
+LATE_GRACE = 0.3  # seconds past the deadline for an answer on its way
+
+_log = logbook.Logger("attempt")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrder:
+    """What is sent where.
+
+    Attributes:
+        entry: the server.
+        request: the request of the caller.
+        expires: when the caller or the route gives up.
+        estimate: seconds that the server is expected to take.
+    """
+
+    entry: entries.ServerEntry
+    request: requests.CallerRequest
+    expires: float
+    estimate: float
+
+
+class Sender:
+    """Sends requests to servers and judges what comes back."""
+
+    def __init__(
+        self, pool: server_pool.ServerPool, seen: evidence.Evidence
+    ):
+        self._pool = pool
+        self._evidence = seen
+
+    async def send(self, order: SendOrder) -> judgement.AttemptResult:
+        """Returns how the attempt ended."""
+        server = order.entry.id
+        started = clock.now()
+        self._evidence.begin(server)
+        try:
+            result = await self._exchange(order, started)
+        except asyncio.CancelledError:
+            self._note_cancelled(order, started)
+            raise
+        finally:
+            self._evidence.end(server)
+        self._note(order, result, started)
+        return result
+
+    async def _exchange(
+        self, order: SendOrder, started: float
+    ) -> judgement.AttemptResult:
+        try:
+            connection = await self._pool.acquire(order.entry.address)
+        except server_connection.ExchangeError as error:
+            return judgement.Failed(error.kind)
+        remaining = order.expires - clock.now()
+        if remaining <= 0.0:
+            self._pool.release(connection)
+            return judgement.Failed(judgement.FailureKind.WITHHELD)
+        data = requests.encode_request(
+            order.request,
+            (
+                (fields.DEADLINE, str(max(1, int(remaining * 1000)))),
+                (fields.EXPECTED_SERVER, order.entry.id),
+            ),
+        )
+        request_id = order.request.fields.get(fields.REQUEST_ID, "")
+        try:
+            async with asyncio.timeout(remaining + LATE_GRACE):
+                answer = await connection.exchange(
+                    data, order.request.method, request_id
+                )
+        except server_connection.ExchangeError as error:
+            return judgement.Failed(error.kind)
+        except TimeoutError:
+            return judgement.Failed(judgement.FailureKind.TIMED_OUT)
+        self._pool.release(connection)
+        return _judge(answer, clock.now() - started)
+
+    def _note(
+        self,
+        order: SendOrder,
+        result: judgement.AttemptResult,
+        started: float,
+    ) -> None:
+        now = clock.now()
+        server = order.entry.id
+        detail: dict[str, object] = {"result": type(result).__name__}
+        if isinstance(result, judgement.WholeAnswer):
+            detail["status"] = result.answer.status
+            if result.answer.status >= 500:
+                self._evidence.note_failure(server, now)
+            else:
+                self._evidence.note_success(
+                    order.entry.service,
+                    server,
+                    result.latency,
+                    order.estimate,
+                    now,
+                )
+        elif isinstance(result, judgement.Failed):
+            detail["kind"] = result.kind.value
+            if result.kind is not judgement.FailureKind.WITHHELD:
+                self._evidence.note_failure(server, now)
+        else:
+            self._evidence.note_failure(server, now)
+        _log.info(
+            "attempt",
+            extra={
+                "request": order.request.fields.get(fields.REQUEST_ID, ""),
+                "server": server,
+                "ms": round((now - started) * 1000),
+                "estimate_ms": round(order.estimate * 1000),
+                **detail,
+            },
+        )
+
+    def _note_cancelled(self, order: SendOrder, started: float) -> None:
+        """Weighs an attempt that was dropped before its answer."""
+        now = clock.now()
+        took = now - started
+        if took > order.estimate * evidence.USUAL_RATIO:
+            self._evidence.note_slow(
+                order.entry.id, took / order.estimate, now
+            )
+
+
+def _judge(
+    answer: server_connection.ServerAnswer, latency: float
+) -> judgement.AttemptResult:
+    """Returns what an answer says of the attempt."""
+    is_stamped = fields.SERVER_STAMP in answer.fields
+    if answer.status == 421 or fields.NOT_RUN in answer.fields:
+        return judgement.Shed("", 0.0)
+    if not is_stamped:
+        # Every answer that a server made bears its stamp.
+        return judgement.Failed(judgement.FailureKind.GARBLED)
+    pairs = headers.to_pairs(headers.end_to_end(answer.fields))
+    answered = outcomes.Answered(answer.status, pairs, answer.body)
+    return judgement.WholeAnswer(answered, "", latency)
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -0,0 +1,111 @@
+"""Reads the platform's store as long as this daemon is to read it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import logbook
+
+from hyssopwind.core.discovery import items
+from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.platform import items as platform_items
+from hyssopwind.platform import store
+
+WATCH_WAIT = 1.5  # seconds; a silent watch must be noticed within 2 s
+MERGE_DELAY = 0.25  # seconds in which changes gather for one call
+FIRST_BACKOFF = 0.1  # seconds
+LONGEST_BACKOFF = 0.8  # seconds; the store must be met soon on its return
+IDLE_POLL = 0.05  # seconds between two questions whether to read
+
+_log = logbook.Logger("store")
+
+
+class StoreReader:
+    """Lists once, then waits for changes, while `should_read` says so."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        known: knowledge.Knowledge,
+        should_read: Callable[[], bool],
+    ):
+        self._client = client
+        self._known = known
+        self._should_read = should_read
+        self._listed = False
+        self._failing = False
+        self._random = random.Random()
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failing
+
+    async def run(self) -> None:
+        """Reads until it is cancelled."""
+        backoff = FIRST_BACKOFF
+        while True:
+            if not self._should_read():
+                await asyncio.sleep(IDLE_POLL)
+                continue
+            try:
+                await self._read_once()
+            except store.HistoryLostError as error:
+                _log.warn("history lost", extra={"error": str(error)})
+                self._listed = False
+                continue
+            except store.StoreError as error:
+                self._note_failure(error)
+                await self._client.reconnect()
+                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
+                backoff = min(LONGEST_BACKOFF, backoff * 2)
+                continue
+            backoff = FIRST_BACKOFF
+            if self._failing:
+                self._failing = False
+                _log.info("store regained", extra={"age": self._known.age()})
+
+    async def _read_once(self) -> None:
+        revision = self._known.copy.revision
+        if not revision or not self._listed:
+            await self._list()
+            self._listed = True
+            return
+        sent = clock.now()
+        delta = await self._client.wait_for_changes(
+            "", revision, WATCH_WAIT
+        )
+        # An empty answer says that nothing had changed when the wait ended.
+        as_of = sent if delta.items else max(sent, clock.now() - 0.1)
+        self._known.take(delta, as_of, "store")
+        if delta.items:
+            await asyncio.sleep(MERGE_DELAY)
+
+    async def _list(self) -> None:
+        sent = clock.now()
+        found: list[items.Item] = []
+        revision = 0
+        for prefix in platform_items.PREFIXES:
+            listing = await self._client.list_items(prefix)
+            found.extend(listing.items)
+            revision = min(revision or listing.revision, listing.revision)
+        delta = items.Delta(tuple(found), revision, True)
+        changed = self._known.take(delta, sent, "listing")
+        _log.info(
+            "store listed",
+            extra={
+                "revision": revision,
+                "items": len(found),
+                "changed": changed,
+            },
+        )
+
+    def _note_failure(self, error: store.StoreError) -> None:
+        if self._failing:
+            return
+        self._failing = True
+        _log.warn(
+            "store lost",
+            extra={"error": str(error), "age": self._known.age()},
+        )
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -1,19 +1,17 @@
-"""Entry point of `hyssopwindd`."""
+"""Entry point of `hyssopwindd`.
+
+What a command needs is imported when it runs: a restarted daemon is missed
+for as long as it imports, and each command needs only a part.
+"""
 
 import gc
 import pathlib
 import sys
 
-import uvloop
 from cleo import application
 from cleo import helpers
 from cleo.commands import command
 
-from hyssopwind.core.settings import documents
-from hyssopwind.daemon import daemon
-from hyssopwind.daemon import log_output
-from hyssopwind.daemon import settings_file
-
 GC_THRESHOLDS = (20_000, 20, 50)  # objects, then collections of each age
 EXIT_FINDINGS = 1
 EXIT_USAGE = 2
@@ -32,6 +30,12 @@
 
     def handle(self) -> int:
         """Reads the settings and serves."""
+        import uvloop
+
+        from hyssopwind.daemon import daemon
+        from hyssopwind.daemon import log_output
+        from hyssopwind.daemon import settings_file
+
         path = self.option("settings")
         if not path:
             self.line_error("missing option --settings FILE")
@@ -44,19 +48,37 @@
         log_output.install_handler(settings.logs)
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
-        uvloop.run(_serve(settings))
+        uvloop.run(daemon.run(settings))
         return 0
 
 
-async def _serve(settings: documents.DaemonSettings) -> None:
-    await daemon.Daemon(settings).run()
+class ServeCommand(command.Command):
+    """Runs the daemon on the platform, with the platform's settings."""
+
+    name = "serve"
+    description = "Runs the daemon on the platform until SIGTERM."
+    options = [
+        helpers.option(
+            "metrics-port", "m", "Port of the metrics.", flag=False
+        )
+    ]
+
+    def handle(self) -> int:
+        """Reads the platform's settings and serves."""
+        from hyssopwind.daemon.gateway import starting
+
+        port = self.option("metrics-port") or ""
+        if not port.isdigit():
+            self.line_error("missing option --metrics-port PORT")
+            return EXIT_USAGE
+        return starting.start(int(port))
 
 
 def main() -> None:
     """Runs the command line of the daemon."""
     app = application.Application("hyssopwindd", "0.1.0")
-    run = RunCommand()
-    app.add(run)
+    app.add(RunCommand())
+    app.add(ServeCommand())
     sys.exit(app.run())
 
 
