--- a/packages/core/src/hyssopwind/core/dispatch/coldness.py
+++ b/packages/core/src/hyssopwind/core/dispatch/coldness.py
@@ -35,7 +35,9 @@
     count = max(1, math.floor(rate))
     ranked = sorted(
         daemons,
-        key=lambda daemon: xxhash.xxh3_64_intdigest(f"{server}\0{daemon}"),
+        key=lambda daemon: xxhash.xxh3_64_intdigest(
+            f"{server}\0{daemon}".encode()
+        ),
     )
     return ranked[:count]
 
--- a/packages/core/src/hyssopwind/core/dispatch/evidence.py
+++ b/packages/core/src/hyssopwind/core/dispatch/evidence.py
@@ -9,11 +9,14 @@
 import dataclasses
 
 from hyssopwind.core import ids
+from hyssopwind.core.routing import tables
 
 FIRST_REST = 1.0  # seconds; a crashed server is back after some seconds
 LONGEST_REST = 8.0  # seconds
 FAILURES_TO_REST = 2  # consecutive failures; single ones are common
 SILENCE_REST = 0.5  # seconds after a health check without an answer
+# First estimate of the work of a route as a share of its latency target.
+FIRST_WORK_SHARE = 0.4
 # Weight of the newest sample in the moving averages.
 WORK_WEIGHT = 0.05
 PENALTY_WEIGHT = 0.3
@@ -52,17 +55,12 @@
 
     def __init__(self) -> None:
         self._servers: dict[ids.ServerId, _Server] = {}
-        self._work: dict[ids.ServiceId, float] = {}
+        self._work: dict[str, float] = {}
 
-    def work(self, service: ids.ServiceId, target: float) -> float:
-        """Returns the expected seconds of undisturbed work of a service.
-
-        Args:
-            service: the service.
-            target: latency target of the route, from which the first
-                estimate is taken.
-        """
-        return self._work.get(service, 0.4 * target)
+    def work(self, route: tables.Route) -> float:
+        """Returns the expected seconds of undisturbed work of a route."""
+        first = FIRST_WORK_SHARE * route.latency_target
+        return self._work.get(route.name, first)
 
     def in_flight(self, server: ids.ServerId) -> int:
         """Returns the requests of this daemon at a server."""
@@ -98,7 +96,7 @@
 
     def note_success(
         self,
-        service: ids.ServiceId,
+        route: tables.Route,
         server: ids.ServerId,
         took: float,
         expected: float,
@@ -107,7 +105,7 @@
         """Notes an answer.
 
         Args:
-            service: the service of the server.
+            route: the route of the request.
             server: the server.
             took: seconds from sending to the whole answer.
             expected: seconds that were estimated when it was sent.
@@ -119,12 +117,9 @@
         ratio = max(LOWEST_RATIO, min(HIGHEST_RATIO, took / expected))
         self._note_ratio(known, ratio, now)
         if ratio <= USUAL_RATIO:
-            work = self._work.get(service)
-            sample = took if work is None else work * ratio
-            if work is None:
-                self._work[service] = sample
-            else:
-                self._work[service] = work + WORK_WEIGHT * (sample - work)
+            work = self.work(route)
+            sample = work * ratio
+            self._work[route.name] = work + WORK_WEIGHT * (sample - work)
 
     def note_slow(
         self, server: ids.ServerId, ratio: float, now: float
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons of the fleet: who lives, and who reads the platform."""
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/fleet/messages.py
@@ -0,0 +1,118 @@
+"""Messages between daemons on the platform, as MessagePack arrays.
+
+They are datagrams: each may be lost, repeated or late, and each says what its
+sender holds rather than what changed. Ages are in milliseconds at the time of
+sending; no message carries a time of day.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+MAX_AGE_MS = 3_600_000  # an hour; stands for "never"
+
+
+class Beat(msgspec.Struct, array_like=True, tag="b", frozen=True):
+    """A heartbeat.
+
+    Attributes:
+        name: the daemon that sends.
+        ip: its IP address.
+        data_centre: where it runs.
+        revision: revision that its copy of the platform stands for.
+        age_ms: age of that copy.
+        reads: whether its own calls to the platform succeed.
+        leaving: whether it is about to stop.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    revision: int
+    age_ms: int
+    reads: bool
+    leaving: bool
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """One daemon in a roster."""
+
+    name: str
+    ip: str
+    data_centre: str
+    age_ms: int
+
+
+class Roster(msgspec.Struct, array_like=True, tag="r", frozen=True):
+    """Daemons that the sender has heard of lately."""
+
+    sender: str
+    members: list[Member]
+
+
+class CrashNotice(msgspec.Struct, array_like=True, tag="c", frozen=True):
+    """Servers crashed on a request.
+
+    Attributes:
+        sender: the daemon that saw it.
+        fingerprint: the request.
+        crashes: how many were counted; 0 says that a server survived it.
+        number: number of the notice, so that repeats are not counted again.
+    """
+
+    sender: str
+    fingerprint: str
+    crashes: int
+    number: int
+
+
+class Changes(msgspec.Struct, array_like=True, frozen=True):
+    """Items of the platform that a copy at an earlier revision lacks.
+
+    Attributes:
+        items: key, value and revision of each; no value for a removal.
+        revision: revision of the sender's copy.
+        complete: whether the items are all that exist.
+        age_ms: age of the sender's copy.
+    """
+
+    items: list[tuple[str, bytes | None, int]]
+    revision: int
+    complete: bool
+    age_ms: int
+
+
+Datagram: TypeAlias = Beat | Roster | CrashNotice
+
+_DATAGRAMS: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(
+    Beat | Roster | CrashNotice
+)
+_CHANGES: msgspec.msgpack.Decoder[Changes] = msgspec.msgpack.Decoder(Changes)
+
+
+def encode(message: Datagram | Changes) -> bytes:
+    """Returns the bytes of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data: bytes) -> Datagram:
+    """Returns the message of a datagram.
+
+    Raises:
+        msgspec.DecodeError: the bytes are no message.
+
+    Examples:
+        >>> beat = Beat("a", "127.0.0.1", "north", 7, 20, True, False)
+        >>> decode(encode(beat)) == beat
+        True
+    """
+    return _DATAGRAMS.decode(data)
+
+
+def decode_changes(data: bytes) -> Changes:
+    """Returns the changes that a peer sent.
+
+    Raises:
+        msgspec.DecodeError: the bytes are no changes.
+    """
+    return _CHANGES.decode(data)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -12,6 +12,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import logbook
 from aiohttp import base_protocol
 from aiohttp import http_exceptions
 from aiohttp import http_parser
@@ -26,6 +27,8 @@
 LINGER = 1.0  # seconds for which the caller may read the last answer
 _PARSER_BUFFER = 2**30  # bytes; the body limit is checked here instead
 
+_log = logbook.Logger("callers")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerHandling:
@@ -205,7 +208,14 @@
 
     async def _serve(self, slot: _Slot) -> None:
         assert slot.request is not None
-        outcome = await self._handling.serve(slot.request)
+        outcome: outcomes.Outcome
+        try:
+            outcome = await self._handling.serve(slot.request)
+        except Exception:  # A defect must not leave the caller waiting.
+            _log.exception("request failed by a defect")
+            outcome = outcomes.Unknown(
+                outcomes.Reason.INTERNAL, "the daemon has a defect"
+            )
         self._answer(slot, outcome)
 
     def _answer(self, slot: _Slot, outcome: outcomes.Outcome) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -201,7 +201,7 @@
             search.cancel()
             return None
         picked = search.result()
-        work = self._evidence.work(case.service, case.route.latency_target)
+        work = self._evidence.work(case.route)
         if isinstance(picked, choice.Refuse):
             return None
         if picked.estimate > attempts.HEDGE_FACTOR * work:
@@ -235,6 +235,7 @@
         case.possible = True
         order = sending.SendOrder(
             entry=listed.entry,
+            route=case.route,
             request=case.request,
             expires=case.expires,
             estimate=picked.estimate,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -3,20 +3,23 @@
 import asyncio
 import signal
 from collections.abc import Coroutine
-from collections.abc import Sequence
 from typing import Any
 
 import logbook
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.dispatch import settings
+from hyssopwind.core.fleet import reading
+from hyssopwind.core.fleet import roster
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import dispatcher
+from hyssopwind.daemon.gateway import gossip
 from hyssopwind.daemon.gateway import http_side
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.daemon.gateway import picker
@@ -46,7 +49,11 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._known = knowledge.Knowledge()
         self._evidence = evidence.Evidence()
+        self._quarantine = quarantine.CrashQuarantine()
         self._pool = server_pool.ServerPool()
+        self._fleet = roster.FleetRoster(
+            options.name, options.ip, options.data_centre, clock.now()
+        )
         self._store = store.StoreClient(options.store_address)
         self._reader = store_reader.StoreReader(
             self._store, self._known, self._should_read
@@ -56,7 +63,7 @@
             self._known.catalogue,
             self._evidence,
             self._pool,
-            self._daemons,
+            self._fleet.daemons,
         )
         self._dispatcher = dispatcher.Dispatcher(
             self._known,
@@ -70,9 +77,18 @@
                     options.retry_slack,
                 )
             ),
-            lambda: len(self._daemons()),
+            self._fleet.size,
+        )
+        self._gossip = gossip.Gossip(
+            options,
+            self._fleet,
+            self._known,
+            lambda: not self._reader.is_failing,
+            self._take_notice,
+        )
+        self._side = http_side.HttpSide(
+            self._is_ready, self._gossip.changes_after
         )
-        self._side = http_side.HttpSide(self._is_ready)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> None:
@@ -81,6 +97,11 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._side.start(self._options, self._metrics_port)
         server = await self._listen()
+        await self._gossip.start()
+        self._known.revisions.subscribe(
+            lambda _: self._gossip.spread_change()
+        )
+        self._spawn(self._gossip.run())
         self._spawn(self._reader.run())
         self._spawn(self._keep_house())
         _log.info(
@@ -94,6 +115,7 @@
         await self._drain(server)
         for task in self._tasks:
             task.cancel()
+        await self._gossip.stop()
         await self._side.stop()
 
     async def _listen(self) -> asyncio.Server:
@@ -118,6 +140,7 @@
         """Answers what is in hand; new connections may still come."""
         stopped = clock.now()
         last = stopped + self._options.grace - STOP_MARGIN
+        self._gossip.leave()
         _log.info("stopping", extra={"connections": len(self._connections)})
         while clock.now() < last:
             await asyncio.sleep(0.05)
@@ -153,14 +176,17 @@
         )
 
     def _should_read(self) -> bool:
-        return True
-
-    def _daemons(self) -> Sequence[ids.DaemonId]:
-        return (self._options.name,)
+        state = reading.ReadingState(
+            self._options.name, self._options.data_centre, self._known.age()
+        )
+        return reading.should_read(state, self._fleet, clock.now())
 
     def _reload(self) -> None:
         _log.info("reload requested")
 
+    def _take_notice(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
+        self._quarantine.take_notice(fingerprint, crashes, clock.now())
+
     def _note_rejected(self, failure: outcomes.Failure) -> None:
         _log.info(
             "rejected",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/http_side.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/http_side.py
@@ -11,8 +11,13 @@
 class HttpSide:
     """The HTTP listeners beside the one for callers."""
 
-    def __init__(self, is_ready: Callable[[], bool]):
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        changes_after: Callable[[int], bytes],
+    ):
         self._is_ready = is_ready
+        self._changes_after = changes_after
         self._runners: list[web.ServerRunner] = []
 
     async def start(
@@ -39,7 +44,13 @@
         return web.Response(status=200 if self._is_ready() else 503)
 
     async def _answer_peer(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=404)
+        after = request.query.get("after", "")
+        if request.path != "/changes" or not after.isdigit():
+            return web.Response(status=404)
+        return web.Response(
+            body=self._changes_after(int(after)),
+            content_type="application/msgpack",
+        )
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         body = prometheus_client.generate_latest()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
@@ -23,12 +23,12 @@
         self.catalogue = catalogue.Catalogue()
         self.freshness = freshness.Freshness()
         self._unreadable: dict[str, int] = {}
-        self._effects: subject.Subject[catalogue.Effect] = subject.Subject()
+        self._revisions: subject.Subject[int] = subject.Subject()
 
     @property
-    def effects(self) -> reactivex.Observable[catalogue.Effect]:
-        """What changed, as it changes."""
-        return self._effects
+    def revisions(self) -> reactivex.Observable[int]:
+        """Revisions of the copy, as it moves on."""
+        return self._revisions
 
     def age(self) -> float:
         """Returns how old the copy is, in seconds."""
@@ -49,9 +49,12 @@
         ):
             self.catalogue.note_outage(now)
         self.freshness.confirm(as_of)
+        before = self.copy.revision
         changed = self.copy.apply(delta)
         for item in changed:
             self._take_item(item, now, source)
+        if self.copy.revision > before:
+            self._revisions.on_next(self.copy.revision)
         return len(changed)
 
     def expire(self) -> list[ids.ServerId]:
@@ -59,7 +62,6 @@
         ended = self.catalogue.expire(clock.now())
         for server in ended:
             _log.info("lapsed server dropped", extra={"server": server})
-            self._effects.on_next(catalogue.Effect.SERVER_REMOVED)
         return ended
 
     def _take_item(self, item: items.Item, now: float, source: str) -> None:
@@ -76,7 +78,6 @@
                 fields["version"] = record.configuration.version
                 fields["routes"] = len(record.configuration.routes)
             _log.info(effect.value, extra=fields)
-        self._effects.on_next(effect)
 
     def _note_unreadable(
         self, item: items.Item, record: records.Record
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -58,7 +58,7 @@
         known: catalogue.Catalogue,
         seen: evidence.Evidence,
         pool: server_pool.ServerPool,
-        daemons: Callable[[], Sequence[ids.DaemonId]],
+        daemons: Callable[[ids.DataCentreId], Sequence[ids.DaemonId]],
     ):
         self._options = options
         self._catalogue = known
@@ -87,9 +87,7 @@
             candidates = await self._ask(order.service, asked)
             now = clock.now()
             timing = choice.Timing(
-                work=self._evidence.work(
-                    order.service, order.route.latency_target
-                ),
+                work=self._evidence.work(order.route),
                 waited=now - order.arrived,
                 target=order.route.latency_target,
                 remaining=order.expires - now,
@@ -171,7 +169,10 @@
         terms = self._catalogue.terms(listed.entry.service)
         rate = terms.warmup_rate if terms else 1.0
         return self._permits.may_send(
-            listed.entry.id, self._daemons(), rate, now
+            listed.entry.id,
+            self._daemons(listed.entry.data_centre),
+            rate,
+            now,
         )
 
     def _sample(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -9,6 +9,7 @@
 from hyssopwind.core.attempts import judgement
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import evidence
+from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import requests
@@ -27,12 +28,14 @@
 
     Attributes:
         entry: the server.
+        route: the route of the request.
         request: the request of the caller.
         expires: when the caller or the route gives up.
         estimate: seconds that the server is expected to take.
     """
 
     entry: entries.ServerEntry
+    route: tables.Route
     request: requests.CallerRequest
     expires: float
     estimate: float
@@ -108,7 +111,7 @@
                 self._evidence.note_failure(server, now)
             else:
                 self._evidence.note_success(
-                    order.entry.service,
+                    order.route,
                     server,
                     result.latency,
                     order.estimate,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -12,7 +12,7 @@
 from hyssopwind.platform import items as platform_items
 from hyssopwind.platform import store
 
-WATCH_WAIT = 1.5  # seconds; a silent watch must be noticed within 2 s
+WATCH_WAIT = 1.0  # seconds; a silent watch must be noticed within 2 s
 MERGE_DELAY = 0.25  # seconds in which changes gather for one call
 FIRST_BACKOFF = 0.1  # seconds
 LONGEST_BACKOFF = 0.8  # seconds; the store must be met soon on its return
@@ -47,6 +47,7 @@
         backoff = FIRST_BACKOFF
         while True:
             if not self._should_read():
+                self._failing = False
                 await asyncio.sleep(IDLE_POLL)
                 continue
             try:
