--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core daemon operator standins
+PACKAGES := packages/core platform packages/daemon packages/operator packages/standins
 
 .PHONY: run test check bench faults
 
-$(VENV)/ready: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(VENV)/ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
-		$(PACKAGES:%=-e packages/%)
+		$(PACKAGES:%=-e %)
 	touch $@
 
 run: $(VENV)/ready
@@ -19,10 +19,9 @@
 	PYTHONHASHSEED=0 $(BIN)/python tools/run_tests.py
 
 check: $(VENV)/ready
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/ruff check packages tools
-	$(BIN)/mypy packages/core/src packages/daemon/src \
-		packages/operator/src packages/standins/src
+	$(BIN)/ruff format --check packages platform tools
+	$(BIN)/ruff check packages platform tools
+	$(BIN)/mypy $(PACKAGES:%=%/src)
 	$(BIN)/python tools/check_layers.py
 
 bench: $(VENV)/ready
--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -58,9 +58,7 @@
 
     def __init__(self) -> None:
         self._servers: dict[ids.ServerId, Listed] = {}
-        self._by_service: dict[
-            ids.ServiceId, dict[ids.ServerId, Listed]
-        ] = {}
+        self._by_service: dict[ids.ServiceId, dict[ids.ServerId, Listed]] = {}
         self._evacuated: set[ids.DataCentreId] = set()
         self._configuration: tables.Configuration | None = None
         self._routes = matching.RouteIndex(())
@@ -71,6 +69,11 @@
         """The configuration in force, or `None` before the first."""
         return self._configuration
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self._configuration.version if self._configuration else 0
+
     @property
     def routes(self) -> matching.RouteIndex:
         """The routes in force."""
@@ -108,9 +111,7 @@
             return None
         return self._configuration.services.get(service)
 
-    def usable(
-        self, service: ids.ServiceId, now: float
-    ) -> Iterator[Listed]:
+    def usable(self, service: ids.ServiceId, now: float) -> Iterator[Listed]:
         """Yields the servers that may get a new request of a service."""
         for listed in self._by_service.get(service, {}).values():
             if listed.entry.draining:
--- a/packages/core/src/hyssopwind/core/dispatch/attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -2,7 +2,6 @@
 
 import enum
 
-from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import judgement
 
 # A second attempt starts when the first one takes this many times longer
--- a/packages/core/src/hyssopwind/core/dispatch/evidence.py
+++ b/packages/core/src/hyssopwind/core/dispatch/evidence.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from hyssopwind.core import ids
 from hyssopwind.core.routing import tables
@@ -72,8 +73,7 @@
         known = self._servers.get(server)
         if known is None:
             return 1.0
-        faded = 0.5 ** ((now - known.penalty_at) / PENALTY_MEMORY)
-        return 1.0 + (known.penalty - 1.0) * faded
+        return _faded_penalty(known, now)
 
     def is_resting(self, server: ids.ServerId, now: float) -> bool:
         """Whether a server is left alone for now."""
@@ -121,9 +121,7 @@
             sample = work * ratio
             self._work[route.name] = work + WORK_WEIGHT * (sample - work)
 
-    def note_slow(
-        self, server: ids.ServerId, ratio: float, now: float
-    ) -> None:
+    def note_slow(self, server: ids.ServerId, ratio: float, now: float) -> None:
         """Notes a request that takes many times longer than expected."""
         self._note_ratio(self._find(server), min(HIGHEST_RATIO, ratio), now)
 
@@ -156,8 +154,12 @@
         return known
 
     def _note_ratio(self, known: _Server, ratio: float, now: float) -> None:
-        faded = 0.5 ** ((now - known.penalty_at) / PENALTY_MEMORY)
-        current = 1.0 + (known.penalty - 1.0) * faded
+        current = _faded_penalty(known, now)
         sample = max(1.0, ratio / USUAL_RATIO) if ratio > USUAL_RATIO else 1.0
         known.penalty = current + PENALTY_WEIGHT * (sample - current)
         known.penalty_at = now
+
+
+def _faded_penalty(known: _Server, now: float) -> float:
+    half_lives = (now - known.penalty_at) / PENALTY_MEMORY
+    return 1.0 + (known.penalty - 1.0) * math.pow(0.5, half_lives)
--- a/packages/core/src/hyssopwind/core/dispatch/repeats.py
+++ b/packages/core/src/hyssopwind/core/dispatch/repeats.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import settings
 
 # Part of the budget that is spent, since windows slide and daemons differ.
 SPENT_PART = 0.8
@@ -31,6 +32,13 @@
     slack: float
 
 
+def terms_of(options: settings.GatewaySettings) -> RepeatTerms:
+    """Returns the budget that settings name."""
+    return RepeatTerms(
+        options.retry_ratio, options.retry_window, options.retry_slack
+    )
+
+
 class RepeatBudget:
     """Counts requests and repeats of each service in a sliding window.
 
@@ -50,6 +58,10 @@
         self._requests: dict[ids.ServiceId, collections.deque[float]] = {}
         self._repeats: dict[ids.ServiceId, collections.deque[float]] = {}
 
+    def change_terms(self, terms: RepeatTerms) -> None:
+        """Puts other terms in force."""
+        self._terms = terms
+
     def note_request(self, service: ids.ServiceId, now: float) -> None:
         """Counts a request of a caller."""
         self._recent(self._requests, service, now).append(now)
--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -65,3 +65,24 @@
     warmup_slack: float
     probe_rate: float
     max_descriptors: int
+
+
+class LiveSettings:
+    """The settings in force, which a reload may replace."""
+
+    def __init__(self, current: GatewaySettings):
+        self._current = current
+
+    @property
+    def current(self) -> GatewaySettings:
+        """The settings in force."""
+        return self._current
+
+    def replace(self, new: GatewaySettings) -> list[str]:
+        """Puts new settings in force; returns the names of what changed."""
+        changed = []
+        for field in dataclasses.fields(GatewaySettings):
+            if getattr(new, field.name) != getattr(self._current, field.name):
+                changed.append(field.name)
+        self._current = new
+        return changed
--- a/packages/core/src/hyssopwind/core/fleet/roster.py
+++ b/packages/core/src/hyssopwind/core/fleet/roster.py
@@ -157,9 +157,7 @@
         centres.discard(self._own.data_centre)
         return [self.ranked(c)[0] for c in sorted(centres) if self.ranked(c)]
 
-    def daemons(
-        self, data_centre: ids.DataCentreId
-    ) -> list[ids.DaemonId]:
+    def daemons(self, data_centre: ids.DataCentreId) -> list[ids.DaemonId]:
         """Returns the daemons of a data centre, or all where it has none."""
         found = [peer.name for peer in self.ranked(data_centre)]
         if found:
--- a/packages/core/src/hyssopwind/core/requests/classification.py
+++ b/packages/core/src/hyssopwind/core/requests/classification.py
@@ -147,10 +147,15 @@
         >>> fingerprint(one) == fingerprint(two)
         False
     """
+    return fingerprint_parts(request.method, request.target, request.body)
+
+
+def fingerprint_parts(method: str, target: str, body: bytes) -> ids.Fingerprint:
+    """Returns a hash of a method, a target and a body."""
     digest = xxhash.xxh3_128()
-    digest.update(request.method.encode())
+    digest.update(method.encode())
     digest.update(b"\0")
-    digest.update(request.target.encode())
+    digest.update(target.encode("utf-8", "surrogateescape"))
     digest.update(b"\0")
-    digest.update(request.body)
+    digest.update(body)
     return ids.Fingerprint(digest.hexdigest())
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -75,7 +75,7 @@
         self._handling = handling
         self._connections = connections
         limits = handling.limits()
-        self._parser = http_parser.HttpRequestParser(
+        self._request_parser = http_parser.HttpRequestParser(
             self,
             loop,
             _PARSER_BUFFER,
@@ -84,9 +84,7 @@
             auto_decompress=False,
         )
         self._slots: collections.deque[_Slot] = collections.deque()
-        self._incoming: (
-            tuple[http_parser.RawRequestMessage, Any] | None
-        ) = None
+        self._incoming: tuple[http_parser.RawRequestMessage, Any] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._reads_head = False
         self._ended = False
@@ -106,11 +104,11 @@
         """Takes bytes of the caller."""
         if self._ended:
             return
-        if not self._reads_head:
+        if not self._reads_head and self._incoming is None:
             self._reads_head = True
             self._arm(self._handling.limits().header_timeout)
         try:
-            messages, upgraded, _ = self._parser.feed_data(data)
+            messages, upgraded, _ = self._request_parser.feed_data(data)
         except http_exceptions.LineTooLong as error:
             self._reject(outcomes.Reason.HEADER_TOO_LARGE, repr(error)[:200])
             return
@@ -257,7 +255,7 @@
         self._incoming = None
         self._disarm()
         if self.transport is not None:
-            self.transport.pause_reading()  # type: ignore[attr-defined]
+            self.transport.pause_reading()
 
     def _close(self) -> None:
         self._ended = True
@@ -269,13 +267,13 @@
         transport = self.transport
         if transport is None:
             return
-        if not transport.can_write_eof():  # type: ignore[attr-defined]
+        if not transport.can_write_eof():
             transport.close()
             return
         # Bytes that arrive after a close would reset the connection, and
         # with it an answer that the caller has not read yet.
-        transport.write_eof()  # type: ignore[attr-defined]
-        self._loop.call_later(LINGER, transport.abort)  # type: ignore
+        transport.write_eof()
+        self._loop.call_later(LINGER, transport.abort)
 
     def _arm(self, seconds: float) -> None:
         self._disarm()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -1,6 +1,7 @@
 """Serves one request: route, attempts at servers, final answer."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 from collections.abc import Callable
@@ -10,10 +11,8 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import judgement
-from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.dispatch import attempts
 from hyssopwind.core.dispatch import choice
-from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.routing import splitting
 from hyssopwind.core.routing import tables
@@ -59,14 +58,12 @@
         known: knowledge.Knowledge,
         pick: picker.Picker,
         sender: sending.Sender,
-        seen: evidence.Evidence,
         budget: repeats.RepeatBudget,
         daemon_count: Callable[[], int],
     ):
         self._known = known
         self._picker = pick
         self._sender = sender
-        self._evidence = seen
         self._budget = budget
         self._daemon_count = daemon_count
         self._random = random.Random()
@@ -83,9 +80,7 @@
         route = self.find_route(request)
         return route is not None and route.idempotent
 
-    async def serve(
-        self, request: requests.CallerRequest
-    ) -> outcomes.Outcome:
+    async def serve(self, request: requests.CallerRequest) -> outcomes.Outcome:
         """Returns how a request ended."""
         configuration = self._known.catalogue.configuration
         if configuration is None:
@@ -125,10 +120,9 @@
         self._budget.note_request(service, request.arrived)
         patience = route.timeout
         stated = request.fields.get(fields.DEADLINE, "")
-        try:
+        # The route's own time holds for callers that state none.
+        with contextlib.suppress(ValueError):
             patience = min(patience, float(stated) / 1000)
-        except ValueError:
-            pass  # The route's own time holds for callers without one.
         return _Case(request, route, service, request.arrived + patience, set())
 
     async def _run(self, case: _Case) -> outcomes.Outcome:
@@ -201,7 +195,7 @@
             search.cancel()
             return None
         picked = search.result()
-        work = self._evidence.work(case.route)
+        work = self._picker.expected_work(case.route)
         if isinstance(picked, choice.Refuse):
             return None
         if picked.estimate > attempts.HEDGE_FACTOR * work:
@@ -238,6 +232,7 @@
             route=case.route,
             request=case.request,
             expires=case.expires,
+            health_path=self._picker.health_path(case.service),
             estimate=picked.estimate,
         )
         return asyncio.create_task(self._sender.send(order))
@@ -250,9 +245,7 @@
         if not task.done() and case.route.idempotent:
             task.cancel()
 
-    def _refuse(
-        self, case: _Case, refusal: choice.Refuse
-    ) -> outcomes.Outcome:
+    def _refuse(self, case: _Case, refusal: choice.Refuse) -> outcomes.Outcome:
         if case.last is not None:
             return self._give_up(case)
         return outcomes.NotRun(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -9,20 +9,24 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
-from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import reading
 from hyssopwind.core.fleet import roster
 from hyssopwind.core.routing import tables
+from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import crashes
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gossip
 from hyssopwind.daemon.gateway import http_side
 from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.daemon.gateway import measures
 from hyssopwind.daemon.gateway import picker
+from hyssopwind.daemon.gateway import reloading
+from hyssopwind.daemon.gateway import requests
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.daemon.gateway import server_pool
 from hyssopwind.daemon.gateway import store_reader
@@ -41,15 +45,22 @@
 class Gateway:
     """The daemon of one entry VM on the platform."""
 
-    def __init__(self, options: settings.GatewaySettings, metrics_port: int):
+    def __init__(
+        self,
+        options: settings.GatewaySettings,
+        metrics_port: int,
+        stream: log_output.BoundedStream,
+    ):
         self._options = options
+        self._live = settings.LiveSettings(options)
         self._metrics_port = metrics_port
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         self._connections: set[caller_connection.CallerConnection] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._metrics = measures.GatewayMetrics()
         self._known = knowledge.Knowledge()
         self._evidence = evidence.Evidence()
-        self._quarantine = quarantine.CrashQuarantine()
         self._pool = server_pool.ServerPool()
         self._fleet = roster.FleetRoster(
             options.name, options.ip, options.data_centre, clock.now()
@@ -58,6 +69,14 @@
         self._reader = store_reader.StoreReader(
             self._store, self._known, self._should_read
         )
+        self._crashes = crashes.CrashWatch(self._pool, self._spread_crash)
+        self._gossip = gossip.Gossip(
+            self._live,
+            self._fleet,
+            self._known,
+            lambda: not self._reader.is_failing,
+            self._crashes.take_notice,
+        )
         self._picker = picker.Picker(
             options,
             self._known.catalogue,
@@ -65,50 +84,42 @@
             self._pool,
             self._fleet.daemons,
         )
+        self._budget = repeats.RepeatBudget(repeats.terms_of(options))
         self._dispatcher = dispatcher.Dispatcher(
             self._known,
             self._picker,
-            sending.Sender(self._pool, self._evidence),
-            self._evidence,
-            repeats.RepeatBudget(
-                repeats.RepeatTerms(
-                    options.retry_ratio,
-                    options.retry_window,
-                    options.retry_slack,
-                )
+            sending.Sender(
+                self._pool, self._evidence, self._crashes, self._metrics
             ),
+            self._budget,
             self._fleet.size,
         )
-        self._gossip = gossip.Gossip(
-            options,
-            self._fleet,
-            self._known,
-            lambda: not self._reader.is_failing,
-            self._take_notice,
-        )
         self._side = http_side.HttpSide(
-            self._is_ready, self._gossip.changes_after
+            self._is_ready, self._gossip.changes_after, self._metrics.render
         )
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._reloader = reloading.Reloader(
+            self._live, self._store, self._budget
+        )
+        self._metrics.attach(self._sources(stream))
 
     async def run(self) -> None:
         """Serves until SIGTERM, then ends what is in hand."""
         self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
         await self._side.start(self._options, self._metrics_port)
         server = await self._listen()
         await self._gossip.start()
-        self._known.revisions.subscribe(
-            lambda _: self._gossip.spread_change()
-        )
+        self._known.revisions.subscribe(lambda _: self._gossip.spread_change())
         self._spawn(self._gossip.run())
         self._spawn(self._reader.run())
+        self._spawn(self._reloader.run())
         self._spawn(self._keep_house())
         _log.info(
             "started",
             extra={
                 "daemon": self._options.name,
                 "data_centre": self._options.data_centre,
+                "first_start": self._options.first_start,
             },
         )
         await self._stopping.wait()
@@ -121,7 +132,7 @@
     async def _listen(self) -> asyncio.Server:
         host, _, port = self._options.callers_address.rpartition(":")
         handling = caller_connection.CallerHandling(
-            serve=self._dispatcher.serve,
+            serve=self._serve,
             may_overlap=self._dispatcher.may_overlap,
             limits=self._limits,
             is_stopping=self._stopping.is_set,
@@ -136,10 +147,34 @@
             backlog=LISTEN_BACKLOG,
         )
 
+    async def _serve(self, request: requests.CallerRequest) -> outcomes.Outcome:
+        refused_for = self._crashes.is_refused(request)
+        outcome: outcomes.Outcome
+        if refused_for is not None:
+            outcome = outcomes.NotRun(
+                outcomes.Reason.QUARANTINED,
+                "servers crashed on this request",
+                refused_for,
+            )
+            self._note_rejected(outcome)
+        else:
+            outcome = await self._dispatcher.serve(request)
+        reason = ""
+        if not isinstance(outcome, outcomes.Answered):
+            reason = outcome.reason.slug
+        route = self._dispatcher.find_route(request)
+        self._metrics.count_request(
+            route.name if route else "",
+            outcome.tag,
+            reason,
+            clock.now() - request.arrived,
+        )
+        return outcome
+
     async def _drain(self, server: asyncio.Server) -> None:
         """Answers what is in hand; new connections may still come."""
         stopped = clock.now()
-        last = stopped + self._options.grace - STOP_MARGIN
+        last = stopped + self._live.current.grace - STOP_MARGIN
         self._gossip.leave()
         _log.info("stopping", extra={"connections": len(self._connections)})
         while clock.now() < last:
@@ -181,11 +216,8 @@
         )
         return reading.should_read(state, self._fleet, clock.now())
 
-    def _reload(self) -> None:
-        _log.info("reload requested")
-
-    def _take_notice(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
-        self._quarantine.take_notice(fingerprint, crashes, clock.now())
+    def _spread_crash(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
+        self._gossip.spread_crash(fingerprint, crashes)
 
     def _note_rejected(self, failure: outcomes.Failure) -> None:
         _log.info(
@@ -193,6 +225,21 @@
             extra={"reason": failure.reason.slug, "detail": failure.detail},
         )
 
+    def _sources(self, stream: log_output.BoundedStream) -> measures.Sources:
+        known = self._known
+        return measures.Sources(
+            copy_age=known.age,
+            revision=lambda: known.copy.revision,
+            version=lambda: known.catalogue.version,
+            servers=lambda: known.catalogue.size,
+            daemons=self._fleet.size,
+            connections=lambda: self._pool.opened,
+            checks=lambda: self._pool.checks,
+            store_calls=lambda: self._store.calls,
+            lines_dropped=lambda: stream.dropped,
+            ready=lambda: float(self._is_ready()),
+        )
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -45,12 +45,14 @@
 
     def __init__(
         self,
-        options: settings.GatewaySettings,
+        live: settings.LiveSettings,
         fleet: roster.FleetRoster,
         known: knowledge.Knowledge,
         reads: Callable[[], bool],
         take_notice: Callable[[ids.Fingerprint, int], None],
     ):
+        self._live = live
+        options = live.current
         self._options = options
         self._fleet = fleet
         self._known = known
@@ -175,7 +177,7 @@
         ):
             return
         data = messages.encode(self._beat())
-        for address in self._options.seeds:
+        for address in self._live.current.seeds:
             ip = address.rpartition(":")[0]
             if ip != self._options.ip:
                 self._send(data, ip)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/http_side.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/http_side.py
@@ -1,12 +1,18 @@
 """Readiness for the platform's balancer, metrics, and bulk between daemons."""
 
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeAlias
 
-import prometheus_client
 from aiohttp import web
 
 from hyssopwind.core.dispatch import settings
 
+_Handler: TypeAlias = Callable[
+    [web.BaseRequest], Coroutine[Any, Any, web.Response]
+]
+
 
 class HttpSide:
     """The HTTP listeners beside the one for callers."""
@@ -15,9 +21,11 @@
         self,
         is_ready: Callable[[], bool],
         changes_after: Callable[[int], bytes],
+        render_metrics: Callable[[], bytes],
     ):
         self._is_ready = is_ready
         self._changes_after = changes_after
+        self._render_metrics = render_metrics
         self._runners: list[web.ServerRunner] = []
 
     async def start(
@@ -33,7 +41,7 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _listen(self, address: str, answer: web.RequestHandler) -> None:
+    async def _listen(self, address: str, answer: _Handler) -> None:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(web.Server(answer))
         await runner.setup()
@@ -53,5 +61,6 @@
         )
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
-        body = prometheus_client.generate_latest()
-        return web.Response(body=body, content_type="text/plain")
+        return web.Response(
+            body=self._render_metrics(), content_type="text/plain"
+        )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -18,6 +18,7 @@
 from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import server_pool
 
+DEFAULT_HEALTH_PATH = "/health"  # where the configuration names none
 NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
 FAR_SAMPLE = 4  # servers elsewhere asked when no near one is good
 STRAGGLER_WAIT = 0.006  # seconds for the other answers after the first one
@@ -105,12 +106,21 @@
                 continue
             return decision
 
+    def health_path(self, service: ids.ServiceId) -> str:
+        """Returns the path of the health check of a service."""
+        terms = self._catalogue.terms(service)
+        return terms.health_path if terms else DEFAULT_HEALTH_PATH
+
+    def expected_work(self, route: tables.Route) -> float:
+        """Returns the seconds that an undisturbed server needs."""
+        return self._evidence.work(route)
+
     def forget(self, servers: set[ids.ServerId]) -> None:
         """Forgets servers other than these."""
         for table in (self._reports, self._cold_until, self._sent_at):
             for server in list(table):
                 if server not in servers:
-                    del table[server]  # type: ignore[attr-defined]
+                    del table[server]
 
     def note_cold(self, server: ids.ServerId, seconds: float) -> None:
         """Notes that a server is cold for some more seconds."""
@@ -124,16 +134,13 @@
         listed = self._catalogue.find(server)
         if listed is None or not self._catalogue.may_send(server, now):
             return False
-        if self._is_cold(listed, now):
-            if not self._cold_permit(listed, now):
-                return False
+        if self._is_cold(listed, now) and not self._cold_permit(listed, now):
+            return False
         self._permits.note_sent(server, now)
         self._sent_at.setdefault(server, []).append(now)
         return True
 
-    def _eligible(
-        self, order: PickOrder, now: float
-    ) -> list[catalogue.Listed]:
+    def _eligible(self, order: PickOrder, now: float) -> list[catalogue.Listed]:
         found = []
         resting = []
         for listed in self._catalogue.usable(order.service, now):
@@ -153,9 +160,7 @@
         # Better a doubtful server than none.
         return found or resting
 
-    def _in_region(
-        self, route: tables.Route, listed: catalogue.Listed
-    ) -> bool:
+    def _in_region(self, route: tables.Route, listed: catalogue.Listed) -> bool:
         if not route.regions:
             return True
         region = self._options.regions.get(listed.entry.data_centre, "")
@@ -193,10 +198,9 @@
     async def _ask(
         self, service: ids.ServiceId, asked: Iterable[catalogue.Listed]
     ) -> list[choice.Candidate]:
-        terms = self._catalogue.terms(service)
-        path = terms.health_path if terms else "/health"
+        path = self.health_path(service)
         tasks = {}
-        candidates = []
+        candidates: list[choice.Candidate] = []
         now = clock.now()
         for listed in asked:
             server = listed.entry.id
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -11,7 +11,9 @@
 from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
+from hyssopwind.daemon import metrics
 from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import crashes
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.daemon.gateway import server_connection
 from hyssopwind.daemon.gateway import server_pool
@@ -31,6 +33,7 @@
         route: the route of the request.
         request: the request of the caller.
         expires: when the caller or the route gives up.
+        health_path: path of the health check of the server.
         estimate: seconds that the server is expected to take.
     """
 
@@ -38,6 +41,7 @@
     route: tables.Route
     request: requests.CallerRequest
     expires: float
+    health_path: str
     estimate: float
 
 
@@ -45,10 +49,16 @@
     """Sends requests to servers and judges what comes back."""
 
     def __init__(
-        self, pool: server_pool.ServerPool, seen: evidence.Evidence
+        self,
+        pool: server_pool.ServerPool,
+        seen: evidence.Evidence,
+        crash_watch: crashes.CrashWatch,
+        counters: metrics.Metrics,
     ):
         self._pool = pool
         self._evidence = seen
+        self._crashes = crash_watch
+        self._counters = counters
 
     async def send(self, order: SendOrder) -> judgement.AttemptResult:
         """Returns how the attempt ended."""
@@ -104,9 +114,12 @@
     ) -> None:
         now = clock.now()
         server = order.entry.id
-        detail: dict[str, object] = {"result": type(result).__name__}
+        detail: dict[str, object] = {}
+        tag = "shed"
         if isinstance(result, judgement.WholeAnswer):
+            tag = "answered"
             detail["status"] = result.answer.status
+            self._crashes.note_completed(order.request, started)
             if result.answer.status >= 500:
                 self._evidence.note_failure(server, now)
             else:
@@ -118,11 +131,16 @@
                     now,
                 )
         elif isinstance(result, judgement.Failed):
-            detail["kind"] = result.kind.value
+            tag = result.kind.name.lower()
+            if judgement.is_crash(result):
+                self._crashes.note_broken(
+                    order.request, order.entry, order.health_path, started
+                )
             if result.kind is not judgement.FailureKind.WITHHELD:
                 self._evidence.note_failure(server, now)
         else:
             self._evidence.note_failure(server, now)
+        self._counters.count_attempt(order.entry.service, tag)
         _log.info(
             "attempt",
             extra={
@@ -130,6 +148,7 @@
                 "server": server,
                 "ms": round((now - started) * 1000),
                 "estimate_ms": round(order.estimate * 1000),
+                "result": tag,
                 **detail,
             },
         )
@@ -139,9 +158,7 @@
         now = clock.now()
         took = now - started
         if took > order.estimate * evidence.USUAL_RATIO:
-            self._evidence.note_slow(
-                order.entry.id, took / order.estimate, now
-            )
+            self._evidence.note_slow(order.entry.id, took / order.estimate, now)
 
 
 def _judge(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/server_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/server_connection.py
@@ -11,6 +11,7 @@
 
 import multidict
 from aiohttp import base_protocol
+from aiohttp import http_exceptions
 from aiohttp import http_parser
 
 from hyssopwind.core.attempts import judgement
@@ -89,7 +90,7 @@
         self._buffer = bytearray()
         self._message: http_parser.RawResponseMessage | None = None
         self._body: _Body | None = None
-        self._parser: http_parser.HttpResponseParser | None = None
+        self._answer_parser: http_parser.HttpResponseParser | None = None
         self._payload: object = None
         self._skipped = 0
         self._closed = False
@@ -150,7 +151,7 @@
             return
         try:
             self._read()
-        except http_parser.BadHttpMessage as error:
+        except http_exceptions.BadHttpMessage as error:
             self._fail(judgement.FailureKind.GARBLED, repr(error)[:200])
 
     def eof_received(self) -> bool:
@@ -200,7 +201,7 @@
         if 100 <= message.code < 200:
             return bool(self._buffer) and self._read_head()
         self._message = message
-        self._parser, self._payload = parser, payload
+        self._answer_parser, self._payload = parser, payload
         assert self._pending is not None
         self._body = _Body(message, self._pending.method)
         return True
@@ -224,10 +225,10 @@
     def _read_chunks(self, body: _Body) -> bool:
         payload = self._payload
         data, self._buffer = bytes(self._buffer), bytearray()
-        assert self._parser is not None
+        assert self._answer_parser is not None
         try:
-            self._parser.feed_data(data)
-        except http_parser.BadHttpMessage:
+            self._answer_parser.feed_data(data)
+        except http_exceptions.BadHttpMessage:
             # Bytes after the last chunk raise too; the answer is whole then.
             if not payload.is_eof() or payload.exception():  # type: ignore
                 raise
@@ -237,7 +238,7 @@
 
     def _finish(self) -> None:
         message, body, pending = self._message, self._body, self._pending
-        self._message = self._body = self._parser = self._payload = None
+        self._message = self._body = self._answer_parser = self._payload = None
         if message is None or body is None or pending is None:
             return
         if not _belongs(message, pending):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/server_pool.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/server_pool.py
@@ -37,9 +37,7 @@
         """Health checks sent so far."""
         return self._checks
 
-    async def acquire(
-        self, address: str
-    ) -> server_connection.ServerConnection:
+    async def acquire(self, address: str) -> server_connection.ServerConnection:
         """Returns a kept connection to a server, or a new one.
 
         Raises:
@@ -108,9 +106,7 @@
             self.release(connection)
             return answer
 
-    def _is_stale(
-        self, connection: server_connection.ServerConnection
-    ) -> bool:
+    def _is_stale(self, connection: server_connection.ServerConnection) -> bool:
         limit = DEFAULT_KEEP_ALIVE
         if connection.keep_alive is not None:
             limit = max(0.5, connection.keep_alive - KEEP_ALIVE_MARGIN)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
@@ -3,7 +3,6 @@
 import gc
 import sys
 
-import logbook
 import uvloop
 
 from hyssopwind.core.dispatch import settings
@@ -17,9 +16,8 @@
 
 def start(metrics_port: int) -> int:
     """Reads the platform's settings file and serves until SIGTERM."""
-    handler = logbook.StreamHandler(sys.stdout, level=logbook.INFO)
-    handler.formatter = log_output.format_record
-    handler.push_application()
+    stream = log_output.BoundedStream(sys.stdout.fileno())
+    log_output.install_stream(stream)
     try:
         options = boot.load()
     except boot.BootError as error:
@@ -27,9 +25,13 @@
         return EXIT_FINDINGS
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    uvloop.run(_serve(options, metrics_port))
+    uvloop.run(_serve(options, metrics_port, stream))
     return 0
 
 
-async def _serve(options: settings.GatewaySettings, metrics_port: int) -> None:
-    await gateway.Gateway(options, metrics_port).run()
+async def _serve(
+    options: settings.GatewaySettings,
+    metrics_port: int,
+    stream: log_output.BoundedStream,
+) -> None:
+    await gateway.Gateway(options, metrics_port, stream).run()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -74,9 +74,7 @@
             self._listed = True
             return
         sent = clock.now()
-        delta = await self._client.wait_for_changes(
-            "", revision, WATCH_WAIT
-        )
+        delta = await self._client.wait_for_changes("", revision, WATCH_WAIT)
         # An empty answer says that nothing had changed when the wait ended.
         as_of = sent if delta.items else max(sent, clock.now() - 0.1)
         self._known.take(delta, as_of, "store")
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -58,9 +58,7 @@
     name = "serve"
     description = "Runs the daemon on the platform until SIGTERM."
     options = [
-        helpers.option(
-            "metrics-port", "m", "Port of the metrics.", flag=False
-        )
+        helpers.option("metrics-port", "m", "Port of the metrics.", flag=False)
     ]
 
     def handle(self) -> int:
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -16,9 +16,10 @@
 )
 LAYERS = {
     "core": {"core"},
-    "daemon": {"core", "daemon"},
-    "operator": {"core", "operator"},
-    "standins": {"core", "daemon", "standins"},
+    "platform": {"core", "platform"},
+    "daemon": {"core", "platform", "daemon"},
+    "operator": {"core", "platform", "operator"},
+    "standins": {"core", "platform", "daemon", "standins"},
 }
 
 
@@ -71,7 +72,7 @@
 def main() -> int:
     """Checks all Python files and prints the findings."""
     findings = []
-    for directory in ("packages", "tools"):
+    for directory in ("packages", "platform", "tools"):
         for path in sorted((ROOT / directory).rglob("*.py")):
             findings.extend(check_file(path))
     for finding in findings:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,7 +19,8 @@
 
 def find_modules(*, tests: bool) -> Iterator[str]:
     """Yields the names of the test modules, or of all others."""
-    for source in sorted(ROOT.glob("packages/*/src")):
+    sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
+    for source in sorted(sources):
         for path in sorted(source.rglob("*.py")):
             is_test = path.name.startswith("test_")
             if is_test != tests or path.name == "__init__.py":
