--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,3 +15,6 @@
   cp -R "$package/src/hyssopwind/." target/deps/hyssopwind/
 done
 find target/deps/hyssopwind -type d -name tests -prune -exec rm -rf {} +
+# Processes can't write beside their sources, so they would compile the
+# packages anew at each start.
+python3 -m compileall -q target/deps/hyssopwind
--- a/packages/core/src/hyssopwind/core/fleet/reading.py
+++ b/packages/core/src/hyssopwind/core/fleet/reading.py
@@ -7,11 +7,13 @@
 """
 
 import dataclasses
+import math
 
 from hyssopwind.core import ids
 from hyssopwind.core.fleet import roster
 
-# Seconds after the start in which peers may answer before the first read.
+# Seconds after the start of the whole fleet in which peers may answer before
+# the first read. A daemon that starts again reads at once: callers wait.
 START_WAIT = 0.35
 # Age in seconds at which a daemon reads for itself. A leader's copy is
 # confirmed every second, and its heartbeat comes every half.
@@ -29,12 +31,14 @@
     Attributes:
         name: the daemon.
         data_centre: where it runs.
-        age: age of its copy in seconds.
+        age: age of its copy in seconds; infinite before the first read.
+        first_start: whether the whole fleet starts for the first time.
     """
 
     name: ids.DaemonId
     data_centre: ids.DataCentreId
     age: float
+    first_start: bool = True
 
 
 def should_read(
@@ -53,6 +57,8 @@
         True
     """
     running = now - fleet.started
+    if math.isinf(state.age) and not state.first_start:
+        return True
     if running < START_WAIT:
         return False
     position = 0
--- a/packages/daemon/src/hyssopwind/daemon/answers.py
+++ b/packages/daemon/src/hyssopwind/daemon/answers.py
@@ -4,7 +4,6 @@
     RFC 9457, Problem Details for HTTP APIs.
 """
 
-import http
 import math
 
 import msgspec
@@ -13,9 +12,7 @@
 
 from hyssopwind.core import outcomes
 from hyssopwind.daemon import headers
-
-PROBLEM_TYPE = "application/problem+json"
-TYPE_PREFIX = "urn:hyssopwind:problem:"
+from hyssopwind.daemon import problems
 
 
 def render_outcome(
@@ -42,7 +39,7 @@
 
 def render_failure(failure: outcomes.Failure) -> web.Response:
     """Returns the problem document of a request without a server's answer."""
-    problem = problem_document(failure, failure.reason.status)
+    problem = problems.problem_document(failure, failure.reason.status)
     fields = {headers.OUTCOME: failure.tag}
     if failure.retry_after is not None:
         fields["Retry-After"] = str(max(1, math.ceil(failure.retry_after)))
@@ -50,21 +47,5 @@
         status=failure.reason.status,
         headers=fields,
         body=msgspec.json.encode(problem),
-        content_type=PROBLEM_TYPE,
+        content_type=problems.PROBLEM_TYPE,
     )
-
-
-def problem_document(
-    failure: outcomes.Failure, status: int
-) -> dict[str, str | int | float]:
-    """Returns the problem document of a failure, by field."""
-    problem: dict[str, str | int | float] = {
-        "type": TYPE_PREFIX + failure.reason.slug,
-        "title": http.HTTPStatus(status).phrase,
-        "status": status,
-        "detail": failure.detail,
-        "outcome": failure.tag,
-    }
-    if failure.retry_after is not None:
-        problem["retry_after"] = round(failure.retry_after, 3)
-    return problem
--- a/packages/daemon/src/hyssopwind/daemon/forwarding.py
+++ b/packages/daemon/src/hyssopwind/daemon/forwarding.py
@@ -10,9 +10,9 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.node import owning
 from hyssopwind.core.requests import classification
-from hyssopwind.daemon import answers
 from hyssopwind.daemon import exchange
 from hyssopwind.daemon import headers
+from hyssopwind.daemon import problems
 
 ANY_START = "any"
 CONNECT_TIMEOUT = 0.3  # seconds
@@ -99,7 +99,7 @@
     try:
         problem = _DECODER.decode(body)
         reason = outcomes.Reason.from_slug(
-            problem.type.removeprefix(answers.TYPE_PREFIX)
+            problem.type.removeprefix(problems.TYPE_PREFIX)
         )
     except (msgspec.DecodeError, ValueError):
         return outcomes.Unknown(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -23,6 +23,8 @@
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.platform import fields
 
+# Seconds for which a request waits at a daemon that has just started.
+START_PATIENCE = 0.2
 NOT_READY_RETRY = 0.5  # seconds; a daemon knows its settings within a second
 
 _log = logbook.Logger("request")
@@ -82,8 +84,7 @@
 
     async def serve(self, request: requests.CallerRequest) -> outcomes.Outcome:
         """Returns how a request ended."""
-        configuration = self._known.catalogue.configuration
-        if configuration is None:
+        if not await self._known.wait_for_configuration(START_PATIENCE):
             return self._close(
                 request,
                 None,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -21,18 +22,18 @@
 from hyssopwind.daemon.gateway import crashes
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gossip
-from hyssopwind.daemon.gateway import http_side
 from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.daemon.gateway import listening
 from hyssopwind.daemon.gateway import measures
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import reloading
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.daemon.gateway import server_pool
+from hyssopwind.daemon.gateway import side
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.platform import store
 
-LISTEN_BACKLOG = 1_024  # connections
 HOUSEKEEPING = 0.25  # seconds between two rounds
 STOP_MARGIN = 0.4  # seconds before the platform kills the process
 # Seconds after SIGTERM in which the balancer still sends connections: two
@@ -48,11 +49,13 @@
     def __init__(
         self,
         options: settings.GatewaySettings,
+        listener: socket.socket,
         metrics_port: int,
         stream: log_output.BoundedStream,
     ):
         self._options = options
         self._live = settings.LiveSettings(options)
+        self._listener = listener
         self._metrics_port = metrics_port
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
@@ -94,7 +97,7 @@
             self._budget,
             self._fleet.size,
         )
-        self._side = http_side.HttpSide(
+        self._side = side.SideListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
         )
         self._reloader = reloading.Reloader(
@@ -127,10 +130,9 @@
         for task in self._tasks:
             task.cancel()
         await self._gossip.stop()
-        await self._side.stop()
+        self._side.stop()
 
     async def _listen(self) -> asyncio.Server:
-        host, _, port = self._options.callers_address.rpartition(":")
         handling = caller_connection.CallerHandling(
             serve=self._serve,
             may_overlap=self._dispatcher.may_overlap,
@@ -142,9 +144,8 @@
             lambda: caller_connection.CallerConnection(
                 self._loop, handling, self._connections
             ),
-            host,
-            int(port),
-            backlog=LISTEN_BACKLOG,
+            sock=self._listener,
+            backlog=listening.BACKLOG,
         )
 
     async def _serve(self, request: requests.CallerRequest) -> outcomes.Outcome:
@@ -212,7 +213,10 @@
 
     def _should_read(self) -> bool:
         state = reading.ReadingState(
-            self._options.name, self._options.data_centre, self._known.age()
+            self._options.name,
+            self._options.data_centre,
+            self._known.age(),
+            self._options.first_start,
         )
         return reading.should_read(state, self._fleet, clock.now())
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
@@ -1,5 +1,8 @@
 """What this daemon knows of the platform, whoever it heard it from."""
 
+import asyncio
+import contextlib
+
 import logbook
 import reactivex
 from reactivex import subject
@@ -22,6 +25,7 @@
         self.copy = items.ItemCopy()
         self.catalogue = catalogue.Catalogue()
         self.freshness = freshness.Freshness()
+        self._configured = asyncio.Event()
         self._unreadable: dict[str, int] = {}
         self._revisions: subject.Subject[int] = subject.Subject()
 
@@ -30,6 +34,14 @@
         """Revisions of the copy, as it moves on."""
         return self._revisions
 
+    async def wait_for_configuration(self, seconds: float) -> bool:
+        """Waits until a configuration is in force; returns whether one is."""
+        if self.catalogue.configuration is not None:
+            return True
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._configured.wait(), seconds)
+        return self.catalogue.configuration is not None
+
     def age(self) -> float:
         """Returns how old the copy is, in seconds."""
         return self.freshness.age(clock.now())
@@ -53,6 +65,8 @@
         changed = self.copy.apply(delta)
         for item in changed:
             self._take_item(item, now, source)
+        if self.catalogue.configuration is not None:
+            self._configured.set()
         if self.copy.revision > before:
             self._revisions.on_next(self.copy.revision)
         return len(changed)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from hyssopwind.core import outcomes
-from hyssopwind.daemon import answers
 from hyssopwind.daemon import headers
+from hyssopwind.daemon import problems
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.platform import fields
 
@@ -82,14 +82,14 @@
     failure: outcomes.Failure, request: requests.CallerRequest | None
 ) -> tuple[int, list[tuple[str, str]], bytes]:
     status = failure_status(failure)
-    pairs = [("Content-Type", answers.PROBLEM_TYPE)]
+    pairs = [("Content-Type", problems.PROBLEM_TYPE)]
     pairs.append((headers.OUTCOME, failure.tag))
     if request is not None and fields.REQUEST_ID in request.fields:
         pairs.append((fields.REQUEST_ID, request.fields[fields.REQUEST_ID]))
     if failure.retry_after is not None:
         seconds = math.ceil(failure.retry_after * 1000) / 1000
         pairs.append((fields.RETRY_AFTER, f"{seconds:.3f}"))
-    problem = answers.problem_document(failure, status)
+    problem = problems.problem_document(failure, status)
     return status, pairs, msgspec.json.encode(problem)
 
 
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/side.py
@@ -0,0 +1,94 @@
+"""Readiness for the platform's balancer, metrics, and changes for peers.
+
+These listeners read requests in the same way as the one for callers.
+"""
+
+import asyncio
+import urllib.parse
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeAlias
+
+from hyssopwind.core import outcomes
+from hyssopwind.core.dispatch import settings
+from hyssopwind.core.routing import tables
+from hyssopwind.daemon.gateway import caller_connection
+from hyssopwind.daemon.gateway import requests
+
+_LIMITS = tables.CallerLimits()
+_NOT_FOUND = outcomes.Answered(404, (), b"")
+
+_Answer: TypeAlias = Callable[
+    [requests.CallerRequest], Coroutine[Any, Any, outcomes.Outcome]
+]
+
+
+class SideListeners:
+    """The HTTP listeners beside the one for callers."""
+
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        changes_after: Callable[[int], bytes],
+        render_metrics: Callable[[], bytes],
+    ):
+        self._is_ready = is_ready
+        self._changes_after = changes_after
+        self._render_metrics = render_metrics
+        self._servers: list[asyncio.Server] = []
+        self._connections: set[caller_connection.CallerConnection] = set()
+
+    async def start(
+        self, options: settings.GatewaySettings, metrics_port: int
+    ) -> None:
+        """Listens on all side addresses."""
+        metrics_address = f"{options.ip}:{metrics_port}"
+        await self._listen(options.ready_address, self._answer_ready)
+        await self._listen(options.peers_address, self._answer_peer)
+        await self._listen(metrics_address, self._answer_metrics)
+
+    def stop(self) -> None:
+        """Ends all side listeners."""
+        for server in self._servers:
+            server.close()
+
+    async def _listen(self, address: str, answer: _Answer) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        handling = caller_connection.CallerHandling(
+            serve=answer,
+            may_overlap=lambda _: False,
+            limits=lambda: _LIMITS,
+            is_stopping=lambda: False,
+            note=lambda _: None,
+        )
+        server = await loop.create_server(
+            lambda: caller_connection.CallerConnection(
+                loop, handling, self._connections
+            ),
+            host,
+            int(port),
+        )
+        self._servers.append(server)
+
+    async def _answer_ready(
+        self, request: requests.CallerRequest
+    ) -> outcomes.Outcome:
+        return outcomes.Answered(200 if self._is_ready() else 503, (), b"")
+
+    async def _answer_peer(
+        self, request: requests.CallerRequest
+    ) -> outcomes.Outcome:
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        after = query.get("after", [""])[0]
+        if request.path != "/changes" or not after.isdigit():
+            return _NOT_FOUND
+        fields = (("Content-Type", "application/msgpack"),)
+        return outcomes.Answered(200, fields, self._changes_after(int(after)))
+
+    async def _answer_metrics(
+        self, request: requests.CallerRequest
+    ) -> outcomes.Outcome:
+        fields = (("Content-Type", "text/plain; version=0.0.4"),)
+        return outcomes.Answered(200, fields, self._render_metrics())
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -52,31 +52,10 @@
         return 0
 
 
-class ServeCommand(command.Command):
-    """Runs the daemon on the platform, with the platform's settings."""
-
-    name = "serve"
-    description = "Runs the daemon on the platform until SIGTERM."
-    options = [
-        helpers.option("metrics-port", "m", "Port of the metrics.", flag=False)
-    ]
-
-    def handle(self) -> int:
-        """Reads the platform's settings and serves."""
-        from hyssopwind.daemon.gateway import starting
-
-        port = self.option("metrics-port") or ""
-        if not port.isdigit():
-            self.line_error("missing option --metrics-port PORT")
-            return EXIT_USAGE
-        return starting.start(int(port))
-
-
 def main() -> None:
     """Runs the command line of the daemon."""
     app = application.Application("hyssopwindd", "0.1.0")
     app.add(RunCommand())
-    app.add(ServeCommand())
     sys.exit(app.run())
 
 
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/problems.py
@@ -0,0 +1,28 @@
+"""Problem documents: what a caller is told when no server answered.
+
+References:
+    RFC 9457, Problem Details for HTTP APIs.
+"""
+
+import http
+
+from hyssopwind.core import outcomes
+
+PROBLEM_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:hyssopwind:problem:"
+
+
+def problem_document(
+    failure: outcomes.Failure, status: int
+) -> dict[str, str | int | float]:
+    """Returns the problem document of a failure, by field."""
+    problem: dict[str, str | int | float] = {
+        "type": TYPE_PREFIX + failure.reason.slug,
+        "title": http.HTTPStatus(status).phrase,
+        "status": status,
+        "detail": failure.detail,
+        "outcome": failure.tag,
+    }
+    if failure.retry_after is not None:
+        problem["retry_after"] = round(failure.retry_after, 3)
+    return problem
