Hold requests at the daemon for a server that is free and undisturbed

Cause: at high load requests were sent to servers that were disturbed, nearly full or had a queue, which made each of them occupy a slot up to five times longer. Ruled out: hedging (10% of arrivals), the store, cold servers. Now a request waits at the daemon, asking again every 25 ms, while its answer can still be in time; crowding is learnt for each service.

--- a/packages/core/src/hyssopwind/core/dispatch/attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -78,3 +78,28 @@
     """
     spread = LATEST_RETURN_SHARE - EARLIEST_RETURN_SHARE
     return target * (EARLIEST_RETURN_SHARE + spread * draw)
+
+
+class UsualDeadlines:
+    """Finds out how long a caller has been trying.
+
+    Callers state how long they still wait. One that comes back after a
+    refusal states less than it did at first, and the difference to the most
+    that is stated on its route is the time that it has spent.
+
+    Examples:
+        >>> usual = UsualDeadlines()
+        >>> usual.note("r", 2.5), usual.note("r", 2.0), usual.note("r", None)
+        (0.0, 0.5, 0.0)
+    """
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def note(self, route: str, stated: float | None) -> float:
+        """Takes a stated deadline in; returns the seconds spent before."""
+        if stated is None:
+            return 0.0
+        longest = max(stated, self._longest.get(route, stated))
+        self._longest[route] = longest
+        return longest - stated
--- a/packages/core/src/hyssopwind/core/dispatch/choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -3,7 +3,10 @@
 The load of a server shifts within about 150 ms while its work takes several
 hundred, and the speed at the start decides how long the work takes. Reports
 are therefore asked for when a request arrives, first in the data centre of
-the daemon, and then elsewhere if no near server is free and undisturbed.
+the daemon, and then elsewhere if no near server is good. A request waits at
+the daemon for a good server as long as its answer can still be in time: work
+that starts on a disturbed or crowded server occupies it many times longer, so
+that queues at the servers lower what all of them can do.
 """
 
 import dataclasses
@@ -13,11 +16,9 @@
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import readings
 
-# Share of the slots above which servers slow down.
+# Share of the slots above which some servers slow down.
 CROWDED_SHARE = 0.8
-# How much longer work takes on a crowded server.
-CROWDED_FACTOR = 1.6
-# A server is good if work takes at most this many times the usual.
+# A server is good if work takes at most this many times the least.
 GOOD_FACTOR = 1.3
 # Seconds of estimated time for which the bytes to another data centre are
 # worth it: they are billed, and add a round trip.
@@ -26,7 +27,7 @@
 QUEUE_PER_SLOT = 2.0
 # Seconds between two rounds of load checks while no server is good; a
 # disturbed server recovers after 150 ms on average.
-WAIT_STEP = 0.03
+WAIT_STEP = 0.025
 # Share of the latency target that a request may wait when all servers are
 # full, so that a refusal still leaves the caller time to come back.
 REFUSAL_SHARE = 0.12
@@ -44,6 +45,7 @@
         in_flight: requests of this daemon at the server that its report
             does not show yet, or all of them without a report.
         penalty: how many times longer than expected it took lately.
+        crowding: how many times longer work takes on a crowded server.
     """
 
     server: ids.ServerId
@@ -52,6 +54,27 @@
     slots: int
     in_flight: int = 0
     penalty: float = 1.0
+    crowding: float = 1.0
+
+    @property
+    def occupied(self) -> int:
+        """Requests at the server, those on their way included."""
+        if self.load is None:
+            return self.in_flight
+        return self.load.running + self.load.waiting + self.in_flight
+
+    @property
+    def total_slots(self) -> int:
+        """Requests that the server works on at a time."""
+        if self.load is None:
+            return max(1, self.slots)
+        return self.load.slots
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether one more request takes nearly the last of several slots."""
+        share = (self.occupied + 1) / self.total_slots
+        return self.total_slots > 1 and share > CROWDED_SHARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +100,7 @@
 
     server: ids.ServerId
     estimate: float
+    crowded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,19 +133,12 @@
         >>> estimate(Candidate(ids.ServerId("a"), True, load, 4), work=0.1)
         0.2
     """
-    load = candidate.load
-    if load is None:
-        slots = max(1, candidate.slots)
-        occupied = candidate.in_flight
-        slowdown = 1.0
-    else:
-        slots = load.slots
-        occupied = load.running + load.waiting + candidate.in_flight
-        slowdown = load.slowdown
+    slowdown = candidate.load.slowdown if candidate.load else 1.0
     duration = work * slowdown * candidate.penalty
-    if (occupied + 1) / slots > CROWDED_SHARE and slots > 1:
-        duration *= CROWDED_FACTOR
-    queued = max(0, occupied - slots + 1)
+    if candidate.is_crowded:
+        duration *= candidate.crowding
+    slots = candidate.total_slots
+    queued = max(0, candidate.occupied - slots + 1)
     return duration * (1.0 + queued / slots)
 
 
@@ -145,12 +162,22 @@
         widened: whether servers of other data centres were asked too.
     """
     best, cost = _cheapest(candidates, timing.work)
-    good = GOOD_FACTOR * timing.work
+    # Where all servers are slow for long, waiting for a fast one is in vain.
+    usual = timing.work * min((c.penalty for c in candidates), default=1.0)
+    good = GOOD_FACTOR * usual
     if best is not None and cost <= good + (0.0 if best.near else FAR_PENALTY):
-        return Send(best.server, estimate(best, timing.work))
+        return _send(best, timing)
     if not widened:
         return Widen()
-    return _settle(best, timing)
+    left = timing.target - timing.waited
+    if left > WAIT_STEP + good:
+        return Wait(WAIT_STEP)
+    return _settle(best, timing, left)
+
+
+def _send(candidate: Candidate, timing: Timing) -> Send:
+    expected = estimate(candidate, timing.work)
+    return Send(candidate.server, expected, candidate.is_crowded)
 
 
 def _cheapest(
@@ -169,20 +196,18 @@
     return best, lowest
 
 
-def _settle(best: Candidate | None, timing: Timing) -> Decision:
-    """Decides when no server is good, here or elsewhere."""
-    left = timing.target - timing.waited
-    if best is None:
-        if timing.waited < REFUSAL_SHARE * timing.target:
-            return Wait(WAIT_STEP)
-        return Refuse("all servers are full")
-    cost = estimate(best, timing.work)
-    # Waiting for an undisturbed server gains more than it costs as long as
-    # the work would still end within the target.
-    if cost > left and left > WAIT_STEP + GOOD_FACTOR * timing.work:
-        return Wait(WAIT_STEP)
-    if cost <= max(timing.remaining, 0.0):
-        return Send(best.server, cost)
+def _settle(best: Candidate | None, timing: Timing, left: float) -> Decision:
+    """Decides when waiting longer would miss the latency target."""
+    if best is not None:
+        cost = estimate(best, timing.work)
+        if cost <= left:
+            return _send(best, timing)
+        # A late answer is worth a slot that nobody else wants.
+        is_free = best.occupied < best.total_slots
+        if is_free and cost <= timing.remaining:
+            return _send(best, timing)
     if timing.waited < REFUSAL_SHARE * timing.target:
         return Wait(WAIT_STEP)
+    if best is None:
+        return Refuse("all servers are full")
     return Refuse("no server can answer in time")
--- a/packages/core/src/hyssopwind/core/dispatch/evidence.py
+++ b/packages/core/src/hyssopwind/core/dispatch/evidence.py
@@ -21,6 +21,11 @@
 # Weight of the newest sample in the moving averages.
 WORK_WEIGHT = 0.05
 PENALTY_WEIGHT = 0.3
+CROWDING_WEIGHT = 0.2
+# How much longer work takes on a crowded server before any was observed; low
+# enough that crowded servers are used and thereby observed.
+FIRST_CROWDING = 1.25
+HIGHEST_CROWDING = 3.0
 # Ratios of observed to expected time beyond these are cut.
 LOWEST_RATIO = 0.5
 HIGHEST_RATIO = 10.0
@@ -57,12 +62,17 @@
     def __init__(self) -> None:
         self._servers: dict[ids.ServerId, _Server] = {}
         self._work: dict[str, float] = {}
+        self._crowding: dict[ids.ServiceId, float] = {}
 
     def work(self, route: tables.Route) -> float:
         """Returns the expected seconds of undisturbed work of a route."""
         first = FIRST_WORK_SHARE * route.latency_target
         return self._work.get(route.name, first)
 
+    def crowding(self, service: ids.ServiceId) -> float:
+        """Returns how many times longer work takes on crowded servers."""
+        return self._crowding.get(service, FIRST_CROWDING)
+
     def in_flight(self, server: ids.ServerId) -> int:
         """Returns the requests of this daemon at a server."""
         known = self._servers.get(server)
@@ -101,6 +111,9 @@
         took: float,
         expected: float,
         now: float,
+        *,
+        service: ids.ServiceId,
+        crowded: bool,
     ) -> None:
         """Notes an answer.
 
@@ -110,11 +123,16 @@
             took: seconds from sending to the whole answer.
             expected: seconds that were estimated when it was sent.
             now: monotonic time in seconds.
+            service: the service of the server.
+            crowded: whether the server was crowded when it was sent.
         """
         known = self._find(server)
         known.failures = 0
         known.rests_until = float("-inf")
         ratio = max(LOWEST_RATIO, min(HIGHEST_RATIO, took / expected))
+        if crowded:
+            self._note_crowding(service, ratio)
+            return
         self._note_ratio(known, ratio, now)
         if ratio <= USUAL_RATIO:
             work = self.work(route)
@@ -153,6 +171,12 @@
             self._servers[server] = known
         return known
 
+    def _note_crowding(self, service: ids.ServiceId, ratio: float) -> None:
+        current = self.crowding(service)
+        sample = max(1.0, min(HIGHEST_CROWDING, current * ratio))
+        changed = current + CROWDING_WEIGHT * (sample - current)
+        self._crowding[service] = changed
+
     def _note_ratio(self, known: _Server, ratio: float, now: float) -> None:
         current = _faded_penalty(known, now)
         sample = max(1.0, ratio / USUAL_RATIO) if ratio > USUAL_RATIO else 1.0
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -1,7 +1,6 @@
 """Serves one request: route, attempts at servers, final answer."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 from collections.abc import Callable
@@ -40,6 +39,7 @@
         service: the service chosen for it.
         expires: when the caller or the route gives up.
         tried: servers that it was sent to.
+        used: seconds that the caller spent on earlier attempts.
         possible: whether a server may have run it.
     """
 
@@ -48,10 +48,19 @@
     service: ids.ServiceId
     expires: float
     tried: set[ids.ServerId]
+    used: float = 0.0
     possible: bool = False
     last: judgement.AttemptResult | None = None
 
 
+def _read_deadline(request: requests.CallerRequest) -> float | None:
+    """Returns the seconds for which a caller waits, if it states them."""
+    try:
+        return float(request.fields.get(fields.DEADLINE, "")) / 1000
+    except ValueError:
+        return None
+
+
 class Dispatcher:
     """Serves the requests of callers."""
 
@@ -69,6 +78,7 @@
         self._budget = budget
         self._daemon_count = daemon_count
         self._random = random.Random()
+        self._deadlines = attempts.UsualDeadlines()
         self._splitter = splitting.Splitter(self._random)
 
     def find_route(
@@ -119,12 +129,13 @@
     ) -> _Case:
         service = self._splitter.choose(route.name, route.parts)
         self._budget.note_request(service, request.arrived)
-        patience = route.timeout
-        stated = request.fields.get(fields.DEADLINE, "")
-        # The route's own time holds for callers that state none.
-        with contextlib.suppress(ValueError):
-            patience = min(patience, float(stated) / 1000)
-        return _Case(request, route, service, request.arrived + patience, set())
+        stated = _read_deadline(request)
+        patience = (
+            route.timeout if stated is None else min(route.timeout, stated)
+        )
+        used = self._deadlines.note(route.name, stated)
+        expires = request.arrived + patience
+        return _Case(request, route, service, expires, set(), used)
 
     async def _run(self, case: _Case) -> outcomes.Outcome:
         while True:
@@ -151,7 +162,7 @@
         return picker.PickOrder(
             route=case.route,
             service=case.service,
-            arrived=case.request.arrived,
+            arrived=case.request.arrived - case.used,
             expires=case.expires,
             tried=frozenset(case.tried),
         )
@@ -190,18 +201,13 @@
         self, case: _Case, first: "asyncio.Task[judgement.AttemptResult]"
     ) -> "asyncio.Task[judgement.AttemptResult] | None":
         """Sends a late request to a second server, if one is good."""
-        search = asyncio.create_task(self._picker.pick(self._order(case)))
+        search = asyncio.create_task(self._picker.find_good(self._order(case)))
         await asyncio.wait({first, search}, return_when="FIRST_COMPLETED")
         if first.done() or not search.done():
             search.cancel()
             return None
         picked = search.result()
-        work = self._picker.expected_work(case.route)
-        if isinstance(picked, choice.Refuse):
-            return None
-        if picked.estimate > attempts.HEDGE_FACTOR * work:
-            return None
-        if not self._may_repeat_now(case):
+        if picked is None or not self._may_repeat_now(case):
             return None
         return self._start(case, picked)
 
@@ -235,6 +241,7 @@
             expires=case.expires,
             health_path=self._picker.health_path(case.service),
             estimate=picked.estimate,
+            crowded=picked.crowded,
         )
         return asyncio.create_task(self._sender.send(order))
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -20,7 +20,7 @@
 
 DEFAULT_HEALTH_PATH = "/health"  # where the configuration names none
 NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
-FAR_SAMPLE = 4  # servers elsewhere asked when no near one is good
+FAR_SAMPLE = 2  # servers elsewhere asked when no near one is good
 STRAGGLER_WAIT = 0.006  # seconds for the other answers after the first one
 REPORT_LIFE = 0.002  # seconds; an answer serves requests that come together
 
@@ -32,7 +32,7 @@
     Attributes:
         route: the route of the request.
         service: the service chosen for it.
-        arrived: when the request arrived.
+        arrived: when the caller began to try.
         expires: when the caller or the route gives up.
         tried: servers that it was sent to before.
     """
@@ -87,12 +87,7 @@
             asked = self._sample(listed, widened)
             candidates = await self._ask(order.service, asked)
             now = clock.now()
-            timing = choice.Timing(
-                work=self._evidence.work(order.route),
-                waited=now - order.arrived,
-                target=order.route.latency_target,
-                remaining=order.expires - now,
-            )
+            timing = self._timing(order, now)
             decision = choice.decide(candidates, timing, widened=widened)
             if isinstance(decision, choice.Widen):
                 widened = True
@@ -106,15 +101,26 @@
                 continue
             return decision
 
+    async def find_good(self, order: PickOrder) -> choice.Send | None:
+        """Returns a server that is good at this moment, if there is one."""
+        for widened in (False, True):
+            listed = self._eligible(order, clock.now())
+            asked = self._sample(listed, widened)
+            candidates = await self._ask(order.service, asked)
+            now = clock.now()
+            timing = self._timing(order, now)
+            decision = choice.decide(candidates, timing, widened=False)
+            if not isinstance(decision, choice.Send):
+                continue
+            if self._claim(decision.server, now):
+                return decision
+        return None
+
     def health_path(self, service: ids.ServiceId) -> str:
         """Returns the path of the health check of a service."""
         terms = self._catalogue.terms(service)
         return terms.health_path if terms else DEFAULT_HEALTH_PATH
 
-    def expected_work(self, route: tables.Route) -> float:
-        """Returns the seconds that an undisturbed server needs."""
-        return self._evidence.work(route)
-
     def forget(self, servers: set[ids.ServerId]) -> None:
         """Forgets servers other than these."""
         for table in (self._reports, self._cold_until, self._sent_at):
@@ -129,6 +135,14 @@
             until, self._cold_until.get(server, until)
         )
 
+    def _timing(self, order: PickOrder, now: float) -> choice.Timing:
+        return choice.Timing(
+            work=self._evidence.work(order.route),
+            waited=now - order.arrived,
+            target=order.route.latency_target,
+            remaining=order.expires - now,
+        )
+
     def _claim(self, server: ids.ServerId, now: float) -> bool:
         """Takes a place at a server that was chosen."""
         listed = self._catalogue.find(server)
@@ -289,6 +303,7 @@
                 slots=listed.entry.slots,
                 in_flight=in_flight,
                 penalty=self._evidence.penalty(server, now),
+                crowding=self._evidence.crowding(listed.entry.service),
             )
         )
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -35,6 +35,7 @@
         expires: when the caller or the route gives up.
         health_path: path of the health check of the server.
         estimate: seconds that the server is expected to take.
+        crowded: whether the server was nearly full when it was chosen.
     """
 
     entry: entries.ServerEntry
@@ -43,6 +44,7 @@
     expires: float
     health_path: str
     estimate: float
+    crowded: bool
 
 
 class Sender:
@@ -129,6 +131,8 @@
                     result.latency,
                     order.estimate,
                     now,
+                    service=order.entry.service,
+                    crowded=order.crowded,
                 )
         elif isinstance(result, judgement.Failed):
             tag = result.kind.name.lower()
