Test the platform's adapter and the gateway with stand-ins of store and servers

The test of a request that crashes servers failed first: the second crash left before the first one was confirmed, so it was not counted. Crashes are now counted as of the moment at which the connection broke.

--- a/packages/core/src/hyssopwind/core/dispatch/attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -30,9 +30,8 @@
     Examples:
         >>> is_failure(judgement.Shed("", 0.0))
         True
-        >>> answer = outcomes.Answered(200, (), b"")
-        >>> is_failure(judgement.WholeAnswer(answer, "", 0.1))
-        False
+        >>> is_failure(judgement.Failed(judgement.FailureKind.BROKEN))
+        True
     """
     if isinstance(result, judgement.WholeAnswer):
         return result.answer.status >= 500
--- a/packages/core/src/hyssopwind/core/dispatch/choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -28,6 +28,9 @@
 # Seconds between two rounds of load checks while no server is good; a
 # disturbed server recovers after 150 ms on average.
 WAIT_STEP = 0.025
+# Share of the expected work below which the time left is too short; the work
+# of single requests differs by up to half.
+LEAST_TIME_SHARE = 0.5
 # Share of the latency target that a request may wait when all servers are
 # full, so that a refusal still leaves the caller time to come back.
 REFUSAL_SHARE = 0.12
@@ -161,6 +164,8 @@
         timing: the time of the request.
         widened: whether servers of other data centres were asked too.
     """
+    if timing.remaining < LEAST_TIME_SHARE * timing.work:
+        return Refuse("too little time is left for the work")
     best, cost = _cheapest(candidates, timing.work)
     # Where all servers are slow for long, waiting for a fast one is in vain.
     usual = timing.work * min((c.penalty for c in candidates), default=1.0)
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
@@ -0,0 +1,96 @@
+import unittest
+
+from hyssopwind.core import ids
+from hyssopwind.core.dispatch import choice
+from hyssopwind.core.dispatch import readings
+
+
+def server(name, running=0, waiting=0, slowdown=1.0, near=True, **changes):
+    load = readings.Load(running, waiting, 4, slowdown)
+    return choice.Candidate(ids.ServerId(name), near, load, 4, **changes)
+
+
+def timing(waited=0.0, target=0.6, remaining=1.2, work=0.22):
+    return choice.Timing(work, waited, target, remaining)
+
+
+class NoisyNeighbourTest(unittest.TestCase):
+    """A quarter of the servers take five times longer, for 150 ms each."""
+
+    def test_undisturbed_server_is_taken(self):
+        candidates = [server("slow", slowdown=5.0), server("fast", running=2)]
+        decision = choice.decide(candidates, timing(), widened=False)
+        self.assertEqual(decision.server, "fast")
+
+    def test_other_data_centres_are_asked_before_a_disturbed_server(self):
+        candidates = [server("slow", slowdown=5.0)]
+        decision = choice.decide(candidates, timing(), widened=False)
+        self.assertIsInstance(decision, choice.Widen)
+
+    def test_near_server_is_preferred_when_equally_good(self):
+        candidates = [server("far", near=False), server("near", running=1)]
+        decision = choice.decide(candidates, timing(), widened=True)
+        self.assertEqual(decision.server, "near")
+
+    def test_waits_while_the_answer_can_still_be_in_time(self):
+        candidates = [server("slow", slowdown=5.0)]
+        decision = choice.decide(candidates, timing(), widened=True)
+        self.assertIsInstance(decision, choice.Wait)
+
+    def test_persistent_slowness_is_not_waited_for(self):
+        candidates = [server("slow", penalty=5.0)]
+        decision = choice.decide(candidates, timing(), widened=True)
+        self.assertIsInstance(decision, choice.Send)
+
+
+class BurstTest(unittest.TestCase):
+    """More requests arrive than the servers have slots for."""
+
+    def test_crowded_server_is_avoided_once_it_is_known_to_slow_down(self):
+        crowded = server("a", running=3, crowding=1.7)
+        decision = choice.decide([crowded], timing(), widened=True)
+        self.assertIsInstance(decision, choice.Wait)
+        free = server("b", running=3, crowding=1.0)
+        decision = choice.decide([free], timing(), widened=True)
+        self.assertIsInstance(decision, choice.Send)
+
+    def test_queue_is_joined_only_if_the_answer_is_in_time(self):
+        late = timing(waited=0.35)
+        short = [server("a", running=3, crowding=1.1)]
+        self.assertIsInstance(
+            choice.decide(short, late, widened=True), choice.Send
+        )
+        long = [server("a", running=4, waiting=4, crowding=1.1)]
+        self.assertIsInstance(
+            choice.decide(long, late, widened=True), choice.Refuse
+        )
+
+    def test_late_request_takes_a_free_slot_only(self):
+        late = timing(waited=0.58)
+        free = [server("a", running=1)]
+        self.assertIsInstance(
+            choice.decide(free, late, widened=True), choice.Send
+        )
+
+    def test_refuses_what_no_server_can_answer_in_time(self):
+        late = timing(waited=0.5, remaining=0.1)
+        decision = choice.decide([server("a")], late, widened=True)
+        self.assertIsInstance(decision, choice.Refuse)
+
+    def test_full_servers_are_no_choice(self):
+        full = server("a", running=4, waiting=8)
+        self.assertFalse(choice.has_room(full))
+        decision = choice.decide([full], timing(waited=0.5), widened=True)
+        self.assertEqual(decision, choice.Refuse("all servers are full"))
+
+
+class UntoldLoadTest(unittest.TestCase):
+    """A service whose servers do not tell their load."""
+
+    def test_own_requests_are_counted_instead(self):
+        busy = choice.Candidate(
+            ids.ServerId("busy"), True, None, 2, in_flight=2
+        )
+        idle = choice.Candidate(ids.ServerId("idle"), True, None, 2)
+        decision = choice.decide([busy, idle], timing(), widened=False)
+        self.assertEqual(decision.server, "idle")
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crashes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crashes.py
@@ -68,9 +68,8 @@
         sent: float,
     ) -> None:
         """Looks whether a server whose connection broke has crashed."""
-        task = asyncio.get_running_loop().create_task(
-            self._confirm(request, entry, health_path, sent)
-        )
+        work = self._confirm(request, entry, health_path, sent, clock.now())
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -80,12 +79,13 @@
         entry: entries.ServerEntry,
         health_path: str,
         sent: float,
+        broken: float,
     ) -> None:
         await asyncio.sleep(CONFIRM_DELAY)
         if await self._pool.check(entry, health_path) is not None:
             return
         fingerprint = _fingerprint(request)
-        if not self._quarantine.note_crash(fingerprint, sent, clock.now()):
+        if not self._quarantine.note_crash(fingerprint, sent, broken):
             return
         _log.warn(
             "server crashed on a request",
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/site/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store, its servers, one daemon."""
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -0,0 +1,102 @@
+"""Documents as the platform publishes them, for stand-ins and tests."""
+
+from typing import Any
+
+HOST = "calls.example"
+
+
+def settings_text(
+    *, store: str, ports: list[int], name: str = "front-1", seed: str = ""
+) -> str:
+    """Returns a settings file of the platform.
+
+    Args:
+        store: address of the store.
+        ports: ports for callers, readiness, peers and datagrams.
+        name: name of the daemon.
+        seed: peer address of another daemon, if any.
+    """
+    callers, ready, peers, datagrams = ports
+    seeds = f'"{seed}"' if seed else ""
+    return f"""
+node_name = "{name}"
+role = "gateway"
+ip = "127.0.0.1"
+zone = "north"
+region = "home"
+internal_port_range = [{datagrams},{datagrams}]
+seeds = [{seeds}]
+bootstrap = false
+unknown_key = 1
+[zones]
+north = "home"
+[listen]
+front = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{peers}"
+[limits]
+memory_mb = 300
+[bounds]
+grace_s = 4
+drain_s = 2
+retry_budget_ratio = 0.2
+[platform]
+address = "{store}"
+reads_per_s = 2000
+"""
+
+
+def server_entry(address: str, **changes: Any) -> dict[str, Any]:
+    """Returns the entry of a server; `changes` go into its two parts."""
+    info = {"service": "s", "version": "v1", "zone": "north", "slots": 4}
+    status = {"state": "ready", "sequence": 1, "warmup_left_s": 0}
+    for key, value in changes.items():
+        (status if key in status else info)[key] = value
+    return {"address": address, "info": info, "status": status, "born": 1}
+
+
+def route_resource(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
+    """Returns a route of a configuration."""
+    spec = {
+        "host": HOST,
+        "prefix": prefix,
+        "kind": "safe",
+        "timeout_s": 1.0,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+    }
+    return {
+        "resource_kind": "routes",
+        "metadata": {"name": name},
+        "spec": {**spec, **changes},
+    }
+
+
+def configuration(
+    version: int, routes: list[dict[str, Any]], **limits: Any
+) -> dict[str, Any]:
+    """Returns a configuration with one service, `s`."""
+    service = {
+        "resource_kind": "services",
+        "metadata": {"name": "s"},
+        "spec": {
+            "health_path": "/health",
+            "max_connections": 200,
+            "warmup_s": 3.0,
+            "warmup_per_s": 3.4,
+        },
+    }
+    bounds = {
+        "resource_kind": "limits",
+        "metadata": {},
+        "spec": {
+            "max_header_bytes": 2_000,
+            "max_body_bytes": 10_000,
+            "header_timeout_s": 0.5,
+            "idle_timeout_s": 2,
+            **limits,
+        },
+    }
+    return {"version": version, "resources": [*routes, service, bounds]}
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -0,0 +1,392 @@
+"""One daemon with stand-ins of the store and of servers, in one process."""
+
+import asyncio
+import json
+import os
+import socket
+import unittest
+
+from hyssopwind.daemon import log_output
+from hyssopwind.daemon.gateway import gateway
+from hyssopwind.daemon.gateway import listening
+from hyssopwind.platform import boot
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import server
+from hyssopwind.standins.site import store
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a store, two servers and a daemon."""
+
+    routes = [
+        documents.route_resource("safe", "/safe/"),
+        documents.route_resource("unsafe", "/unsafe/", kind="unsafe"),
+    ]
+
+    async def asyncSetUp(self):
+        self.store = store.StandInStore()
+        await self.store.start()
+        self.servers = []
+        for number in range(2):
+            await self.add_server(f"i-{number}")
+        await self.configure(1, self.routes)
+        await self.start_daemon()
+        await self.until(lambda: self.daemon._is_ready())
+
+    async def asyncTearDown(self):
+        self.daemon._stopping.set()
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        self.daemon._side.stop()
+        await self.daemon._gossip.stop()
+        self.listener.close()
+        await self.daemon._store.reconnect()
+        for each in self.servers:
+            await each.close()
+        await self.store.stop()
+        os.close(self.pipe)
+
+    async def add_server(self, name, **changes):
+        standin = server.StandInServer(server.ServerOptions(name))
+        await standin.start()
+        self.servers.append(standin)
+        entry = documents.server_entry(standin.address, **changes)
+        await self.store.put(f"servers/{name}", entry)
+        return standin
+
+    async def configure(self, version, routes, **limits):
+        document = documents.configuration(version, routes, **limits)
+        await self.store.put("op/config", document)
+
+    async def start_daemon(self):
+        self.ports = free_ports(5)
+        text = documents.settings_text(
+            store=self.store.address, ports=self.ports[:4]
+        )
+        self.options = boot.decode(text, "test")
+        self.pipe, write_end = os.pipe()
+        stream = log_output.BoundedStream(write_end)
+        self.listener = listening.listen(self.options.callers_address)
+        self.daemon = gateway.Gateway(
+            self.options, self.listener, self.ports[4], stream
+        )
+        self.running = asyncio.create_task(self.daemon.run())
+
+    async def until(self, condition, seconds=3.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.ports[0])
+
+    def request(self, target, method="GET", request_id="r1", **fields):
+        names = {
+            "Host": documents.HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "2000",
+            **{k.replace("_", "-"): v for k, v in fields.items()},
+        }
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in names.items()]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    async def call(self, target, method="GET", body=b"", **fields):
+        reader, writer = await self.connect()
+        if body:
+            fields["Content_Length"] = str(len(body))
+        writer.write(self.request(target, method, **fields) + body)
+        answer = await self.read_answer(reader)
+        writer.close()
+        return answer
+
+    async def read_answer(self, reader):
+        async with asyncio.timeout(5.0):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            names = {}
+            for line in head.split("\r\n")[1:]:
+                name, _, value = line.partition(": ")
+                names[name.lower()] = value
+            body = await reader.readexactly(int(names["content-length"]))
+        return int(head.split()[1]), names, body
+
+    def ran(self):
+        return sum(each.ran.total() for each in self.servers)
+
+
+class PathTest(GatewayCase):
+    async def test_request_and_answer_pass_unchanged(self):
+        status, names, body = await self.call(
+            "/unsafe/a?x=%20y", "POST", b"hello", Custom="kept"
+        )
+        self.assertEqual((status, body), (200, b"ran hello"))
+        self.assertEqual(names["request-id"], "r1")
+        self.assertEqual(names["server-stamp"], "s")
+        received = b"".join(b"".join(s.received) for s in self.servers)
+        self.assertIn(b"POST /unsafe/a?x=%20y HTTP/1.1", received)
+        self.assertIn(b"Custom: kept", received)
+        self.assertIn(b"Expect-Instance: i-", received)
+
+    async def test_deadline_passed_on_is_what_is_left(self):
+        await self.call("/safe/a", Deadline_Ms="700")
+        received = b"".join(b"".join(s.received) for s in self.servers)
+        stated = int(received.split(b"Deadline-Ms: ")[1].split(b"\r\n")[0])
+        self.assertLessEqual(stated, 700)
+        self.assertGreater(stated, 400)
+
+    async def test_chunked_body_arrives_whole(self):
+        reader, writer = await self.connect()
+        head = self.request("/unsafe/a", "POST", Transfer_Encoding="chunked")
+        writer.write(head + b"3\r\nhel\r\n")
+        await asyncio.sleep(0.02)
+        writer.write(b"2\r\nlo\r\n0\r\n\r\n")
+        status, _, body = await self.read_answer(reader)
+        self.assertEqual((status, body), (200, b"ran hello"))
+        writer.close()
+
+    async def test_unknown_route(self):
+        status, _, body = await self.call("/other/a")
+        self.assertEqual(status, 404)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+
+    async def test_limits_of_the_configuration(self):
+        status, _, _ = await self.call("/unsafe/a", "POST", b"x" * 10_001)
+        self.assertEqual(status, 413)
+        status, _, _ = await self.call("/safe/a", Long="x" * 3_000)
+        self.assertEqual(status, 431)
+        self.assertEqual(self.ran(), 0)
+
+    async def test_slow_head_ends(self):
+        reader, writer = await self.connect()
+        writer.write(b"GET /safe/a HTTP/1.1\r\n")
+        status, names, _ = await self.read_answer(reader)
+        self.assertEqual(status, 408)
+        self.assertEqual(names["connection"], "close")
+        writer.close()
+
+    async def test_idle_connection_is_closed(self):
+        await self.configure(2, self.routes, idle_timeout_s=0.2)
+        await self.until(lambda: self.daemon._known.catalogue.version == 2)
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a"))
+        await self.read_answer(reader)
+        async with asyncio.timeout(1.0):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+
+class PipelineTest(GatewayCase):
+    """A caller sends several requests before the first answer."""
+
+    async def test_answers_come_in_order_and_run_side_by_side(self):
+        for each in self.servers:
+            each.options.work = 0.15
+        reader, writer = await self.connect()
+        started = asyncio.get_running_loop().time()
+        for number in range(4):
+            writer.write(self.request("/safe/a", request_id=f"r{number}"))
+        seen = [(await self.read_answer(reader))[1] for _ in range(4)]
+        took = asyncio.get_running_loop().time() - started
+        self.assertEqual(
+            [names["request-id"] for names in seen], ["r0", "r1", "r2", "r3"]
+        )
+        self.assertLess(took, 4 * 0.15)
+        writer.close()
+
+    async def test_unsafe_request_waits_for_those_before_it(self):
+        for each in self.servers:
+            each.options.work = 0.1
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a", request_id="r0"))
+        writer.write(self.request("/unsafe/a", "POST", "r1"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.ran(), 1)
+        for _ in range(2):
+            status, _, _ = await self.read_answer(reader)
+            self.assertEqual(status, 200)
+        writer.close()
+
+    async def test_leaving_caller_stops_the_work(self):
+        for each in self.servers:
+            each.options.work = 0.8
+        _, writer = await self.connect()
+        writer.write(self.request("/safe/a"))
+        await self.until(lambda: self.ran() == 1)
+        writer.transport.abort()
+        await self.until(lambda: sum(s.cut for s in self.servers) == 1, 0.5)
+
+
+class TruthTest(GatewayCase):
+    async def test_unsafe_request_is_not_repeated_after_a_broken_answer(self):
+        for each in self.servers:
+            each.options.script.append(b"")
+        status, _, _ = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual(status, 502)
+        self.assertEqual(self.ran(), 1)
+
+    async def test_safe_request_goes_to_another_server(self):
+        self.servers[0].options.script.extend([b""] * 4)
+        for _ in range(3):
+            status, _, _ = await self.call("/safe/a")
+            self.assertEqual(status, 200)
+
+    async def test_answer_of_another_request_is_never_delivered(self):
+        stray = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
+            b"Content-Length: 5\r\n\r\nstray"
+        )
+        for each in self.servers:
+            each.options.script.append(stray)
+        status, _, body = await self.call("/unsafe/a", "POST", b"x")
+        self.assertNotEqual(body, b"stray")
+        self.assertEqual(status, 504)
+
+    async def test_success_without_a_stamp_is_no_answer(self):
+        bare = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n"
+        for each in self.servers:
+            each.options.script.append(bare)
+        status, _, _ = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual(status, 502)
+
+    async def test_final_answer_comes_when_the_route_time_is_over(self):
+        for each in self.servers:
+            each.options.work = 5.0
+        started = asyncio.get_running_loop().time()
+        status, _, _ = await self.call("/unsafe/a", "POST", b"x")
+        took = asyncio.get_running_loop().time() - started
+        self.assertEqual(status, 504)
+        self.assertAlmostEqual(took, 1.0, delta=0.2)
+
+    async def test_nothing_to_send_to_is_refused_at_once(self):
+        for number in range(2):
+            await self.store.remove(f"servers/i-{number}")
+        await self.until(lambda: self.daemon._known.catalogue.size == 0)
+        started = asyncio.get_running_loop().time()
+        status, names, _ = await self.call("/unsafe/a", "POST", b"x")
+        took = asyncio.get_running_loop().time() - started
+        self.assertEqual(status, 503)
+        self.assertGreater(float(names["retry-after"]), 0.0)
+        self.assertLess(took, 0.3)
+
+    async def test_request_that_crashes_servers_is_refused(self):
+        await self.add_server("i-2")
+        size = lambda: self.daemon._known.catalogue.size == 3  # noqa: E731
+        await self.until(size)
+        for each in self.servers:
+            each.options.crash_path = "/safe/poison"
+        await self.call("/safe/poison")
+        quarantine = self.daemon._crashes._quarantine
+        await self.until(lambda: not quarantine.is_empty, 1.0)
+        await asyncio.sleep(0.3)
+        before = self.ran()
+        self.assertLessEqual(before, 2)
+        status, names, body = await self.call("/safe/poison")
+        self.assertEqual(status, 503)
+        self.assertIn(b"quarantined", body)
+        self.assertEqual(self.ran(), before)
+
+
+class ChangeTest(GatewayCase):
+    async def test_changes_are_in_force_within_the_bounds(self):
+        other = [documents.route_resource("new", "/new/")]
+        await self.configure(5, other)
+        await self.until(lambda: self.daemon._known.catalogue.version == 5, 1.0)
+        self.assertEqual((await self.call("/new/a"))[0], 200)
+        self.assertEqual((await self.call("/safe/a"))[0], 404)
+
+    async def test_draining_server_gets_no_more(self):
+        entry = documents.server_entry(
+            self.servers[0].address, state="draining"
+        )
+        await self.store.put("servers/i-0", entry)
+        find = self.daemon._known.catalogue.find
+        await self.until(lambda: find("i-0").entry.draining, 1.0)
+        for _ in range(4):
+            await self.call("/safe/a")
+        self.assertEqual(self.servers[0].ran.total(), 0)
+
+    async def test_address_of_another_server_is_not_used(self):
+        """The server ends and its address goes to another service."""
+        self.servers[0].options.server = "i-9"
+        for _ in range(4):
+            self.assertEqual((await self.call("/safe/a"))[0], 200)
+        self.assertEqual(self.servers[0].ran.total(), 0)
+
+    async def test_lost_history_is_listed_again(self):
+        await self.until(lambda: self.daemon._known.age() < 0.5)
+        self.store.mood = store.StoreMood.BUSY
+        await asyncio.sleep(1.2)
+        await self.configure(9, self.routes)
+        self.store.drop_history()
+        self.store.mood = store.StoreMood.SERVING
+        await self.until(lambda: self.daemon._known.catalogue.version == 9, 3.0)
+
+    async def test_silent_store_is_met_again_and_requests_go_on(self):
+        self.store.mood = store.StoreMood.SILENT
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.call("/safe/a"))[0], 200)
+        self.store.mood = store.StoreMood.SERVING
+        await self.configure(3, self.routes)
+        await self.until(lambda: self.daemon._known.catalogue.version == 3, 4.0)
+
+    async def test_cold_server_gets_one_request_a_second(self):
+        for each in self.servers:
+            each.options.warmup_ms = 3_000
+        await self.call("/safe/a")
+        before = self.ran()
+        for _ in range(6):
+            await self.call("/safe/a")
+        self.assertLessEqual(self.ran() - before, 2)
+
+    async def test_load_untold_by_a_service_is_done_without(self):
+        for each in self.servers:
+            each.options.skips_load = True
+        for _ in range(4):
+            self.assertEqual((await self.call("/safe/a"))[0], 200)
+
+
+class StopTest(GatewayCase):
+    async def test_stop_answers_what_is_in_hand(self):
+        for each in self.servers:
+            each.options.work = 0.5
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a"))
+        await self.until(lambda: self.ran() == 1)
+        self.daemon._stopping.set()
+        status, names, _ = await self.read_answer(reader)
+        self.assertEqual(status, 200)
+        self.assertEqual(names["connection"], "close")
+        writer.close()
+
+    async def test_stopping_daemon_is_not_ready_but_serves(self):
+        self.daemon._stopping.set()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[1]
+        )
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, _, _ = await self.read_answer(reader)
+        self.assertEqual(status, 503)
+        writer.close()
+        self.assertEqual((await self.call("/safe/a"))[0], 200)
+
+    async def test_metrics_are_served(self):
+        await self.call("/safe/a")
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[4]
+        )
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, _, body = await self.read_answer(reader)
+        self.assertEqual(status, 200)
+        self.assertIn(b'hyssopwind_requests_total{outcome="answered"', body)
+        self.assertIn(b"hyssopwind_gateway_copy_age", body)
+        writer.close()
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -0,0 +1,137 @@
+"""What a connection makes of servers that answer badly."""
+
+import asyncio
+import unittest
+
+from hyssopwind.core.attempts import judgement
+from hyssopwind.daemon.gateway import server_connection
+from hyssopwind.standins.site import server
+
+REQUEST = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
+WHOLE = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+    b"Content-Length: 5\r\n\r\nwhole"
+)
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"
+)
+STRAY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
+    b"Content-Length: 5\r\n\r\nstray"
+)
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nwhole"
+
+
+class ServerFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = server.StandInServer(server.ServerOptions("i-1"))
+        await self.server.start()
+        self.connection = await self.connect()
+
+    async def asyncTearDown(self):
+        self.connection.abort()
+        await self.server.close()
+
+    async def connect(self):
+        loop = asyncio.get_running_loop()
+        host, _, port = self.server.address.rpartition(":")
+        _, connection = await loop.create_connection(
+            lambda: server_connection.ServerConnection(
+                loop, self.server.address
+            ),
+            host,
+            int(port),
+        )
+        return connection
+
+    async def exchange(self, *script):
+        self.server.options.script.extend(script)
+        async with asyncio.timeout(2.0):
+            return await self.connection.exchange(REQUEST, "GET", "r1")
+
+    async def fail(self, *script):
+        with self.assertRaises(server_connection.ExchangeError) as caught:
+            await self.exchange(*script)
+        self.assertFalse(self.connection.usable)
+        return caught.exception.kind
+
+    async def test_whole_answer_keeps_the_connection(self):
+        for answer in (WHOLE, CHUNKED):
+            result = await self.exchange(answer)
+            self.assertEqual(result.body, b"whole")
+            self.assertTrue(self.connection.usable)
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_extra_answer_ends_the_connection(self):
+        result = await self.exchange(WHOLE + STRAY)
+        self.assertEqual(result.body, b"whole")
+        self.assertFalse(self.connection.usable)
+
+    async def test_garbage_behind_an_answer_ends_the_connection(self):
+        for answer in (WHOLE, CHUNKED):
+            with self.subTest(answer=answer):
+                result = await self.exchange(answer + b"\x00garbage")
+                self.assertEqual(result.body, b"whole")
+                self.assertFalse(self.connection.usable)
+                self.connection = await self.connect()
+
+    async def test_late_extra_answer_is_skipped(self):
+        result = await self.exchange(STRAY + WHOLE)
+        self.assertEqual(result.body, b"whole")
+        self.assertFalse(self.connection.usable)
+
+    async def test_bytes_while_idle_end_the_connection(self):
+        await self.exchange(WHOLE)
+        self.server.send_unasked(STRAY)
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.connection.usable)
+
+    async def test_short_body_is_no_answer(self):
+        kind = await self.fail(WHOLE[:-2], b"")
+        self.assertIs(kind, judgement.FailureKind.BROKEN)
+
+    async def test_bytes_that_are_no_answer(self):
+        kind = await self.fail(b"\x01\x02 nothing of HTTP\r\n\r\n")
+        self.assertIs(kind, judgement.FailureKind.GARBLED)
+
+    async def test_answer_without_length_ends_with_its_connection(self):
+        self.server.options.script.extend([UNFRAMED])
+        task = asyncio.create_task(
+            self.connection.exchange(REQUEST, "GET", "r1")
+        )
+        await asyncio.sleep(0.05)
+        self.assertFalse(task.done())
+        self.server.send_unasked(b"", ends=True)
+        result = await task
+        self.assertEqual(result.body, b"whole")
+        self.assertFalse(self.connection.usable)
+
+    async def test_answer_without_length_that_is_reset_is_none(self):
+        self.server.options.script.extend([UNFRAMED])
+        task = asyncio.create_task(
+            self.connection.exchange(REQUEST, "GET", "r1")
+        )
+        await asyncio.sleep(0.05)
+        self.server.crash()
+        with self.assertRaises(server_connection.ExchangeError):
+            await task
+
+    async def test_interim_answer_is_passed_over(self):
+        result = await self.exchange(b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE)
+        self.assertEqual(result.body, b"whole")
+
+    async def test_connection_that_closes_is_not_used_again(self):
+        closing = WHOLE.replace(b"Server-Stamp", b"Connection: close\r\nX-S")
+        await self.exchange(closing)
+        self.assertFalse(self.connection.usable)
+
+    async def test_abandoned_exchange_ends_the_connection(self):
+        self.server.options.script.append(None)
+        task = asyncio.create_task(
+            self.connection.exchange(REQUEST, "GET", "r1")
+        )
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertFalse(self.connection.usable)
