Parse with httptools and do without aiohttp on the platform

Ruled out: importing its parser alone, since the package imports its client and TLS. httptools wraps the same parser. Metrics load prometheus_client at a scrape.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/core platform packages/daemon packages/operator packages/standins
+PACKAGES := packages/core packages/transport platform packages/daemon packages/operator packages/standins
 
 .PHONY: run test check bench faults
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
 # their source folders, which must stay as they are.
 rm -rf target/deps/hyssopwind
 mkdir -p target/deps/hyssopwind
-for package in packages/core packages/daemon platform; do
+for package in packages/core packages/transport packages/daemon platform; do
   cp -R "$package/src/hyssopwind/." target/deps/hyssopwind/
 done
 find target/deps/hyssopwind -type d -name tests -prune -exec rm -rf {} +
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -8,24 +8,21 @@
 import asyncio
 import collections
 import dataclasses
+import typing
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
 import logbook
-from aiohttp import base_protocol
-from aiohttp import http_exceptions
-from aiohttp import http_parser
 
 from hyssopwind.core import outcomes
 from hyssopwind.core.routing import tables
-from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import caller_parsing
 from hyssopwind.daemon.gateway import rendering
 from hyssopwind.daemon.gateway import requests
 
 MAX_PIPELINED = 64  # requests in hand on one connection
 LINGER = 1.0  # seconds for which the caller may read the last answer
-_PARSER_BUFFER = 2**30  # bytes; the body limit is checked here instead
 
 _log = logbook.Logger("callers")
 
@@ -61,7 +58,7 @@
         self.closes = request is None or request.closes
 
 
-class CallerConnection(base_protocol.BaseProtocol):
+class CallerConnection(asyncio.Protocol):
     """Reads requests, has them served and writes the answers in order."""
 
     def __init__(
@@ -70,33 +67,23 @@
         handling: CallerHandling,
         connections: "set[CallerConnection]",
     ):
-        super().__init__(loop)
         self._loop = loop
         self._handling = handling
         self._connections = connections
-        limits = handling.limits()
-        self._request_parser = http_parser.HttpRequestParser(
-            self,
-            loop,
-            _PARSER_BUFFER,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
+        self._transport: asyncio.Transport | None = None
+        self._reader = caller_parsing.RequestReader()
         self._slots: collections.deque[_Slot] = collections.deque()
-        self._incoming: tuple[http_parser.RawRequestMessage, Any] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._reads_head = False
         self._ended = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is in hand or on its way in."""
-        return not self._slots and not self._reads_head
+        return not self._slots and self._reader.is_between
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to wait for the first request."""
-        super().connection_made(transport)
+        self._transport = typing.cast(asyncio.Transport, transport)
         self._connections.add(self)
         self._arm(self._handling.limits().header_timeout)
 
@@ -104,27 +91,20 @@
         """Takes bytes of the caller."""
         if self._ended:
             return
-        if not self._reads_head and self._incoming is None:
-            self._reads_head = True
-            self._arm(self._handling.limits().header_timeout)
-        try:
-            messages, upgraded, _ = self._request_parser.feed_data(data)
-        except http_exceptions.LineTooLong as error:
-            self._reject(outcomes.Reason.HEADER_TOO_LARGE, repr(error)[:200])
-            return
-        except http_exceptions.HttpProcessingError as error:
-            self._reject(outcomes.Reason.MALFORMED, repr(error)[:200])
-            return
-        self._collect()
-        for message, payload in messages:
-            self._incoming = (message, payload)
-            self._reads_head = False
-            self._continue_body(message)
-            self._collect()
-            if self._ended:
-                return
-        if upgraded:
-            self._reject(outcomes.Reason.MALFORMED, "upgrades are not served")
+        limits = self._handling.limits()
+        was_reading_head = self._reader.reads_head
+        whole = self._reader.feed(data, limits)
+        if self._reader.reads_head and not was_reading_head:
+            self._arm(limits.header_timeout)
+        elif not self._reader.reads_head:
+            self._disarm()
+        if self._reader.wants_continue and not self._slots:
+            self._write(rendering.CONTINUE)
+        for request in whole:
+            self._enqueue(request)
+        failure = self._reader.failure
+        if failure is not None:
+            self._reject(failure.reason, failure.detail)
 
     def eof_received(self) -> bool:
         """Takes the caller's end of the connection as its leaving."""
@@ -132,60 +112,16 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Gives up the requests of a caller that has left."""
-        super().connection_lost(exc)
         self._ended = True
         self._connections.discard(self)
         self._disarm()
-        for slot in self._slots:
-            if slot.task is not None:
-                slot.task.cancel()
-        self._slots.clear()
+        self._drop_slots()
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in hand."""
         if self.is_idle:
             self._close()
 
-    def _continue_body(self, message: http_parser.RawRequestMessage) -> None:
-        if message.headers.get("Expect", "").lower() != "100-continue":
-            return
-        if self.transport is not None and not self._slots:
-            self.transport.write(rendering.CONTINUE)
-
-    def _collect(self) -> None:
-        """Starts the request that is being read once its body is whole."""
-        if self._incoming is None:
-            return
-        message, payload = self._incoming
-        limit = self._handling.limits().body_bytes
-        if payload.total_bytes > limit:
-            self._incoming = None
-            self._reject(
-                outcomes.Reason.REQUEST_TOO_LARGE,
-                f"the body is over the limit of {limit} bytes",
-            )
-            return
-        if payload.exception() is not None:
-            self._incoming = None
-            self._reject(outcomes.Reason.MALFORMED, repr(payload.exception()))
-            return
-        if not payload.is_eof():
-            return
-        self._incoming = None
-        self._disarm()
-        body = payload.read_nowait() if payload.total_bytes else b""
-        self._enqueue(
-            requests.CallerRequest(
-                method=message.method,
-                target=message.path,
-                fields=message.headers,
-                body=body,
-                arrived=clock.now(),
-                version=(message.version.major, message.version.minor),
-                closes=message.should_close,
-            )
-        )
-
     def _enqueue(self, request: requests.CallerRequest) -> None:
         if len(self._slots) >= MAX_PIPELINED:
             self._reject(outcomes.Reason.OVERLOADED, "too many requests ahead")
@@ -220,7 +156,8 @@
         # A connection is closed only behind its last request, so that no
         # request that was sent on loses its answer.
         is_last = self._slots and self._slots[-1] is slot
-        if is_last and self._incoming is None and self._handling.is_stopping():
+        is_alone = is_last and self._reader.is_between
+        if is_alone and self._handling.is_stopping():
             slot.closes = True
         is_head = slot.request is not None and slot.request.method == "HEAD"
         slot.answer = rendering.render(
@@ -231,40 +168,37 @@
     def _flush(self) -> None:
         while self._slots and self._slots[0].answer is not None:
             slot = self._slots.popleft()
-            if self.transport is None or self._ended:
+            if self._ended:
                 return
             assert slot.answer is not None
-            self.transport.write(slot.answer)
+            self._write(slot.answer)
             if slot.closes:
                 self._close()
                 return
         self._start_waiting()
-        if not self._slots and not self._reads_head and not self._incoming:
+        if self.is_idle:
             self._arm(self._handling.limits().idle_timeout)
 
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
     def _reject(self, reason: outcomes.Reason, detail: str) -> None:
         """Answers bytes that are no request and reads nothing more."""
         failure = outcomes.NotRun(reason, detail)
         self._handling.note(failure)
         slot = _Slot(None)
         self._slots.append(slot)
-        self._ended_reading()
-        self._answer(slot, failure)
-
-    def _ended_reading(self) -> None:
-        self._incoming = None
         self._disarm()
-        if self.transport is not None:
-            self.transport.pause_reading()
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._answer(slot, failure)
 
     def _close(self) -> None:
         self._ended = True
         self._disarm()
-        for slot in self._slots:
-            if slot.task is not None:
-                slot.task.cancel()
-        self._slots.clear()
-        transport = self.transport
+        self._drop_slots()
+        transport = self._transport
         if transport is None:
             return
         if not transport.can_write_eof():
@@ -275,6 +209,12 @@
         transport.write_eof()
         self._loop.call_later(LINGER, transport.abort)
 
+    def _drop_slots(self) -> None:
+        for slot in self._slots:
+            if slot.task is not None:
+                slot.task.cancel()
+        self._slots.clear()
+
     def _arm(self, seconds: float) -> None:
         self._disarm()
         self._timer = self._loop.call_later(seconds, self._expire)
@@ -288,7 +228,7 @@
         self._timer = None
         if self._slots or self._ended:
             return
-        if self._reads_head or self._incoming is not None:
+        if not self._reader.is_between:
             self._reject(
                 outcomes.Reason.REQUEST_TOO_SLOW, "the request came too slowly"
             )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crashes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crashes.py
@@ -14,9 +14,9 @@
 from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.requests import classification
-from hyssopwind.daemon.gateway import clock
+from hyssopwind.daemon.gateway import health
 from hyssopwind.daemon.gateway import requests
-from hyssopwind.daemon.gateway import server_pool
+from hyssopwind.transport import clock
 
 CONFIRM_DELAY = 0.05  # seconds; a crashed server is down for seconds
 
@@ -28,10 +28,10 @@
 
     def __init__(
         self,
-        pool: server_pool.ServerPool,
+        checker: health.HealthChecker,
         spread: Callable[[ids.Fingerprint, int], None],
     ):
-        self._pool = pool
+        self._checker = checker
         self._spread = spread
         self._quarantine = quarantine.CrashQuarantine()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -82,7 +82,7 @@
         broken: float,
     ) -> None:
         await asyncio.sleep(CONFIRM_DELAY)
-        if await self._pool.check(entry, health_path) is not None:
+        if await self._checker.check(entry, health_path) is not None:
             return
         fingerprint = _fingerprint(request)
         if not self._quarantine.note_crash(fingerprint, sent, broken):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -15,12 +15,12 @@
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.routing import splitting
 from hyssopwind.core.routing import tables
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.platform import fields
+from hyssopwind.transport import clock
 
 # Seconds for which a request waits at a daemon that has just started.
 START_PATIENCE = 0.2
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -18,10 +18,10 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import crashes
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gossip
+from hyssopwind.daemon.gateway import health
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.daemon.gateway import listening
 from hyssopwind.daemon.gateway import measures
@@ -29,10 +29,11 @@
 from hyssopwind.daemon.gateway import reloading
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.daemon.gateway import sending
-from hyssopwind.daemon.gateway import server_pool
 from hyssopwind.daemon.gateway import side
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.platform import store
+from hyssopwind.transport import clock
+from hyssopwind.transport import pool
 
 HOUSEKEEPING = 0.25  # seconds between two rounds
 STOP_MARGIN = 0.4  # seconds before the platform kills the process
@@ -64,7 +65,8 @@
         self._metrics = measures.GatewayMetrics()
         self._known = knowledge.Knowledge()
         self._evidence = evidence.Evidence()
-        self._pool = server_pool.ServerPool()
+        self._pool = pool.ConnectionPool()
+        self._checker = health.HealthChecker(self._pool)
         self._fleet = roster.FleetRoster(
             options.name, options.ip, options.data_centre, clock.now()
         )
@@ -72,7 +74,7 @@
         self._reader = store_reader.StoreReader(
             self._store, self._known, self._should_read
         )
-        self._crashes = crashes.CrashWatch(self._pool, self._spread_crash)
+        self._crashes = crashes.CrashWatch(self._checker, self._spread_crash)
         self._gossip = gossip.Gossip(
             self._live,
             self._fleet,
@@ -84,7 +86,7 @@
             options,
             self._known.catalogue,
             self._evidence,
-            self._pool,
+            self._checker,
             self._fleet.daemons,
         )
         self._budget = repeats.RepeatBudget(repeats.terms_of(options))
@@ -129,7 +131,7 @@
         await self._drain(server)
         for task in self._tasks:
             task.cancel()
-        await self._gossip.stop()
+        self._gossip.stop()
         self._side.stop()
 
     async def _listen(self) -> asyncio.Server:
@@ -238,7 +240,7 @@
             servers=lambda: known.catalogue.size,
             daemons=self._fleet.size,
             connections=lambda: self._pool.opened,
-            checks=lambda: self._pool.checks,
+            checks=lambda: self._checker.checks,
             store_calls=lambda: self._store.calls,
             lines_dropped=lambda: stream.dropped,
             ready=lambda: float(self._is_ready()),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-import aiohttp
 import logbook
 import msgspec
 
@@ -22,8 +21,10 @@
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import messages
 from hyssopwind.core.fleet import roster
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.transport import clock
+from hyssopwind.transport import connection
+from hyssopwind.transport import pool
 
 MEMBERS_PER_DATAGRAM = 20  # about 1,000 bytes, so that none is fragmented
 LEADERS_TOLD = 2  # daemons first in rank that members send heartbeats to
@@ -60,7 +61,7 @@
         self._take_notice = take_notice
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
-        self._session: aiohttp.ClientSession | None = None
+        self._pool = pool.ConnectionPool()
         self._control_port = options.peers_address.rpartition(":")[2]
         self._round = 0
         self._sent_revision = 0
@@ -73,10 +74,6 @@
 
     async def start(self) -> None:
         """Opens the socket for datagrams."""
-        self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=PULL_TIMEOUT),
-        )
         await self._loop.create_datagram_endpoint(
             lambda: self,
             local_addr=(self._options.ip, self._options.gossip_port),
@@ -88,12 +85,11 @@
             self._tick()
             await asyncio.sleep(roster.BEAT_INTERVAL)
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Closes the sockets."""
         if self._transport is not None:
             self._transport.close()
-        if self._session is not None:
-            await self._session.close()
+        self._pool.close()
 
     def leave(self) -> None:
         """Tells the others that this daemon is about to stop."""
@@ -257,22 +253,14 @@
         task.add_done_callback(lambda _: self._pulls.pop(ip, None))
 
     async def _pull(self, ip: str) -> None:
-        assert self._session is not None
         asked = clock.now()
-        url = f"http://{ip}:{self._control_port}/changes"
-        query = {"after": str(self._known.copy.revision)}
+        address = f"{ip}:{self._control_port}"
+        target = f"/changes?after={self._known.copy.revision}"
         try:
-            async with self._session.get(url, params=query) as response:
-                body = await response.read()
-                response.raise_for_status()
-            changes = messages.decode_changes(body)
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ) as error:
-            _log.warn("pull failed", extra={"peer": ip, "error": repr(error)})
+            answer = await self._pool.get(address, target, PULL_TIMEOUT)
+            changes = messages.decode_changes(answer.body)
+        except (connection.ExchangeError, msgspec.DecodeError) as error:
+            _log.warn("pull failed", extra={"peer": ip, "error": str(error)})
             return
         taken = tuple(items.Item(*fields) for fields in changes.items)
         delta = items.Delta(taken, changes.revision, changes.complete)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
@@ -12,8 +12,8 @@
 from hyssopwind.core.discovery import freshness
 from hyssopwind.core.discovery import items
 from hyssopwind.core.discovery import records
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.platform import items as platform_items
+from hyssopwind.transport import clock
 
 _log = logbook.Logger("knowledge")
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/measures.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/measures.py
@@ -1,11 +1,18 @@
-"""Metrics of the gateway; docs/METRICS.md lists them."""
+"""Metrics of the gateway; docs/METRICS.md lists them.
 
+Counts are kept as plain numbers and become metrics at a scrape, so that a
+daemon that nobody scrapes does without the library's memory.
+"""
+
+import bisect
+import collections
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
 
-import prometheus_client
-
-from hyssopwind.daemon import metrics
+MAX_SERIES = 4_096  # combinations of labels of one metric
+_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,17 +58,93 @@
 }
 
 
-class GatewayMetrics(metrics.Metrics):
-    """The metrics of a daemon, with those of the platform's deployment."""
+class GatewayMetrics:
+    """Counts what the gateway does; a collector of prometheus_client."""
+
+    def __init__(self) -> None:
+        self._requests: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._attempts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._latencies: dict[str, list[int]] = {}
+        self._seconds: dict[str, float] = {}
+        self._sources: Sources | None = None
 
     def attach(self, sources: Sources) -> None:
         """Reads the gauges from these sources at each scrape."""
-        for name, text in _GAUGES.items():
-            gauge = prometheus_client.Gauge(
-                f"hyssopwind_gateway_{name}", text, registry=self.registry
-            )
-            gauge.set_function(getattr(sources, name))
+        self._sources = sources
+
+    def count_request(
+        self, route: str, outcome: str, reason: str, seconds: float
+    ) -> None:
+        """Counts a request of a caller and its time."""
+        if len(self._requests) < MAX_SERIES:
+            self._requests[route, outcome, reason] += 1
+        counts = self._latencies.get(route)
+        if counts is None:
+            if len(self._latencies) >= MAX_SERIES:
+                return
+            counts = [0] * (len(_BUCKETS) + 1)
+            self._latencies[route] = counts
+        counts[bisect.bisect_left(_BUCKETS, seconds)] += 1
+        self._seconds[route] = self._seconds.get(route, 0.0) + seconds
+
+    def count_attempt(self, service: str, result: str) -> None:
+        """Counts an attempt at a server."""
+        if len(self._attempts) < MAX_SERIES:
+            self._attempts[service, result] += 1
 
     def render(self) -> bytes:
         """Returns the metrics as text."""
-        return prometheus_client.generate_latest(self.registry)
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)
+        return prometheus_client.generate_latest(registry)
+
+    def collect(self) -> Iterator[Any]:
+        """Yields the metrics of a scrape."""
+        from prometheus_client import metrics_core
+
+        requests = metrics_core.CounterMetricFamily(
+            "hyssopwind_requests",
+            "Requests of callers by how they ended",
+            labels=["route", "outcome", "reason"],
+        )
+        for labels, count in self._requests.items():
+            requests.add_metric(labels, count)
+        yield requests
+        attempts = metrics_core.CounterMetricFamily(
+            "hyssopwind_attempts",
+            "Attempts at servers by result",
+            labels=["service", "result"],
+        )
+        for pair, count in self._attempts.items():
+            attempts.add_metric(pair, count)
+        yield attempts
+        yield self._collect_latencies()
+        for name, text in _GAUGES.items():
+            value = getattr(self._sources, name)() if self._sources else 0.0
+            yield metrics_core.GaugeMetricFamily(
+                f"hyssopwind_gateway_{name}", text, value=float(value)
+            )
+
+    def _collect_latencies(self) -> Any:
+        from prometheus_client import metrics_core
+
+        family = metrics_core.HistogramMetricFamily(
+            "hyssopwind_request_seconds",
+            "Time from the whole request to the answer",
+            labels=["route"],
+        )
+        bounds = [str(bound) for bound in _BUCKETS] + ["+Inf"]
+        for route, counts in self._latencies.items():
+            total = 0
+            buckets = []
+            for bound, count in zip(bounds, counts, strict=True):
+                total += count
+                buckets.append((bound, float(total)))
+            family.add_metric([route], buckets, self._seconds[route])
+        return family
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -15,8 +15,8 @@
 from hyssopwind.core.dispatch import readings
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.routing import tables
-from hyssopwind.daemon.gateway import clock
-from hyssopwind.daemon.gateway import server_pool
+from hyssopwind.daemon.gateway import health
+from hyssopwind.transport import clock
 
 DEFAULT_HEALTH_PATH = "/health"  # where the configuration names none
 NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
@@ -58,13 +58,13 @@
         options: settings.GatewaySettings,
         known: catalogue.Catalogue,
         seen: evidence.Evidence,
-        pool: server_pool.ServerPool,
+        checker: health.HealthChecker,
         daemons: Callable[[ids.DataCentreId], Sequence[ids.DaemonId]],
     ):
         self._options = options
         self._catalogue = known
         self._evidence = seen
-        self._pool = pool
+        self._checker = checker
         self._daemons = daemons
         self._permits = coldness.ColdPermits(options.name)
         self._random = random.Random()
@@ -267,7 +267,7 @@
     ) -> readings.HealthReport | None:
         server = listed.entry.id
         try:
-            report = await self._pool.check(listed.entry, path)
+            report = await self._checker.check(listed.entry, path)
         finally:
             self._checking.pop(server, None)
         now = clock.now()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
@@ -10,6 +10,7 @@
 from hyssopwind.daemon import problems
 from hyssopwind.daemon.gateway import requests
 from hyssopwind.platform import fields
+from hyssopwind.transport import heads
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -42,18 +43,18 @@
         body = outcome.body
     else:
         status, pairs, body = _render_failure(outcome, request)
-    pairs = [(n, v) for n, v in pairs if n.lower() != "content-length"]
+    fields_out = heads.new_fields()
+    for name, value in pairs:
+        if name.lower() != "content-length":
+            fields_out.add(name, value)
     has_body = status not in (204, 304)
     if has_body:
-        pairs.append(("Content-Length", str(len(body))))
+        fields_out["Content-Length"] = str(len(body))
     if closes:
-        pairs.append(("Connection", "close"))
+        fields_out["Connection"] = "close"
     elif request is not None and request.version < (1, 1):
-        pairs.append(("Connection", "keep-alive"))
-    lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
-    lines.extend(f"{name}: {value}" for name, value in pairs)
-    lines.append("\r\n")
-    head = "\r\n".join(lines).encode("utf-8", "surrogateescape")
+        fields_out["Connection"] = "keep-alive"
+    head = heads.encode_head(f"HTTP/1.1 {status} {_phrase(status)}", fields_out)
     if is_head or not has_body:
         return head
     return head + body
--- a/packages/daemon/src/hyssopwind/daemon/gateway/requests.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/requests.py
@@ -5,6 +5,7 @@
 import multidict
 
 from hyssopwind.daemon import headers
+from hyssopwind.transport import heads
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +24,7 @@
 
     method: str
     target: str
-    fields: "multidict.CIMultiDictProxy[str]"
+    fields: "multidict.CIMultiDict[str]"
     body: bytes
     arrived: float
     version: tuple[int, int]
@@ -52,12 +53,10 @@
     fields = headers.end_to_end(request.fields)
     for name, value in extra:
         fields[name] = value
-    lines = [f"{request.method} {request.target} HTTP/1.1"]
-    lines.extend(f"{name}: {value}" for name, value in fields.items())
-    if request.body or "Content-Length" in request.fields:
-        lines.append(f"Content-Length: {len(request.body)}")
-    elif "Transfer-Encoding" in request.fields:
-        lines.append("Content-Length: 0")
-    lines.append("\r\n")
-    head = "\r\n".join(lines)
-    return head.encode("utf-8", "surrogateescape") + request.body
+    has_body = "Transfer-Encoding" in request.fields or request.body
+    if has_body or "Content-Length" in request.fields:
+        fields["Content-Length"] = str(len(request.body))
+    head = heads.encode_head(
+        f"{request.method} {request.target} HTTP/1.1", fields
+    )
+    return head + request.body
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -11,13 +11,14 @@
 from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
-from hyssopwind.daemon import metrics
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import crashes
+from hyssopwind.daemon.gateway import measures
 from hyssopwind.daemon.gateway import requests
-from hyssopwind.daemon.gateway import server_connection
-from hyssopwind.daemon.gateway import server_pool
 from hyssopwind.platform import fields
+from hyssopwind.transport import answers
+from hyssopwind.transport import clock
+from hyssopwind.transport import connection
+from hyssopwind.transport import pool
 
 LATE_GRACE = 0.3  # seconds past the deadline for an answer on its way
 
@@ -52,12 +53,12 @@
 
     def __init__(
         self,
-        pool: server_pool.ServerPool,
+        connections: pool.ConnectionPool,
         seen: evidence.Evidence,
         crash_watch: crashes.CrashWatch,
-        counters: metrics.Metrics,
+        counters: measures.GatewayMetrics,
     ):
-        self._pool = pool
+        self._pool = connections
         self._evidence = seen
         self._crashes = crash_watch
         self._counters = counters
@@ -81,12 +82,12 @@
         self, order: SendOrder, started: float
     ) -> judgement.AttemptResult:
         try:
-            connection = await self._pool.acquire(order.entry.address)
-        except server_connection.ExchangeError as error:
+            used = await self._pool.acquire(order.entry.address)
+        except connection.ExchangeError as error:
             return judgement.Failed(error.kind)
         remaining = order.expires - clock.now()
         if remaining <= 0.0:
-            self._pool.release(connection)
+            self._pool.release(used)
             return judgement.Failed(judgement.FailureKind.WITHHELD)
         data = requests.encode_request(
             order.request,
@@ -96,16 +97,21 @@
             ),
         )
         request_id = order.request.fields.get(fields.REQUEST_ID, "")
+
+        def belongs(answer: answers.Answer) -> bool:
+            echoed = answer.fields.get(fields.REQUEST_ID, "")
+            return echoed in ("", request_id)
+
         try:
             async with asyncio.timeout(remaining + LATE_GRACE):
-                answer = await connection.exchange(
-                    data, order.request.method, request_id
+                answer = await used.exchange(
+                    data, order.request.method, belongs
                 )
-        except server_connection.ExchangeError as error:
+        except connection.ExchangeError as error:
             return judgement.Failed(error.kind)
         except TimeoutError:
             return judgement.Failed(judgement.FailureKind.TIMED_OUT)
-        self._pool.release(connection)
+        self._pool.release(used)
         return _judge(answer, clock.now() - started)
 
     def _note(
@@ -165,9 +171,7 @@
             self._evidence.note_slow(order.entry.id, took / order.estimate, now)
 
 
-def _judge(
-    answer: server_connection.ServerAnswer, latency: float
-) -> judgement.AttemptResult:
+def _judge(answer: answers.Answer, latency: float) -> judgement.AttemptResult:
     """Returns what an answer says of the attempt."""
     is_stamped = fields.SERVER_STAMP in answer.fields
     if answer.status == 421 or fields.NOT_RUN in answer.fields:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -7,10 +7,10 @@
 import logbook
 
 from hyssopwind.core.discovery import items
-from hyssopwind.daemon.gateway import clock
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.platform import items as platform_items
 from hyssopwind.platform import store
+from hyssopwind.transport import clock
 
 WATCH_WAIT = 1.0  # seconds; a silent watch must be noticed within 2 s
 MERGE_DELAY = 0.25  # seconds in which changes gather for one call
@@ -58,7 +58,7 @@
                 continue
             except store.StoreError as error:
                 self._note_failure(error)
-                await self._client.reconnect()
+                self._client.reconnect()
                 await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
                 backoff = min(LONGEST_BACKOFF, backoff * 2)
                 continue
--- a/packages/daemon/src/hyssopwind/daemon/headers.py
+++ b/packages/daemon/src/hyssopwind/daemon/headers.py
@@ -33,7 +33,7 @@
 
 
 def end_to_end(
-    headers: "multidict.CIMultiDictProxy[str]",
+    headers: "multidict.CIMultiDictProxy[str] | multidict.CIMultiDict[str]",
 ) -> "multidict.CIMultiDict[str]":
     """Returns a copy without the fields that end at this hop.
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -48,9 +48,9 @@
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
         self.daemon._side.stop()
-        await self.daemon._gossip.stop()
+        self.daemon._gossip.stop()
         self.listener.close()
-        await self.daemon._store.reconnect()
+        self.daemon._store.reconnect()
         for each in self.servers:
             await each.close()
         await self.store.stop()
@@ -166,6 +166,25 @@
         self.assertEqual(status, 431)
         self.assertEqual(self.ran(), 0)
 
+    async def test_ambiguous_length_is_refused(self):
+        """Two lengths could smuggle a request inside of another."""
+        reader, writer = await self.connect()
+        head = self.request(
+            "/unsafe/a", "POST", Content_Length="3", Transfer_Encoding="chunked"
+        )
+        writer.write(head + b"0\r\n\r\nGET /safe/b HTTP/1.1\r\n\r\n")
+        status, _, _ = await self.read_answer(reader)
+        self.assertEqual(status, 400)
+        self.assertEqual(self.ran(), 0)
+        writer.close()
+
+    async def test_request_before_garbage_is_answered(self):
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a") + b"\x00\x01 no request\r\n\r\n")
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        self.assertEqual((await self.read_answer(reader))[0], 400)
+        writer.close()
+
     async def test_slow_head_ends(self):
         reader, writer = await self.connect()
         writer.write(b"GET /safe/a HTTP/1.1\r\n")
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -4,8 +4,8 @@
 import unittest
 
 from hyssopwind.core.attempts import judgement
-from hyssopwind.daemon.gateway import server_connection
 from hyssopwind.standins.site import server
+from hyssopwind.transport import connection
 
 REQUEST = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
 WHOLE = (
@@ -23,6 +23,10 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nwhole"
 
 
+def is_own(answer):
+    return answer.fields.get("Request-Id") == "r1"
+
+
 class ServerFaultTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = server.StandInServer(server.ServerOptions("i-1"))
@@ -36,22 +40,20 @@
     async def connect(self):
         loop = asyncio.get_running_loop()
         host, _, port = self.server.address.rpartition(":")
-        _, connection = await loop.create_connection(
-            lambda: server_connection.ServerConnection(
-                loop, self.server.address
-            ),
+        _, made = await loop.create_connection(
+            lambda: connection.ClientConnection(self.server.address),
             host,
             int(port),
         )
-        return connection
+        return made
 
     async def exchange(self, *script):
         self.server.options.script.extend(script)
         async with asyncio.timeout(2.0):
-            return await self.connection.exchange(REQUEST, "GET", "r1")
+            return await self.connection.exchange(REQUEST, "GET", is_own)
 
     async def fail(self, *script):
-        with self.assertRaises(server_connection.ExchangeError) as caught:
+        with self.assertRaises(connection.ExchangeError) as caught:
             await self.exchange(*script)
         self.assertFalse(self.connection.usable)
         return caught.exception.kind
@@ -98,7 +100,7 @@
     async def test_answer_without_length_ends_with_its_connection(self):
         self.server.options.script.extend([UNFRAMED])
         task = asyncio.create_task(
-            self.connection.exchange(REQUEST, "GET", "r1")
+            self.connection.exchange(REQUEST, "GET", is_own)
         )
         await asyncio.sleep(0.05)
         self.assertFalse(task.done())
@@ -110,11 +112,11 @@
     async def test_answer_without_length_that_is_reset_is_none(self):
         self.server.options.script.extend([UNFRAMED])
         task = asyncio.create_task(
-            self.connection.exchange(REQUEST, "GET", "r1")
+            self.connection.exchange(REQUEST, "GET", is_own)
         )
         await asyncio.sleep(0.05)
         self.server.crash()
-        with self.assertRaises(server_connection.ExchangeError):
+        with self.assertRaises(connection.ExchangeError):
             await task
 
     async def test_interim_answer_is_passed_over(self):
@@ -129,7 +131,7 @@
     async def test_abandoned_exchange_ends_the_connection(self):
         self.server.options.script.append(None)
         task = asyncio.create_task(
-            self.connection.exchange(REQUEST, "GET", "r1")
+            self.connection.exchange(REQUEST, "GET", is_own)
         )
         await asyncio.sleep(0.05)
         task.cancel()
--- /dev/null
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -0,0 +1,170 @@
+"""A connection to a server, which carries one request at a time.
+
+A connection that shows anything but one whole answer for each request carries
+no further request.
+"""
+
+import asyncio
+import dataclasses
+import re
+import typing
+from collections.abc import Callable
+from typing import TypeAlias
+
+from hyssopwind.core.attempts import judgement
+from hyssopwind.transport import answers
+
+MAX_SKIPPED_ANSWERS = 4  # late extra answers on one connection
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+# Whether an answer belongs to the request that waits for one.
+Belongs: TypeAlias = Callable[[answers.Answer], bool]
+
+
+class ExchangeError(Exception):
+    """A request got no whole answer."""
+
+    def __init__(self, kind: judgement.FailureKind, detail: str):
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    future: "asyncio.Future[answers.Answer]"
+    method: str
+    belongs: Belongs
+
+
+class ClientConnection(asyncio.Protocol):
+    """Sends requests and reads whole answers."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self.keep_alive: float | None = None
+        self._loop = asyncio.get_running_loop()
+        self._last_used = self._loop.time()
+        self._transport: asyncio.Transport | None = None
+        self._pending: _Pending | None = None
+        self._reader: answers.AnswerReader | None = None
+        self._skipped = 0
+        self._closed = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent now."""
+        return (
+            not self._closed
+            and self._pending is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    @property
+    def idle_time(self) -> float:
+        """Seconds since the last answer."""
+        return self._loop.time() - self._last_used
+
+    async def exchange(
+        self, data: bytes, method: str, belongs: Belongs = lambda _: True
+    ) -> answers.Answer:
+        """Sends a request and returns the whole answer to it.
+
+        Args:
+            data: the bytes of the request.
+            method: its method, which decides whether the answer has a body.
+            belongs: tells answers to other requests apart; they are skipped.
+
+        Raises:
+            ExchangeError: no whole answer came.
+        """
+        if not self.usable or self._transport is None:
+            raise ExchangeError(
+                judgement.FailureKind.NOT_CONNECTED, "connection has ended"
+            )
+        future: asyncio.Future[answers.Answer] = self._loop.create_future()
+        self._pending = _Pending(future, method, belongs)
+        self._reader = answers.AnswerReader(method)
+        self._transport.write(data)
+        try:
+            return await future
+        finally:
+            self._pending = None
+            if not future.done() or future.cancelled():
+                self.abort()
+            self._last_used = self._loop.time()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self._closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the server."""
+        if self._closed:
+            return
+        if self._pending is None or self._reader is None:
+            # Bytes that answer nothing: the connection can't be trusted.
+            self.abort()
+            return
+        try:
+            self._reader.feed(data)
+            self._take_answers()
+        except answers.BadAnswerError as error:
+            self._fail(judgement.FailureKind.GARBLED, str(error))
+        except answers.AnswerTooLargeError:
+            self._fail(judgement.FailureKind.TOO_LARGE, "answer is too large")
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length of its own."""
+        if self._reader is not None:
+            self._reader.feed_end()
+            self._take_answers()
+        self._fail(judgement.FailureKind.BROKEN, "ended by the server")
+        return False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fails the pending request, if there is one."""
+        self._fail(judgement.FailureKind.BROKEN, repr(exc))
+
+    def _take_answers(self) -> None:
+        """Delivers the answer that was asked for, past late extra ones."""
+        while self._reader is not None and self._pending is not None:
+            answer = self._reader.answer
+            if answer is None:
+                return
+            rest = bytes(self._reader.rest)
+            if self._pending.belongs(answer):
+                self._deliver(answer, has_rest=bool(rest))
+                return
+            self._skipped += 1
+            if self._skipped > MAX_SKIPPED_ANSWERS:
+                self._fail(judgement.FailureKind.GARBLED, "extra answers")
+                return
+            self._reader = answers.AnswerReader(self._pending.method)
+            self._reader.feed(rest)
+
+    def _deliver(self, answer: answers.Answer, *, has_rest: bool) -> None:
+        pending, self._pending = self._pending, None
+        self._reader = None
+        match = _KEEP_ALIVE_TIMEOUT.search(
+            answer.fields.get("Keep-Alive", "").lower()
+        )
+        if match:
+            self.keep_alive = float(match[1])
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(answer)
+        if has_rest or self._skipped or not answer.keeps:
+            self.abort()
+
+    def _fail(self, kind: judgement.FailureKind, detail: str) -> None:
+        pending, self._pending = self._pending, None
+        if pending is not None and not pending.future.done():
+            pending.future.set_exception(ExchangeError(kind, detail))
+        self.abort()
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -16,10 +16,11 @@
 )
 LAYERS = {
     "core": {"core"},
-    "platform": {"core", "platform"},
-    "daemon": {"core", "platform", "daemon"},
+    "transport": {"core", "transport"},
+    "platform": {"core", "transport", "platform"},
+    "daemon": {"core", "transport", "platform", "daemon"},
     "operator": {"core", "platform", "operator"},
-    "standins": {"core", "platform", "daemon", "standins"},
+    "standins": {"core", "transport", "platform", "daemon", "standins"},
 }
 
 
