--- a/packages/core/src/hyssopwind/core/dispatch/choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -99,11 +99,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request to a server."""
+    """Send the request to a server.
+
+    Attributes:
+        server: the server.
+        estimate: seconds until it would have answered.
+        crowded: whether the request takes nearly the last slot.
+        load: the load that decided.
+        near: whether the server is in the data centre of the daemon.
+        waited: seconds that the request waited for the choice.
+    """
 
     server: ids.ServerId
     estimate: float
     crowded: bool = False
+    load: readings.Load | None = None
+    near: bool = True
+    waited: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,9 +132,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """No server can answer in time."""
+    """No server can answer in time.
+
+    Attributes:
+        reason: why, in a few words.
+        answered: servers that answered a load check.
+        best: seconds until the best of them would have answered, if any.
+    """
 
     reason: str
+    answered: int = 0
+    best: float | None = None
 
 
 Decision: TypeAlias = Send | Widen | Wait | Refuse
@@ -177,12 +197,23 @@
     left = timing.target - timing.waited
     if left > WAIT_STEP + good:
         return Wait(WAIT_STEP)
-    return _settle(best, timing, left)
+    decision = _settle(best, timing, left)
+    if isinstance(decision, Refuse):
+        lowest = None if best is None else cost
+        return Refuse(decision.reason, len(candidates), lowest)
+    return decision
 
 
 def _send(candidate: Candidate, timing: Timing) -> Send:
     expected = estimate(candidate, timing.work)
-    return Send(candidate.server, expected, candidate.is_crowded)
+    return Send(
+        server=candidate.server,
+        estimate=expected,
+        crowded=candidate.is_crowded,
+        load=candidate.load,
+        near=candidate.near,
+        waited=timing.waited,
+    )
 
 
 def _cheapest(
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
@@ -81,7 +81,8 @@
         full = server("a", running=4, waiting=8)
         self.assertFalse(choice.has_room(full))
         decision = choice.decide([full], timing(waited=0.5), widened=True)
-        self.assertEqual(decision, choice.Refuse("all servers are full"))
+        self.assertEqual(decision.reason, "all servers are full")
+        self.assertEqual(decision.answered, 1)
 
 
 class UntoldLoadTest(unittest.TestCase):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -240,8 +240,7 @@
             request=case.request,
             expires=case.expires,
             health_path=self._picker.health_path(case.service),
-            estimate=picked.estimate,
-            crowded=picked.crowded,
+            picked=picked,
         )
         return asyncio.create_task(self._sender.send(order))
 
@@ -254,6 +253,15 @@
             task.cancel()
 
     def _refuse(self, case: _Case, refusal: choice.Refuse) -> outcomes.Outcome:
+        _log.info(
+            "no server chosen",
+            extra={
+                **self._describe(case),
+                "reason": refusal.reason,
+                "answered": refusal.answered,
+                "best_ms": refusal.best and round(refusal.best * 1000),
+            },
+        )
         if case.last is not None:
             return self._give_up(case)
         return outcomes.NotRun(
@@ -294,6 +302,7 @@
             "ms": round((clock.now() - case.request.arrived) * 1000),
             "age_ms": round(min(self._known.age(), 1e6) * 1000),
             "revision": self._known.copy.revision,
+            "version": self._known.catalogue.version,
         }
 
     def _close(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 
 from hyssopwind.core import ids
@@ -22,6 +21,7 @@
 NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
 FAR_SAMPLE = 2  # servers elsewhere asked when no near one is good
 STRAGGLER_WAIT = 0.006  # seconds for the other answers after the first one
+UNTOLD_LIFE = 20.0  # seconds until a service is asked for its load again
 REPORT_LIFE = 0.002  # seconds; an answer serves requests that come together
 
 
@@ -68,6 +68,8 @@
         self._daemons = daemons
         self._permits = coldness.ColdPermits(options.name)
         self._random = random.Random()
+        self._untold_until: dict[ids.ServiceId, float] = {}
+        self._told: set[ids.ServiceId] = set()
         self._reports: dict[ids.ServerId, _Report] = {}
         self._checking: dict[
             ids.ServerId, asyncio.Task[readings.HealthReport | None]
@@ -210,12 +212,19 @@
         return chosen
 
     async def _ask(
-        self, service: ids.ServiceId, asked: Iterable[catalogue.Listed]
+        self, service: ids.ServiceId, asked: list[catalogue.Listed]
     ) -> list[choice.Candidate]:
+        """Returns the servers that answered a check just now.
+
+        Where servers don't tell their load, a check takes a slot like a
+        request and says nothing that helps; such servers are not asked.
+        """
+        now = clock.now()
+        if now < self._untold_until.get(service, 0.0):
+            return [self._untold(listed) for listed in asked]
         path = self.health_path(service)
         tasks = {}
         candidates: list[choice.Candidate] = []
-        now = clock.now()
         for listed in asked:
             server = listed.entry.id
             recent = self._reports.get(server)
@@ -224,7 +233,16 @@
                 continue
             tasks[self._start_check(listed, path)] = listed
         await self._gather(tasks, candidates)
-        return candidates
+        if candidates or service in self._told:
+            return candidates
+        # A check that waits for a slot is no sign of a dead server.
+        self._untold_until[service] = now + UNTOLD_LIFE
+        return [self._untold(listed) for listed in asked]
+
+    def _untold(self, listed: catalogue.Listed) -> choice.Candidate:
+        return self._candidate(
+            listed, None, self._evidence.in_flight(listed.entry.id)
+        )
 
     async def _gather(
         self,
@@ -288,23 +306,33 @@
         if report is None or not report.healthy:
             return
         server = listed.entry.id
+        service = listed.entry.service
         now = clock.now()
         if self._is_cold(listed, now) and not self._cold_permit(listed, now):
             return
-        in_flight = len(self._sent_at.get(server, ()))
         if report.load is None:
-            in_flight = self._evidence.in_flight(server)
-        near = listed.entry.data_centre == self._options.data_centre
-        candidates.append(
-            choice.Candidate(
-                server=server,
-                near=near,
-                load=report.load,
-                slots=listed.entry.slots,
-                in_flight=in_flight,
-                penalty=self._evidence.penalty(server, now),
-                crowding=self._evidence.crowding(listed.entry.service),
-            )
+            self._untold_until[service] = now + UNTOLD_LIFE
+            candidates.append(self._untold(listed))
+            return
+        self._told.add(service)
+        on_their_way = len(self._sent_at.get(server, ()))
+        candidates.append(self._candidate(listed, report.load, on_their_way))
+
+    def _candidate(
+        self,
+        listed: catalogue.Listed,
+        load: readings.Load | None,
+        in_flight: int,
+    ) -> choice.Candidate:
+        entry = listed.entry
+        return choice.Candidate(
+            server=entry.id,
+            near=entry.data_centre == self._options.data_centre,
+            load=load,
+            slots=entry.slots,
+            in_flight=in_flight,
+            penalty=self._evidence.penalty(entry.id, clock.now()),
+            crowding=self._evidence.crowding(entry.service),
         )
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -8,6 +8,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import judgement
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import choice
 from hyssopwind.core.dispatch import evidence
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
@@ -35,8 +36,7 @@
         request: the request of the caller.
         expires: when the caller or the route gives up.
         health_path: path of the health check of the server.
-        estimate: seconds that the server is expected to take.
-        crowded: whether the server was nearly full when it was chosen.
+        picked: the choice of the server, with what decided it.
     """
 
     entry: entries.ServerEntry
@@ -44,8 +44,7 @@
     request: requests.CallerRequest
     expires: float
     health_path: str
-    estimate: float
-    crowded: bool
+    picked: choice.Send
 
 
 class Sender:
@@ -135,10 +134,10 @@
                     order.route,
                     server,
                     result.latency,
-                    order.estimate,
+                    order.picked.estimate,
                     now,
                     service=order.entry.service,
-                    crowded=order.crowded,
+                    crowded=order.picked.crowded,
                 )
         elif isinstance(result, judgement.Failed):
             tag = result.kind.name.lower()
@@ -157,9 +156,9 @@
                 "request": order.request.fields.get(fields.REQUEST_ID, ""),
                 "server": server,
                 "ms": round((now - started) * 1000),
-                "estimate_ms": round(order.estimate * 1000),
                 "result": tag,
                 **detail,
+                **_inputs(order.picked),
             },
         )
 
@@ -167,8 +166,27 @@
         """Weighs an attempt that was dropped before its answer."""
         now = clock.now()
         took = now - started
-        if took > order.estimate * evidence.USUAL_RATIO:
-            self._evidence.note_slow(order.entry.id, took / order.estimate, now)
+        if took > order.picked.estimate * evidence.USUAL_RATIO:
+            self._evidence.note_slow(
+                order.entry.id, took / order.picked.estimate, now
+            )
+
+
+def _inputs(picked: choice.Send) -> dict[str, object]:
+    """Returns what decided a choice, for the log."""
+    inputs: dict[str, object] = {
+        "estimate_ms": round(picked.estimate * 1000),
+        "chosen_after_ms": round(picked.waited * 1000),
+        "near": picked.near,
+        "crowded": picked.crowded,
+    }
+    if picked.load is not None:
+        load = picked.load
+        inputs["running"] = load.running
+        inputs["waiting"] = load.waiting
+        inputs["slots"] = load.slots
+        inputs["slowdown"] = load.slowdown
+    return inputs
 
 
 def _judge(answer: answers.Answer, latency: float) -> judgement.AttemptResult:
--- a/packages/standins/src/hyssopwind/standins/site/server.py
+++ b/packages/standins/src/hyssopwind/standins/site/server.py
@@ -24,6 +24,7 @@
             an answer before it.
         crash_path: the server crashes on requests whose target starts so.
         skips_load: whether it does not tell its load.
+        health_delay: seconds that a health check waits for a slot.
     """
 
     server: str
@@ -36,6 +37,7 @@
     )
     crash_path: str = ""
     skips_load: bool = False
+    health_delay: float = 0.0
 
 
 class StandInServer:
@@ -109,6 +111,7 @@
         length = int(names.get("content-length", "0"))
         body = await reader.readexactly(length)
         if head.startswith(b"GET /health "):
+            await asyncio.sleep(self.options.health_delay)
             writer.write(self._health())
             return True
         self.received.append(head + body)
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -370,6 +370,7 @@
     async def test_load_untold_by_a_service_is_done_without(self):
         for each in self.servers:
             each.options.skips_load = True
+            each.options.health_delay = 1.0
         for _ in range(4):
             self.assertEqual((await self.call("/safe/a"))[0], 200)
 
