--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,10 +2,10 @@
 # Installs the daemon and its libraries below target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-if [ ! target/deps/.ready -nt deploy/requirements.txt ]; then
+if ! cmp -s deploy/requirements.txt target/deps/requirements.txt; then
   rm -rf target/deps
   python3 -m pip install -q --target target/deps -r deploy/requirements.txt
-  touch target/deps/.ready
+  cp deploy/requirements.txt target/deps/requirements.txt
 fi
 # The packages are copied rather than installed: pip would build them in
 # their source folders, which must stay as they are.
