--- a/packages/core/src/hyssopwind/core/dispatch/attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -3,13 +3,8 @@
 import enum
 
 from hyssopwind.core.attempts import judgement
+from hyssopwind.core.settings import tuning
 
-# A second attempt starts when the first one takes this many times longer
-# than estimated.
-HEDGE_FACTOR = 1.7
-# Latest start of a second attempt as a share of the latency target, so that
-# it can still end within the target.
-LATEST_HEDGE_SHARE = 0.55
 SHORTEST_USEFUL = 0.02  # seconds; less time than a server needs to answer
 # Bounds of the time after which a refused caller may come back, as shares of
 # the latency target; drawn at random so that callers don't return together.
@@ -63,9 +58,11 @@
     return Step.FINISH
 
 
-def hedge_delay(estimate: float, target: float) -> float:
+def hedge_delay(
+    estimate: float, target: float, terms: tuning.RepeatingSettings
+) -> float:
     """Returns the seconds after which a second attempt starts."""
-    return min(HEDGE_FACTOR * estimate, LATEST_HEDGE_SHARE * target)
+    return min(terms.hedge_factor * estimate, terms.latest_hedge * target)
 
 
 def retry_after(target: float, draw: float) -> float:
--- a/packages/core/src/hyssopwind/core/dispatch/choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -15,19 +15,12 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import readings
+from hyssopwind.core.settings import tuning
 
 # Share of the slots above which some servers slow down.
 CROWDED_SHARE = 0.8
-# A server is good if work takes at most this many times the least.
-GOOD_FACTOR = 1.3
-# Seconds of estimated time for which the bytes to another data centre are
-# worth it: they are billed, and add a round trip.
-FAR_PENALTY = 0.03
 # Requests that wait at a server for each slot before it refuses more.
 QUEUE_PER_SLOT = 2.0
-# Seconds between two rounds of load checks while no server is good; a
-# disturbed server recovers after 150 ms on average.
-WAIT_STEP = 0.025
 # Share of the expected work below which the time left is too short; the work
 # of single requests differs by up to half.
 LEAST_TIME_SHARE = 0.5
@@ -175,29 +168,36 @@
 
 
 def decide(
-    candidates: Sequence[Candidate], timing: Timing, *, widened: bool
+    candidates: Sequence[Candidate],
+    timing: Timing,
+    terms: tuning.ChoosingSettings,
+    *,
+    widened: bool,
 ) -> Decision:
     """Returns what to do with a request.
 
     Args:
         candidates: the servers that answered.
         timing: the time of the request.
+        terms: how servers are chosen.
         widened: whether servers of other data centres were asked too.
     """
     if timing.remaining < LEAST_TIME_SHARE * timing.work:
         return Refuse("too little time is left for the work")
-    best, cost = _cheapest(candidates, timing.work)
+    best, cost = _cheapest(candidates, timing.work, terms)
     # Where all servers are slow for long, waiting for a fast one is in vain.
     usual = timing.work * min((c.penalty for c in candidates), default=1.0)
-    good = GOOD_FACTOR * usual
-    if best is not None and cost <= good + (0.0 if best.near else FAR_PENALTY):
+    good = terms.good_factor * usual
+    if best is not None and cost <= good + (
+        0.0 if best.near else terms.far_penalty
+    ):
         return _send(best, timing)
     if not widened:
         return Widen()
     left = timing.target - timing.waited
-    if left > WAIT_STEP + good:
-        return Wait(WAIT_STEP)
-    decision = _settle(best, timing, left)
+    if left > terms.wait_step + good:
+        return Wait(terms.wait_step)
+    decision = _settle(best, timing, terms)
     if isinstance(decision, Refuse):
         lowest = None if best is None else cost
         return Refuse(decision.reason, len(candidates), lowest)
@@ -217,7 +217,9 @@
 
 
 def _cheapest(
-    candidates: Sequence[Candidate], work: float
+    candidates: Sequence[Candidate],
+    work: float,
+    terms: tuning.ChoosingSettings,
 ) -> tuple[Candidate | None, float]:
     best = None
     lowest = float("inf")
@@ -226,14 +228,17 @@
             continue
         cost = estimate(candidate, work)
         if not candidate.near:
-            cost += FAR_PENALTY
+            cost += terms.far_penalty
         if cost < lowest:
             best, lowest = candidate, cost
     return best, lowest
 
 
-def _settle(best: Candidate | None, timing: Timing, left: float) -> Decision:
+def _settle(
+    best: Candidate | None, timing: Timing, terms: tuning.ChoosingSettings
+) -> Decision:
     """Decides when waiting longer would miss the latency target."""
+    left = timing.target - timing.waited
     if best is not None:
         cost = estimate(best, timing.work)
         if cost <= left:
@@ -243,7 +248,7 @@
         if is_free and cost <= timing.remaining:
             return _send(best, timing)
     if timing.waited < REFUSAL_SHARE * timing.target:
-        return Wait(WAIT_STEP)
+        return Wait(terms.wait_step)
     if best is None:
         return Refuse("all servers are full")
     return Refuse("no server can answer in time")
--- a/packages/core/src/hyssopwind/core/dispatch/repeats.py
+++ b/packages/core/src/hyssopwind/core/dispatch/repeats.py
@@ -12,9 +12,7 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import settings
-
-# Part of the budget that is spent, since windows slide and daemons differ.
-SPENT_PART = 0.8
+from hyssopwind.core.settings import tuning
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,17 +23,24 @@
         ratio: repeats for each request.
         window: seconds over which both are counted.
         slack: repeats in a window beyond the ratio.
+        spent_part: part of the budget that is spent.
     """
 
     ratio: float
     window: float
     slack: float
+    spent_part: float = 1.0
 
 
-def terms_of(options: settings.GatewaySettings) -> RepeatTerms:
-    """Returns the budget that settings name."""
+def terms_of(
+    options: settings.GatewaySettings, tuned: tuning.RepeatingSettings
+) -> RepeatTerms:
+    """Returns the budget that the settings name."""
     return RepeatTerms(
-        options.retry_ratio, options.retry_window, options.retry_slack
+        options.retry_ratio,
+        options.retry_window,
+        options.retry_slack,
+        tuned.spent_part,
     )
 
 
@@ -43,7 +48,7 @@
     """Counts requests and repeats of each service in a sliding window.
 
     Examples:
-        >>> budget = RepeatBudget(RepeatTerms(0.5, 10.0, 5.0))
+        >>> budget = RepeatBudget(RepeatTerms(0.5, 10.0, 5.0, 0.8))
         >>> service = ids.ServiceId("a")
         >>> [budget.take(service, 0.0, daemons=2) for _ in range(3)]
         [True, True, False]
@@ -81,7 +86,7 @@
         repeats = len(self._recent(self._repeats, service, now))
         allowed = self._terms.ratio * requests
         allowed += self._terms.slack / max(1, daemons)
-        return SPENT_PART * allowed - repeats
+        return self._terms.spent_part * allowed - repeats
 
     def _recent(
         self,
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_attempts.py
@@ -3,10 +3,12 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import judgement
 from hyssopwind.core.dispatch import attempts
+from hyssopwind.core.settings import tuning
 
 BROKEN = judgement.Failed(judgement.FailureKind.BROKEN)
 GARBLED = judgement.Failed(judgement.FailureKind.GARBLED)
 REFUSED = judgement.Failed(judgement.FailureKind.NOT_CONNECTED)
+TERMS = tuning.RepeatingSettings()
 SHED = judgement.Shed("", 0.0)
 
 
@@ -57,9 +59,9 @@
     """A server goes silent in the middle of its work."""
 
     def test_second_attempt_can_end_within_the_target(self):
-        delay = attempts.hedge_delay(0.22, 0.6)
+        delay = attempts.hedge_delay(0.22, 0.6, TERMS)
         self.assertLess(delay + 0.22, 0.6)
 
     def test_disturbed_server_is_not_waited_for_long(self):
-        delay = attempts.hedge_delay(1.1, 0.6)
-        self.assertLessEqual(delay, 0.6 * attempts.LATEST_HEDGE_SHARE)
+        delay = attempts.hedge_delay(1.1, 0.6, TERMS)
+        self.assertLessEqual(delay, 0.6 * TERMS.latest_hedge)
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
@@ -3,6 +3,9 @@
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import choice
 from hyssopwind.core.dispatch import readings
+from hyssopwind.core.settings import tuning
+
+TERMS = tuning.ChoosingSettings()
 
 
 def server(name, running=0, waiting=0, slowdown=1.0, near=True, **changes):
@@ -19,27 +22,27 @@
 
     def test_undisturbed_server_is_taken(self):
         candidates = [server("slow", slowdown=5.0), server("fast", running=2)]
-        decision = choice.decide(candidates, timing(), widened=False)
+        decision = choice.decide(candidates, timing(), TERMS, widened=False)
         self.assertEqual(decision.server, "fast")
 
     def test_other_data_centres_are_asked_before_a_disturbed_server(self):
         candidates = [server("slow", slowdown=5.0)]
-        decision = choice.decide(candidates, timing(), widened=False)
+        decision = choice.decide(candidates, timing(), TERMS, widened=False)
         self.assertIsInstance(decision, choice.Widen)
 
     def test_near_server_is_preferred_when_equally_good(self):
         candidates = [server("far", near=False), server("near", running=1)]
-        decision = choice.decide(candidates, timing(), widened=True)
+        decision = choice.decide(candidates, timing(), TERMS, widened=True)
         self.assertEqual(decision.server, "near")
 
     def test_waits_while_the_answer_can_still_be_in_time(self):
         candidates = [server("slow", slowdown=5.0)]
-        decision = choice.decide(candidates, timing(), widened=True)
+        decision = choice.decide(candidates, timing(), TERMS, widened=True)
         self.assertIsInstance(decision, choice.Wait)
 
     def test_persistent_slowness_is_not_waited_for(self):
         candidates = [server("slow", penalty=5.0)]
-        decision = choice.decide(candidates, timing(), widened=True)
+        decision = choice.decide(candidates, timing(), TERMS, widened=True)
         self.assertIsInstance(decision, choice.Send)
 
 
@@ -48,39 +51,41 @@
 
     def test_crowded_server_is_avoided_once_it_is_known_to_slow_down(self):
         crowded = server("a", running=3, crowding=1.7)
-        decision = choice.decide([crowded], timing(), widened=True)
+        decision = choice.decide([crowded], timing(), TERMS, widened=True)
         self.assertIsInstance(decision, choice.Wait)
         free = server("b", running=3, crowding=1.0)
-        decision = choice.decide([free], timing(), widened=True)
+        decision = choice.decide([free], timing(), TERMS, widened=True)
         self.assertIsInstance(decision, choice.Send)
 
     def test_queue_is_joined_only_if_the_answer_is_in_time(self):
         late = timing(waited=0.35)
         short = [server("a", running=3, crowding=1.1)]
         self.assertIsInstance(
-            choice.decide(short, late, widened=True), choice.Send
+            choice.decide(short, late, TERMS, widened=True), choice.Send
         )
         long = [server("a", running=4, waiting=4, crowding=1.1)]
         self.assertIsInstance(
-            choice.decide(long, late, widened=True), choice.Refuse
+            choice.decide(long, late, TERMS, widened=True), choice.Refuse
         )
 
     def test_late_request_takes_a_free_slot_only(self):
         late = timing(waited=0.58)
         free = [server("a", running=1)]
         self.assertIsInstance(
-            choice.decide(free, late, widened=True), choice.Send
+            choice.decide(free, late, TERMS, widened=True), choice.Send
         )
 
     def test_refuses_what_no_server_can_answer_in_time(self):
         late = timing(waited=0.5, remaining=0.1)
-        decision = choice.decide([server("a")], late, widened=True)
+        decision = choice.decide([server("a")], late, TERMS, widened=True)
         self.assertIsInstance(decision, choice.Refuse)
 
     def test_full_servers_are_no_choice(self):
         full = server("a", running=4, waiting=8)
         self.assertFalse(choice.has_room(full))
-        decision = choice.decide([full], timing(waited=0.5), widened=True)
+        decision = choice.decide(
+            [full], timing(waited=0.5), TERMS, widened=True
+        )
         self.assertEqual(decision.reason, "all servers are full")
         self.assertEqual(decision.answered, 1)
 
@@ -93,5 +98,5 @@
             ids.ServerId("busy"), True, None, 2, in_flight=2
         )
         idle = choice.Candidate(ids.ServerId("idle"), True, None, 2)
-        decision = choice.decide([busy, idle], timing(), widened=False)
+        decision = choice.decide([busy, idle], timing(), TERMS, widened=False)
         self.assertEqual(decision.server, "idle")
--- a/packages/core/src/hyssopwind/core/settings/reading.py
+++ b/packages/core/src/hyssopwind/core/settings/reading.py
@@ -21,6 +21,7 @@
 from hyssopwind.core import units
 from hyssopwind.core.settings import documents
 from hyssopwind.core.settings import locating
+from hyssopwind.core.settings import tuning
 
 T = TypeVar("T")
 Problem = tuple[locating.KeyPath, str]
@@ -56,6 +57,11 @@
     return _read(text, source, documents.DaemonSettings, _check_daemon)
 
 
+def read_tuning(text: str, source: str) -> Reading[tuning.GatewayTuning]:
+    """Reads the file that tunes a daemon on the platform."""
+    return _read(text, source, tuning.GatewayTuning, _check_tuning)
+
+
 def _read(
     text: str,
     source: str,
@@ -244,3 +250,30 @@
             ("traces", "sample"),
             f"expected a share from 0 to 1, got {daemon.traces.sample}",
         )
+
+
+def _check_tuning(tuned: tuning.GatewayTuning) -> Iterator[Problem]:
+    for path, value, lowest, highest in _tuning_bounds(tuned):
+        if lowest <= value <= highest:
+            continue
+        message = f"expected a value from {lowest} to {highest}, got {value}"
+        yield path, message
+
+
+def _tuning_bounds(
+    tuned: tuning.GatewayTuning,
+) -> Iterator[tuple[locating.KeyPath, float, float, float]]:
+    choosing, repeating = tuned.choosing, tuned.repeating
+    yield ("choosing", "near_sample"), choosing.near_sample, 1, 100
+    yield ("choosing", "far_sample"), choosing.far_sample, 0, 100
+    yield ("choosing", "check_timeout"), choosing.check_timeout, 0.005, 5
+    yield ("choosing", "wait_step"), choosing.wait_step, 0.005, 1
+    yield ("choosing", "good_factor"), choosing.good_factor, 1, 10
+    yield ("choosing", "far_penalty"), choosing.far_penalty, 0, 5
+    yield ("repeating", "spent_part"), repeating.spent_part, 0, 1
+    yield ("repeating", "hedge_factor"), repeating.hedge_factor, 1, 100
+    yield ("repeating", "latest_hedge"), repeating.latest_hedge, 0, 1
+    yield ("reading", "watch_wait"), tuned.reading.watch_wait, 0.1, 30
+    yield ("reading", "merge_delay"), tuned.reading.merge_delay, 0, 1
+    yield ("logs", "lines"), tuned.logs.lines, 1, 100_000
+    yield ("logs", "burst"), tuned.logs.burst, 1, 1_000_000
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -15,6 +15,7 @@
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.routing import splitting
 from hyssopwind.core.routing import tables
+from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import requests
@@ -71,12 +72,14 @@
         sender: sending.Sender,
         budget: repeats.RepeatBudget,
         daemon_count: Callable[[], int],
+        terms: tuning.RepeatingSettings,
     ):
         self._known = known
         self._picker = pick
         self._sender = sender
         self._budget = budget
         self._daemon_count = daemon_count
+        self._terms = terms
         self._random = random.Random()
         self._deadlines = attempts.UsualDeadlines()
         self._splitter = splitting.Splitter(self._random)
@@ -180,7 +183,7 @@
         try:
             if self._may_hedge(case):
                 delay = attempts.hedge_delay(
-                    picked.estimate, case.route.latency_target
+                    picked.estimate, case.route.latency_target, self._terms
                 )
                 done, _ = await asyncio.wait({first}, timeout=delay)
                 if not done:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -16,6 +16,7 @@
 from hyssopwind.core.fleet import reading
 from hyssopwind.core.fleet import roster
 from hyssopwind.core.routing import tables
+from hyssopwind.core.settings import tuning
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import crashes
@@ -50,6 +51,7 @@
     def __init__(
         self,
         options: settings.GatewaySettings,
+        tuned: tuning.GatewayTuning,
         listener: socket.socket,
         metrics_port: int,
         stream: log_output.BoundedStream,
@@ -66,13 +68,13 @@
         self._known = knowledge.Knowledge()
         self._evidence = evidence.Evidence()
         self._pool = pool.ConnectionPool()
-        self._checker = health.HealthChecker(self._pool)
+        self._checker = health.HealthChecker(self._pool, tuned.choosing)
         self._fleet = roster.FleetRoster(
             options.name, options.ip, options.data_centre, clock.now()
         )
         self._store = store.StoreClient(options.store_address)
         self._reader = store_reader.StoreReader(
-            self._store, self._known, self._should_read
+            self._store, self._known, self._should_read, tuned.reading
         )
         self._crashes = crashes.CrashWatch(self._checker, self._spread_crash)
         self._gossip = gossip.Gossip(
@@ -88,8 +90,11 @@
             self._evidence,
             self._checker,
             self._fleet.daemons,
+            tuned.choosing,
+        )
+        self._budget = repeats.RepeatBudget(
+            repeats.terms_of(options, tuned.repeating)
         )
-        self._budget = repeats.RepeatBudget(repeats.terms_of(options))
         self._dispatcher = dispatcher.Dispatcher(
             self._known,
             self._picker,
@@ -98,12 +103,13 @@
             ),
             self._budget,
             self._fleet.size,
+            tuned.repeating,
         )
         self._side = side.SideListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
         )
         self._reloader = reloading.Reloader(
-            self._live, self._store, self._budget
+            self._live, self._store, self._budget, tuned.repeating
         )
         self._metrics.attach(self._sources(stream))
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/health.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/health.py
@@ -3,17 +3,21 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import readings
+from hyssopwind.core.settings import tuning
 from hyssopwind.platform import reports
 from hyssopwind.transport import connection
 from hyssopwind.transport import pool
 
-CHECK_TIMEOUT = 0.15  # seconds; a check is answered without a slot
-
 
 class HealthChecker:
     """Asks servers for their health and load."""
 
-    def __init__(self, connections: pool.ConnectionPool):
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        terms: tuning.ChoosingSettings,
+    ):
+        self._terms = terms
         self._pool = connections
         self._checks = 0
 
@@ -32,7 +36,10 @@
         self._checks += 1
         try:
             answer = await self._pool.get(
-                entry.address, path, CHECK_TIMEOUT, reports.is_report
+                entry.address,
+                path,
+                self._terms.check_timeout,
+                reports.is_report,
             )
         except connection.ExchangeError:
             return None
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -14,12 +14,11 @@
 from hyssopwind.core.dispatch import readings
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.routing import tables
+from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import health
 from hyssopwind.transport import clock
 
 DEFAULT_HEALTH_PATH = "/health"  # where the configuration names none
-NEAR_SAMPLE = 6  # servers of the own data centre asked for one request
-FAR_SAMPLE = 2  # servers elsewhere asked when no near one is good
 STRAGGLER_WAIT = 0.006  # seconds for the other answers after the first one
 UNTOLD_LIFE = 20.0  # seconds until a service is asked for its load again
 REPORT_LIFE = 0.002  # seconds; an answer serves requests that come together
@@ -60,12 +59,14 @@
         seen: evidence.Evidence,
         checker: health.HealthChecker,
         daemons: Callable[[ids.DataCentreId], Sequence[ids.DaemonId]],
+        terms: tuning.ChoosingSettings,
     ):
         self._options = options
         self._catalogue = known
         self._evidence = seen
         self._checker = checker
         self._daemons = daemons
+        self._terms = terms
         self._permits = coldness.ColdPermits(options.name)
         self._random = random.Random()
         self._untold_until: dict[ids.ServiceId, float] = {}
@@ -90,7 +91,9 @@
             candidates = await self._ask(order.service, asked)
             now = clock.now()
             timing = self._timing(order, now)
-            decision = choice.decide(candidates, timing, widened=widened)
+            decision = choice.decide(
+                candidates, timing, self._terms, widened=widened
+            )
             if isinstance(decision, choice.Widen):
                 widened = True
                 continue
@@ -111,7 +114,9 @@
             candidates = await self._ask(order.service, asked)
             now = clock.now()
             timing = self._timing(order, now)
-            decision = choice.decide(candidates, timing, widened=False)
+            decision = choice.decide(
+                candidates, timing, self._terms, widened=False
+            )
             if not isinstance(decision, choice.Send):
                 continue
             if self._claim(decision.server, now):
@@ -206,9 +211,9 @@
                 near.append(server)
             else:
                 far.append(server)
-        chosen = _draw(self._random, near, NEAR_SAMPLE)
+        chosen = _draw(self._random, near, self._terms.near_sample)
         if widened or not chosen:
-            chosen += _draw(self._random, far, FAR_SAMPLE)
+            chosen += _draw(self._random, far, self._terms.far_sample)
         return chosen
 
     async def _ask(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/reloading.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reloading.py
@@ -6,6 +6,7 @@
 
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.dispatch import settings
+from hyssopwind.core.settings import tuning
 from hyssopwind.platform import boot
 from hyssopwind.platform import store
 
@@ -34,10 +35,12 @@
         live: settings.LiveSettings,
         client: store.StoreClient,
         budget: repeats.RepeatBudget,
+        terms: tuning.RepeatingSettings,
     ):
         self._live = live
         self._client = client
         self._budget = budget
+        self._terms = terms
         self._refused = ""
 
     async def run(self) -> None:
@@ -62,7 +65,7 @@
             return
         _log.info("settings reloaded", extra={"changed": changed})
         self._client.move_to(new.store_address)
-        self._budget.change_terms(repeats.terms_of(new))
+        self._budget.change_terms(repeats.terms_of(new, self._terms))
         fixed = sorted(_FIXED.intersection(changed))
         if fixed:
             _log.warn("settings need a new process", extra={"keys": fixed})
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -7,13 +7,12 @@
 import logbook
 
 from hyssopwind.core.discovery import items
+from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.platform import items as platform_items
 from hyssopwind.platform import store
 from hyssopwind.transport import clock
 
-WATCH_WAIT = 1.0  # seconds; a silent watch must be noticed within 2 s
-MERGE_DELAY = 0.25  # seconds in which changes gather for one call
 FIRST_BACKOFF = 0.1  # seconds
 LONGEST_BACKOFF = 0.8  # seconds; the store must be met soon on its return
 IDLE_POLL = 0.05  # seconds between two questions whether to read
@@ -29,10 +28,12 @@
         client: store.StoreClient,
         known: knowledge.Knowledge,
         should_read: Callable[[], bool],
+        terms: tuning.ReadingSettings,
     ):
         self._client = client
         self._known = known
         self._should_read = should_read
+        self._terms = terms
         self._listed = False
         self._failing = False
         self._random = random.Random()
@@ -74,12 +75,14 @@
             self._listed = True
             return
         sent = clock.now()
-        delta = await self._client.wait_for_changes("", revision, WATCH_WAIT)
+        delta = await self._client.wait_for_changes(
+            "", revision, self._terms.watch_wait
+        )
         # An empty answer says that nothing had changed when the wait ended.
         as_of = sent if delta.items else max(sent, clock.now() - 0.1)
         self._known.take(delta, as_of, "store")
         if delta.items:
-            await asyncio.sleep(MERGE_DELAY)
+            await asyncio.sleep(self._terms.merge_delay)
 
     async def _list(self) -> None:
         sent = clock.now()
--- a/packages/daemon/src/hyssopwind/daemon/log_output.py
+++ b/packages/daemon/src/hyssopwind/daemon/log_output.py
@@ -11,9 +11,8 @@
 
 from hyssopwind.core import buckets
 from hyssopwind.core.settings import documents
+from hyssopwind.core.settings import tuning
 
-LINES_PER_SECOND = 400.0  # lines; about 120 KB/s
-LINES_AT_ONCE = 1_200.0  # lines; three seconds of the rate
 MAX_PENDING_BYTES = 262_144  # bytes that a full pipe may hold back
 
 _ENCODER = msgspec.json.Encoder()
@@ -26,11 +25,11 @@
     and counted; the next line that is written says how many.
     """
 
-    def __init__(self, descriptor: int):
+    def __init__(self, descriptor: int, volume: tuning.LogVolumeSettings):
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._bucket = buckets.TokenBucket(
-            LINES_PER_SECOND, LINES_AT_ONCE, time.monotonic()
+            volume.lines, volume.burst, time.monotonic()
         )
         self._pending = bytearray()
         self._dropped = 0
--- a/packages/operator/src/hyssopwind/operator/checking.py
+++ b/packages/operator/src/hyssopwind/operator/checking.py
@@ -7,6 +7,7 @@
 from hyssopwind.core.settings import documents
 from hyssopwind.core.settings import reading
 
+TUNING_KEYS = frozenset({"choosing", "repeating", "reading"})
 DAEMON_KEYS = frozenset({"callers", "peers", "platform", "cluster"})
 
 
@@ -14,12 +15,15 @@
     """Returns the findings of a settings file.
 
     A file with top-level keys that only a daemon has is read as the settings
-    of a daemon, any other as the subtree of a team.
+    of a daemon, one with keys of the tuning on the platform as such, and any
+    other as the subtree of a team.
     """
     text = read_text(path)
     if isinstance(text, findings.Finding):
         return [text]
-    if _is_daemon(text):
+    if _has_any(text, TUNING_KEYS):
+        return list(reading.read_tuning(text, str(path)).findings)
+    if _has_any(text, DAEMON_KEYS):
         return list(reading.read_daemon(text, str(path)).findings)
     return list(reading.read_team(text, str(path)).findings)
 
@@ -45,8 +49,8 @@
         return findings.Finding(str(path), 0, "", "expected UTF-8 text")
 
 
-def _is_daemon(text: str) -> bool:
+def _has_any(text: str, keys: frozenset[str]) -> bool:
     try:
-        return not DAEMON_KEYS.isdisjoint(tomllib.loads(text))
+        return not keys.isdisjoint(tomllib.loads(text))
     except tomllib.TOMLDecodeError:
         return False
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -6,6 +6,7 @@
 import socket
 import unittest
 
+from hyssopwind.core.settings import tuning
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import gateway
 from hyssopwind.daemon.gateway import listening
@@ -74,11 +75,12 @@
             store=self.store.address, ports=self.ports[:4]
         )
         self.options = boot.decode(text, "test")
+        tuned = tuning.GatewayTuning()
         self.pipe, write_end = os.pipe()
-        stream = log_output.BoundedStream(write_end)
+        stream = log_output.BoundedStream(write_end, tuned.logs)
         self.listener = listening.listen(self.options.callers_address)
         self.daemon = gateway.Gateway(
-            self.options, self.listener, self.ports[4], stream
+            self.options, tuned, self.listener, self.ports[4], stream
         )
         self.running = asyncio.create_task(self.daemon.run())
 
