--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_log_output.py
@@ -0,0 +1,49 @@
+import json
+import os
+import unittest
+
+from hyssopwind.core.settings import tuning
+from hyssopwind.daemon import log_output
+
+
+class BoundedStreamTest(unittest.TestCase):
+    """A flood of decisions, and a reader that does not read."""
+
+    def setUp(self):
+        self.read_end, self.write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+
+    def make_stream(self, burst):
+        volume = tuning.LogVolumeSettings(burst=burst)
+        return log_output.BoundedStream(self.write_end, volume)
+
+    def test_lines_beyond_the_rate_are_dropped_and_counted(self):
+        stream = self.make_stream(burst=10)
+        for number in range(1_000):
+            stream.write(f"{number}\n")
+        stream.flush()
+        lines = os.read(self.read_end, 65_536).decode().split()
+        self.assertLess(len(lines), 30)
+        self.assertGreater(stream.dropped, 900)
+
+    def test_next_line_says_how_many_were_dropped(self):
+        stream = self.make_stream(burst=1)
+        for _ in range(50):
+            stream.write("x\n")
+        dropped = stream.dropped
+        stream._bucket.deposit(1.0, 0.0)
+        stream.write("y\n")
+        stream.flush()
+        report = os.read(self.read_end, 65_536).decode().splitlines()[-2]
+        self.assertEqual(json.loads(report)["count"], dropped)
+
+    def test_full_pipe_never_blocks_and_stays_bounded(self):
+        stream = self.make_stream(burst=1_000_000)
+        for _ in range(20_000):
+            stream.write("x" * 100 + "\n")
+            stream.flush()
+        self.assertLess(
+            len(stream._pending), log_output.MAX_PENDING_BYTES + 200
+        )
+        self.assertGreater(stream.dropped, 0)
--- a/packages/operator/src/hyssopwind/operator/main.py
+++ b/packages/operator/src/hyssopwind/operator/main.py
@@ -15,6 +15,7 @@
 from hyssopwind.operator import asking
 from hyssopwind.operator import checking
 from hyssopwind.operator import rendering
+from hyssopwind.operator import stories
 
 EXIT_OK = 0
 EXIT_FINDINGS = 1
@@ -147,10 +148,45 @@
         return self.show_replies(replies)
 
 
+class StoryCommand(_Command):
+    """Tells what happened to one request."""
+
+    name = "story"
+    description = "Tells what happened to a request, from log files."
+    arguments = [
+        helpers.argument("request", "Id of the request."),
+        helpers.argument("file", "Log file of a daemon.", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Reads the logs and writes the story."""
+        texts: list[str] = []
+        for name in self.argument("file"):
+            text = checking.read_text(pathlib.Path(name))
+            if isinstance(text, findings.Finding):
+                self.line_error(str(text))
+                return EXIT_USAGE
+            texts.extend(text.splitlines())
+        request = self.argument("request")
+        story = stories.tell(stories.read_lines(texts), request)
+        if not story:
+            self.line_error(f'no line names the request "{request}"')
+            return EXIT_FINDINGS
+        for step in story:
+            self.line(step)
+        return EXIT_OK
+
+
 def make_application() -> application.Application:
     """Returns the command line."""
     app = application.Application("hyssopwind", "0.1.0")
-    for kind in (CheckCommand, DiffCommand, StatusCommand, ExplainCommand):
+    for kind in (
+        CheckCommand,
+        DiffCommand,
+        StatusCommand,
+        ExplainCommand,
+        StoryCommand,
+    ):
         app.add(kind())
     app.auto_exits(False)
     return app
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
@@ -0,0 +1,146 @@
+"""The deploy file's build and the daemon that it starts, as a process."""
+
+import asyncio
+import os
+import pathlib
+import shlex
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import tomllib
+import unittest
+
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import server
+from hyssopwind.standins.site import store
+
+ROOT = pathlib.Path(__file__).resolve().parents[6]
+BUILD_TIMEOUT = 600.0  # seconds; the platform allows fifteen minutes
+BUILD_INPUTS = ("deploy", "packages", "platform")
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class DeploymentTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = pathlib.Path(folder.name)
+        for name in BUILD_INPUTS:
+            shutil.copytree(
+                ROOT / name,
+                self.root / name,
+                ignore=shutil.ignore_patterns("*.egg-info", "__pycache__"),
+            )
+        text = (self.root / "deploy/system.toml").read_text()
+        self.deploy = tomllib.loads(text)
+        self.store = store.StandInStore()
+        await self.store.start()
+        self.server = server.StandInServer(server.ServerOptions("i-1"))
+        await self.server.start()
+        route = documents.route_resource("safe", "/safe/")
+        await self.store.put("op/config", documents.configuration(1, [route]))
+        entry = documents.server_entry(self.server.address)
+        await self.store.put("servers/i-1", entry)
+
+    async def asyncTearDown(self):
+        await self.server.close()
+        await self.store.stop()
+
+    async def build(self):
+        before = self.sources()
+        process = await asyncio.create_subprocess_shell(
+            self.deploy["build"],
+            cwd=self.root,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        status = await asyncio.wait_for(process.wait(), BUILD_TIMEOUT)
+        self.assertEqual(status, 0)
+        self.assertEqual(self.sources(), before)
+
+    def sources(self):
+        return {
+            path
+            for name in BUILD_INPUTS
+            for path in (self.root / name).rglob("*")
+        }
+
+    async def start(self, settings):
+        path = self.root / "local.toml"
+        path.write_text(settings)
+        role = self.deploy["roles"]["gateway"]
+        words = shlex.split(role["run"])
+        self.assertEqual(words[0], "python3")
+        environment = {
+            **role["env"],
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(self.root / "target/deps"),
+            "HYSSOPWIND_BOOT": str(path),
+            "HYSSOPWIND_METRICS_PORT": str(free_ports(1)[0]),
+        }
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            *words[1:],
+            cwd=self.root,
+            env=environment,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def ask(self, port, target):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            f"GET {target} HTTP/1.1\r\nHost: {documents.HOST}\r\n"
+            "Request-Id: r1\r\nConnection: close\r\n\r\n".encode()
+        )
+        data = await reader.read()
+        writer.close()
+        return int(data.split()[1])
+
+    async def ask_until(self, port, target, wanted):
+        async with asyncio.timeout(20.0):
+            while True:
+                try:
+                    if await self.ask(port, target) == wanted:
+                        return
+                except (OSError, IndexError):
+                    pass  # It has not started to listen yet.
+                await asyncio.sleep(0.05)
+
+    async def test_build_start_serve_and_stop(self):
+        await self.build()
+        ports = free_ports(4)
+        settings = documents.settings_text(
+            store=self.store.address, ports=ports
+        )
+        process = await self.start(settings)
+        try:
+            await self.ask_until(ports[1], "/ready", 200)
+            self.assertEqual(await self.ask(ports[0], "/safe/a"), 200)
+            process.send_signal(signal.SIGTERM)
+            await self.ask_until(ports[1], "/ready", 503)
+            output, errors = await asyncio.wait_for(process.communicate(), 10.0)
+        finally:
+            if process.returncode is None:
+                process.kill()
+        self.assertEqual(process.returncode, 0)
+        self.assertEqual(errors, b"")
+        self.assertIn(b'"message":"answered"', output)
+        self.assertIn(b'"message":"stopped"', output)
+
+        process = await self.start(settings.replace("[listen]", "[lost]"))
+        _, errors = await asyncio.wait_for(process.communicate(), 10.0)
+        self.assertEqual(process.returncode, 1)
+        self.assertEqual(errors.count(b"\n"), 1)
+        self.assertIn(b'key "listen": is missing', errors)
