--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -34,7 +34,7 @@
         self._known = known
         self._should_read = should_read
         self._terms = terms
-        self._listed = False
+        self._must_list = False
         self._failing = False
         self._random = random.Random()
 
@@ -55,7 +55,7 @@
                 await self._read_once()
             except store.HistoryLostError as error:
                 _log.warn("history lost", extra={"error": str(error)})
-                self._listed = False
+                self._must_list = True
                 continue
             except store.StoreError as error:
                 self._note_failure(error)
@@ -70,9 +70,9 @@
 
     async def _read_once(self) -> None:
         revision = self._known.copy.revision
-        if not revision or not self._listed:
+        if not revision or self._must_list:
             await self._list()
-            self._listed = True
+            self._must_list = False
             return
         sent = clock.now()
         delta = await self._client.wait_for_changes(
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
@@ -0,0 +1,272 @@
+"""Random runs of daemons that share what they read, with the bounds kept."""
+
+import asyncio
+import functools
+import unittest
+from unittest import mock
+
+from hyssopwind.core import ids
+from hyssopwind.standins.virtual import loop
+from hyssopwind.standins.virtual import site_fleet
+from hyssopwind.transport import clock
+
+BOUND = 2.0  # seconds in which a confirmed change is to be in force
+CONTACT = 3.0  # seconds of undisturbed running after which the bound holds
+
+
+def virtual_run(main):
+    """Runs a coroutine function in virtual time, from a time after zero."""
+
+    async def timed():
+        running = asyncio.get_running_loop()
+        with mock.patch.object(clock, "now", lambda: 100.0 + running.time()):
+            return await main()
+
+    return loop.run_virtual(timed())
+
+
+class FleetCase(unittest.TestCase):
+    def start(self, seed=1, **plan):
+        fleet = site_fleet.VirtualFleet(site_fleet.FleetPlan(seed=seed, **plan))
+        fleet.start_all()
+        return fleet
+
+    async def change_for(self, fleet, seconds, step=0.37):
+        """Makes changes and checks the bound until some time has passed."""
+        end = clock.now() + seconds
+        number = 0
+        while clock.now() < end:
+            number += 1
+            fleet.store.write(f"op/evacuate/z{number % 7}", b"{}")
+            await self.watch(fleet, step)
+
+    async def watch(self, fleet, seconds):
+        end = clock.now() + seconds
+        while clock.now() < end:
+            await asyncio.sleep(0.05)
+            self.check(fleet)
+
+    def check(self, fleet):
+        """Every daemon in touch holds what was confirmed a bound ago."""
+        now = clock.now()
+        due = [r for t, r in fleet.store.confirmed if t <= now - BOUND]
+        if not due:
+            return
+        for ip, daemon in fleet.daemons.items():
+            if now - daemon.disturbed_at < CONTACT:
+                continue
+            held = daemon.known.copy.revision
+            self.assertGreaterEqual(held, due[-1], f"{ip} at {now:.2f}")
+
+
+class CalmTest(FleetCase):
+    def test_one_daemon_of_each_data_centre_reads(self):
+        async def main():
+            fleet = self.start()
+            await asyncio.sleep(5.0)
+            before = fleet.store.calls
+            await self.watch(fleet, 10.0)
+            return len(list(fleet.readers())), fleet.store.calls - before
+
+        readers, calls = virtual_run(main)
+        self.assertEqual(readers, 3)
+        # One call a second for each reader, waiting for changes.
+        self.assertLessEqual(calls, 3 * 10 + 3)
+
+    def test_a_hundred_daemons_make_as_many_calls(self):
+        async def main():
+            fleet = self.start(centres=4, daemons=25)
+            await asyncio.sleep(5.0)
+            before = fleet.store.calls
+            await self.watch(fleet, 5.0)
+            return fleet.store.calls - before
+
+        self.assertLessEqual(virtual_run(main), 4 * 5 + 4)
+
+    def test_all_daemons_know_all_others(self):
+        async def main():
+            fleet = self.start()
+            await asyncio.sleep(8.0)
+            return {d.roster.size() for d in fleet.daemons.values()}
+
+        self.assertEqual(virtual_run(main), {15})
+
+    def test_notice_of_a_crash_reaches_every_daemon_once(self):
+        async def main():
+            fleet = self.start()
+            await asyncio.sleep(8.0)
+            sender = fleet.daemons["10.0.0.2"]
+            sender.exchange.spread_crash(ids.Fingerprint("f"), 1)
+            await asyncio.sleep(2.0)
+            return [
+                len(d.notices)
+                for d in fleet.daemons.values()
+                if d is not sender
+            ]
+
+        self.assertEqual(virtual_run(main), [1] * 14)
+
+
+class DisturbedTest(FleetCase):
+    """Troubles one by one; changes go on all the while."""
+
+    def run_with(self, disturb, seconds=12.0, seed=1):
+        async def main():
+            fleet = self.start(seed)
+            await asyncio.sleep(5.0)
+            disturb(fleet)
+            await self.change_for(fleet, seconds)
+
+        virtual_run(main)
+
+    def leaders(self, fleet):
+        now = clock.now()
+        return [
+            ip
+            for ip, daemon in fleet.daemons.items()
+            if daemon.roster.is_leader(now)
+        ]
+
+    def test_killed_leaders(self):
+        def disturb(fleet):
+            for ip in self.leaders(fleet):
+                fleet.kill(ip)
+
+        self.run_with(disturb)
+
+    def test_store_turns_a_third_of_the_daemons_away(self):
+        def disturb(fleet):
+            chosen = fleet.random.sample(sorted(fleet.daemons), 5)
+            for ip in {*chosen, *self.leaders(fleet)}:
+                fleet.daemons[ip].store_refuses = True
+
+        self.run_with(disturb)
+
+    def test_leaders_lose_the_store_silently(self):
+        def disturb(fleet):
+            for ip in self.leaders(fleet):
+                fleet.daemons[ip].store_silent = True
+                fleet.daemons[ip].silences += 1
+
+        self.run_with(disturb)
+
+    def test_data_centre_without_the_store_hears_it_from_others(self):
+        def disturb(fleet):
+            for ip, daemon in fleet.daemons.items():
+                if ip.startswith("10.1."):
+                    daemon.store_refuses = True
+
+        self.run_with(disturb)
+
+    def test_data_centre_cut_off_from_the_others(self):
+        def disturb(fleet):
+            for one in fleet.daemons:
+                for other in fleet.daemons:
+                    if one.startswith("10.1.") != other.startswith("10.1."):
+                        fleet.cut.add(frozenset((one, other)))
+
+        self.run_with(disturb)
+
+    def test_history_is_dropped_while_a_watch_waits(self):
+        def disturb(fleet):
+            for number in range(20):
+                fleet.store.write(f"op/evacuate/y{number}", b"{}")
+            fleet.store.drop_history()
+
+        self.run_with(disturb)
+
+    def test_seeds_are_lost_while_a_daemon_starts_again(self):
+        def disturb(fleet):
+            for number in range(3):
+                fleet.kill(f"10.{number}.0.1")
+            fleet.kill("10.0.0.4")
+            fleet.start("10.0.0.4")
+
+        self.run_with(disturb)
+
+
+class RandomTest(FleetCase):
+    """Overlapping troubles, drawn anew every second."""
+
+    async def play(self, seed):
+        fleet = self.start(seed)
+        await asyncio.sleep(5.0)
+        healing = []
+        for _ in range(25):
+            healing.append(self.disturb(fleet))
+            if len(healing) > 3:
+                healing.pop(0)()
+            await self.change_for(fleet, 1.0)
+        for heal in healing:
+            heal()
+        await self.change_for(fleet, CONTACT + BOUND)
+
+    def disturb(self, fleet):
+        kind = fleet.random.choice(
+            [self.kill, self.refuse, self.silence, self.cut, self.drop]
+        )
+        return kind(fleet)
+
+    def pick(self, fleet, share=0.3):
+        known = sorted(fleet.daemons)
+        count = max(1, int(len(known) * share))
+        return fleet.random.sample(known, count)
+
+    def kill(self, fleet):
+        chosen = self.pick(fleet)
+        for ip in chosen:
+            fleet.kill(ip)
+
+        def heal():
+            for ip in chosen:
+                if ip not in fleet.daemons:
+                    fleet.start(ip)
+
+        return heal
+
+    def refuse(self, fleet):
+        return self.set_flag(fleet, "store_refuses")
+
+    def silence(self, fleet):
+        return self.set_flag(fleet, "store_silent")
+
+    def set_flag(self, fleet, name):
+        chosen = [fleet.daemons[ip] for ip in self.pick(fleet)]
+        for daemon in chosen:
+            setattr(daemon, name, True)
+            daemon.silences += 1
+            daemon.disturbed_at = float("inf")
+
+        def heal():
+            for daemon in chosen:
+                setattr(daemon, name, False)
+                others = daemon.store_refuses or daemon.store_silent
+                if not others:
+                    daemon.disturbed_at = clock.now()
+
+        return heal
+
+    def cut(self, fleet):
+        """Parts the fleet; the store stays within reach of all."""
+        part = set(self.pick(fleet, 0.4))
+        pairs = {
+            frozenset((one, other))
+            for one in part
+            for other in fleet.daemons
+            if other not in part
+        }
+        fleet.cut |= pairs
+
+        def heal():
+            fleet.cut -= pairs
+
+        return heal
+
+    def drop(self, fleet):
+        fleet.store.drop_history()
+        return lambda: None
+
+    def test_bound_holds_for_daemons_in_touch(self):
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                virtual_run(functools.partial(self.play, seed))
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -0,0 +1,283 @@
+"""Daemons on the platform that share what they read, in virtual time.
+
+The real exchange between daemons and the real reader of the store run on one
+virtual clock. Datagrams and pulls are delivered here, and the store is a
+small copy of the platform's, so that cuts, refusals and losses are exact.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from hyssopwind.core import ids
+from hyssopwind.core.discovery import items
+from hyssopwind.core.dispatch import settings
+from hyssopwind.core.fleet import messages
+from hyssopwind.core.fleet import reading
+from hyssopwind.core.fleet import roster
+from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import gossip
+from hyssopwind.daemon.gateway import knowledge
+from hyssopwind.daemon.gateway import store_reader
+from hyssopwind.platform import boot
+from hyssopwind.platform import store
+from hyssopwind.standins.site import documents
+from hyssopwind.transport import clock
+
+NEAR_DELAY = 0.0002  # seconds, one way
+FAR_DELAY = 0.0015  # seconds, one way
+STORE_DELAY = 0.004  # seconds for an answer
+LOSS = 0.01  # share of the datagrams
+
+
+class VirtualStore:
+    """Holds items; each daemon reads it through a `VirtualStoreClient`."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.calls = 0
+        self.history: list[items.Item] = []
+        self.first = 0
+        self.confirmed: list[tuple[float, int]] = []
+        self._changed = asyncio.Event()
+
+    def write(self, key: str, value: bytes | None) -> None:
+        """Writes or removes an item, confirmed at this moment."""
+        self.revision += 1
+        self.history.append(items.Item(key, value, self.revision))
+        self.confirmed.append((clock.now(), self.revision))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def drop_history(self) -> None:
+        """Forgets the changes so far."""
+        self.first = self.revision
+
+    def listing(self, prefix: str) -> items.Delta:
+        """Returns the items that exist below a prefix."""
+        alive: dict[str, items.Item] = {}
+        for item in self.history:
+            if item.value is None:
+                alive.pop(item.key, None)
+            elif item.key.startswith(prefix):
+                alive[item.key] = item
+        return items.Delta(tuple(alive.values()), self.revision, True)
+
+    async def wait(self, revision: int, seconds: float) -> items.Delta:
+        """Returns the changes after a revision once there are any."""
+        if self.revision == revision:
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), seconds)
+            except TimeoutError:
+                return items.Delta((), self.revision, False)
+        found = tuple(i for i in self.history if i.revision > revision)
+        return items.Delta(found, self.revision, False)
+
+
+class VirtualStoreClient(store.StoreClient):
+    """The path of one daemon to the store."""
+
+    def __init__(self, daemon: "VirtualDaemon", shared: VirtualStore):
+        super().__init__("")
+        self._daemon = daemon
+        self._store = shared
+
+    async def list_items(self, prefix: str) -> items.Delta:
+        """Returns the items below a prefix, unless the store is away."""
+        self._store.calls += 1
+        await self._pass(1.0)
+        return self._store.listing(prefix)
+
+    async def wait_for_changes(
+        self, prefix: str, revision: int, wait: float
+    ) -> items.Delta:
+        """Waits for changes, unless the store is away."""
+        self._store.calls += 1
+        await self._pass(wait + store.WATCH_MARGIN)
+        if revision < self._store.first:
+            raise store.HistoryLostError("history is lost")
+        silences = self._daemon.silences
+        delta = await self._store.wait(revision, wait)
+        if self._daemon.silences != silences:
+            await asyncio.sleep(store.WATCH_MARGIN)
+            raise store.StoreError("silent")
+        await self._pass(wait)
+        return delta
+
+    async def _pass(self, patience: float) -> None:
+        await asyncio.sleep(STORE_DELAY)
+        if self._daemon.store_refuses:
+            raise store.StoreError("status 503")
+        if self._daemon.store_silent:
+            await asyncio.sleep(patience)
+            raise store.StoreError("silent")
+
+
+class _VirtualGossip(gossip.Gossip):
+    """The real exchange, delivered by the fleet."""
+
+    def __init__(self, fleet: "VirtualFleet", daemon: "VirtualDaemon"):
+        super().__init__(
+            settings.LiveSettings(daemon.options),
+            daemon.roster,
+            daemon.known,
+            lambda: not daemon.reader.is_failing,
+            daemon.take_notice,
+        )
+        self._virtual = fleet
+        self._daemon = daemon
+
+    def _send(self, data: bytes, ip: str) -> None:
+        self._virtual.deliver(self._daemon, ip, data)
+
+    async def _pull(self, ip: str) -> None:
+        source = self._virtual.reachable(self._daemon, ip)
+        asked = clock.now()
+        await asyncio.sleep(2 * FAR_DELAY)
+        if source is None:
+            return
+        data = source.exchange.changes_after(self._known.copy.revision)
+        changes = messages.decode_changes(data)
+        taken = tuple(items.Item(*fields) for fields in changes.items)
+        delta = items.Delta(taken, changes.revision, changes.complete)
+        as_of = asked - changes.age_ms / 1000
+        self._known.take(delta, as_of, f"peer {ip}")
+
+
+class VirtualDaemon:
+    """One daemon: its copy, its reader and its exchange."""
+
+    def __init__(
+        self, fleet: "VirtualFleet", options: settings.GatewaySettings
+    ):
+        self.options = options
+        self.store_refuses = False
+        self.store_silent = False
+        self.silences = 0
+        self.disturbed_at = clock.now()
+        self.known = knowledge.Knowledge()
+        self.notices: list[tuple[str, int]] = []
+        self.roster = roster.FleetRoster(
+            options.name, options.ip, options.data_centre, clock.now()
+        )
+        client = VirtualStoreClient(self, fleet.store)
+        self.reader = store_reader.StoreReader(
+            client, self.known, self._should_read, tuning.ReadingSettings()
+        )
+        self.exchange = _VirtualGossip(fleet, self)
+        self.known.revisions.subscribe(lambda _: self.exchange.spread_change())
+        self._tasks = [
+            asyncio.ensure_future(self.exchange.run()),
+            asyncio.ensure_future(self.reader.run()),
+        ]
+
+    def take_notice(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
+        """Remembers a notice of crashes."""
+        self.notices.append((fingerprint, crashes))
+
+    def kill(self) -> None:
+        """Ends all that the daemon does."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _should_read(self) -> bool:
+        state = reading.ReadingState(
+            self.options.name,
+            self.options.data_centre,
+            self.known.age(),
+            self.options.first_start,
+        )
+        return reading.should_read(state, self.roster, clock.now())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """Size and luck of a fleet.
+
+    Attributes:
+        centres: number of data centres.
+        daemons: daemons in each.
+        seed: seed of losses and faults.
+    """
+
+    centres: int = 3
+    daemons: int = 5
+    seed: int = 1
+
+
+class VirtualFleet:
+    """All daemons, the links between them, and the store."""
+
+    def __init__(self, plan: FleetPlan):
+        self.store = VirtualStore()
+        self.random = random.Random(plan.seed)
+        self.daemons: dict[str, VirtualDaemon] = {}
+        self.cut: set[frozenset[str]] = set()
+        self._plan = plan
+        self._options: dict[str, settings.GatewaySettings] = {}
+        seeds = [_ip(c, 1) for c in range(min(3, plan.centres))]
+        for centre in range(plan.centres):
+            for number in range(1, plan.daemons + 1):
+                options = _options(centre, number, seeds)
+                self._options[options.ip] = options
+
+    def start_all(self) -> None:
+        """Starts all daemons."""
+        for ip in self._options:
+            self.start(ip)
+
+    def start(self, ip: str) -> None:
+        """Starts a daemon, or starts it again without memory."""
+        self.daemons[ip] = VirtualDaemon(self, self._options[ip])
+
+    def kill(self, ip: str) -> None:
+        """Ends a daemon without a word."""
+        self.daemons.pop(ip).kill()
+
+    def reachable(self, sender: VirtualDaemon, ip: str) -> VirtualDaemon | None:
+        """Returns a daemon, unless it is gone or cut off from the sender."""
+        if frozenset((sender.options.ip, ip)) in self.cut:
+            return None
+        return self.daemons.get(ip)
+
+    def deliver(self, sender: VirtualDaemon, ip: str, data: bytes) -> None:
+        """Delivers a datagram after the delay of its link, or loses it."""
+        if self.reachable(sender, ip) is None or self.random.random() < LOSS:
+            return
+        is_near = ip.split(".")[1] == sender.options.ip.split(".")[1]
+        delay = NEAR_DELAY if is_near else FAR_DELAY
+
+        def arrive() -> None:
+            target = self.reachable(sender, ip)
+            if target is not None:
+                target.exchange.datagram_received(data, (ip, 0))
+
+        asyncio.get_running_loop().call_later(delay, arrive)
+
+    def readers(self) -> Iterator[str]:
+        """Yields the daemons that read the store now."""
+        for ip, daemon in self.daemons.items():
+            if daemon._should_read():
+                yield ip
+
+
+def _ip(centre: int, number: int) -> str:
+    return f"10.{centre}.0.{number}"
+
+
+def _options(
+    centre: int, number: int, seeds: list[str]
+) -> settings.GatewaySettings:
+    text = documents.settings_text(
+        store="10.9.9.9:1", ports=[1, 2, 3, 4], name=f"d-{centre}-{number}"
+    )
+    base = boot.decode(text, "virtual")
+    return dataclasses.replace(
+        base,
+        ip=_ip(centre, number),
+        data_centre=ids.DataCentreId(f"dc-{centre}"),
+        seeds=tuple(f"{ip}:3" for ip in seeds),
+        first_start=True,
+    )
