--- a/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
@@ -6,13 +6,13 @@
 import shlex
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import tomllib
 import unittest
 
 from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import ports
 from hyssopwind.standins.site import server
 from hyssopwind.standins.site import store
 
@@ -21,16 +21,6 @@
 BUILD_INPUTS = ("deploy", "packages", "platform")
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class DeploymentTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -87,7 +77,7 @@
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(self.root / "target/deps"),
             "HYSSOPWIND_BOOT": str(path),
-            "HYSSOPWIND_METRICS_PORT": str(free_ports(1)[0]),
+            "HYSSOPWIND_METRICS_PORT": str(ports.free_ports(1)[0]),
         }
         return await asyncio.create_subprocess_exec(
             sys.executable,
@@ -120,16 +110,16 @@
 
     async def test_build_start_serve_and_stop(self):
         await self.build()
-        ports = free_ports(4)
+        listen = ports.free_ports(4)
         settings = documents.settings_text(
-            store=self.store.address, ports=ports
+            store=self.store.address, ports=listen
         )
         process = await self.start(settings)
         try:
-            await self.ask_until(ports[1], "/ready", 200)
-            self.assertEqual(await self.ask(ports[0], "/safe/a"), 200)
+            await self.ask_until(listen[1], "/ready", 200)
+            self.assertEqual(await self.ask(listen[0], "/safe/a"), 200)
             process.send_signal(signal.SIGTERM)
-            await self.ask_until(ports[1], "/ready", 503)
+            await self.ask_until(listen[1], "/ready", 503)
             output, errors = await asyncio.wait_for(process.communicate(), 10.0)
         finally:
             if process.returncode is None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -4,7 +4,6 @@
 import itertools
 import json
 import os
-import socket
 import unittest
 
 from hyssopwind.core.settings import tuning
@@ -13,20 +12,11 @@
 from hyssopwind.daemon.gateway import listening
 from hyssopwind.platform import boot
 from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import ports
 from hyssopwind.standins.site import server
 from hyssopwind.standins.site import store
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store, two servers and a daemon."""
 
@@ -71,7 +61,7 @@
         await self.store.put("op/config", document)
 
     async def start_daemon(self):
-        self.ports = free_ports(5)
+        self.ports = ports.free_ports(5)
         text = documents.settings_text(
             store=self.store.address, ports=self.ports[:4]
         )
