--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -16,8 +16,11 @@
 from hyssopwind.core.routing import matching
 from hyssopwind.core.routing import tables
 
-LAPSE_GRACE = 2.0  # seconds; servers report again within this time
-OUTAGE_AGE = 1.0  # seconds; entries lapse after three missed reports
+# Seconds; servers report again within about two of the platform's return.
+LAPSE_GRACE = 2.4
+# Age of the copy in seconds from which the platform counts as having been
+# away. A calm copy is up to 1.9 s old; entries lapse after 4.5 s of silence.
+OUTAGE_AGE = 2.5
 
 
 class Effect(enum.Enum):
