--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -176,7 +176,7 @@
     """Returns what decided a choice, for the log."""
     inputs: dict[str, object] = {
         "estimate_ms": round(picked.estimate * 1000),
-        "chosen_after_ms": round(picked.waited * 1000),
+        "caller_waited_ms": round(picked.waited * 1000),
         "near": picked.near,
         "crowded": picked.crowded,
     }
--- a/packages/operator/src/hyssopwind/operator/stories.py
+++ b/packages/operator/src/hyssopwind/operator/stories.py
@@ -32,8 +32,8 @@
 def read_lines(texts: Iterable[str]) -> list[Line]:
     """Returns the lines that are log lines, in the order of their times.
 
-    Text before the JSON object of a line, such as the name of a machine, is
-    kept in the field `source`.
+    The last word before the JSON object of a line, such as the name of a
+    machine, is kept in the field `source`.
     """
     found = []
     for text in texts:
@@ -45,7 +45,7 @@
             moment = datetime.datetime.fromisoformat(values["time"])
         except (ValueError, KeyError, TypeError):
             continue  # Other programs may write into the same file.
-        values["source"] = text[:start].strip()
+        values["source"] = "".join(text[:start].split()[-1:])
         found.append(Line(moment.timestamp(), values))
     found.sort(key=lambda line: line.moment)
     return found
--- a/packages/operator/src/hyssopwind/operator/tests/test_stories.py
+++ b/packages/operator/src/hyssopwind/operator/tests/test_stories.py
@@ -4,9 +4,9 @@
 from hyssopwind.operator import stories
 
 
-def line(second, source="front-1 ", **values):
+def line(second, source="0.123 front-1 ", **values):
     time = f"2026-01-01T00:00:{second:06.3f}+00:00"
-    return source + json.dumps({"time": time, **values})
+    return f"{second} {source}" + json.dumps({"time": time, **values})
 
 
 class StoryTest(unittest.TestCase):
