Let callers that came back wait for spare slots, and late requests take only those

Cause: a caller that came back after a refusal was refused again at once, though servers had room a little later; it does not come a third time.

--- a/packages/core/src/hyssopwind/core/dispatch/attempts.py
+++ b/packages/core/src/hyssopwind/core/dispatch/attempts.py
@@ -5,6 +5,7 @@
 from hyssopwind.core.attempts import judgement
 from hyssopwind.core.settings import tuning
 
+RETURNED_AFTER = 0.1  # seconds spent before; a first attempt has spent none
 SHORTEST_USEFUL = 0.02  # seconds; less time than a server needs to answer
 # Bounds of the time after which a refused caller may come back, as shares of
 # the latency target; drawn at random so that callers don't return together.
--- a/packages/core/src/hyssopwind/core/dispatch/choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/choice.py
@@ -21,6 +21,14 @@
 CROWDED_SHARE = 0.8
 # Requests that wait at a server for each slot before it refuses more.
 QUEUE_PER_SLOT = 2.0
+# Share of the slots of a server up to which late requests may take them.
+SPARE_SHARE = 0.5
+# Rounds of others for each round of a caller that came back: its answer is
+# late already, so it takes what they leave.
+RETURNED_WAIT_STEPS = 2
+# Times the least duration that must be left for it to wait on; a refusal then
+# still comes well before the caller gives up.
+RETURNED_RESERVE = 2.0
 # Share of the expected work below which the time left is too short; the work
 # of single requests differs by up to half.
 LEAST_TIME_SHARE = 0.5
@@ -82,12 +90,15 @@
         waited: seconds since the request arrived.
         target: seconds within which the answer is worth most.
         remaining: seconds until the caller or the route gives up.
+        returned: whether the caller has come back after a failure, so that
+            it will not come again.
     """
 
     work: float
     waited: float
     target: float
     remaining: float
+    returned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,11 +255,14 @@
         if cost <= left:
             return _send(best, timing)
         # A late answer is worth a slot that nobody else wants.
-        is_free = best.occupied < best.total_slots
+        is_free = best.occupied < SPARE_SHARE * best.total_slots
         if is_free and cost <= timing.remaining:
             return _send(best, timing)
     if timing.waited < REFUSAL_SHARE * timing.target:
         return Wait(terms.wait_step)
+    least = terms.good_factor * timing.work + terms.wait_step
+    if timing.returned and timing.remaining > RETURNED_RESERVE * least:
+        return Wait(RETURNED_WAIT_STEPS * terms.wait_step)
     if best is None:
         return Refuse("all servers are full")
     return Refuse("no server can answer in time")
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_choice.py
@@ -13,8 +13,8 @@
     return choice.Candidate(ids.ServerId(name), near, load, 4, **changes)
 
 
-def timing(waited=0.0, target=0.6, remaining=1.2, work=0.22):
-    return choice.Timing(work, waited, target, remaining)
+def timing(waited=0.0, target=0.6, remaining=1.2, work=0.22, returned=False):
+    return choice.Timing(work, waited, target, remaining, returned)
 
 
 class NoisyNeighbourTest(unittest.TestCase):
@@ -68,12 +68,28 @@
             choice.decide(long, late, TERMS, widened=True), choice.Refuse
         )
 
-    def test_late_request_takes_a_free_slot_only(self):
+    def test_late_request_takes_a_spare_slot_only(self):
         late = timing(waited=0.58)
-        free = [server("a", running=1)]
+        spare = [server("a", running=1, slowdown=1.4)]
         self.assertIsInstance(
-            choice.decide(free, late, TERMS, widened=True), choice.Send
+            choice.decide(spare, late, TERMS, widened=True), choice.Send
         )
+        wanted = [server("a", running=2, slowdown=1.4)]
+        self.assertIsInstance(
+            choice.decide(wanted, late, TERMS, widened=True), choice.Refuse
+        )
+
+    def test_caller_that_came_back_waits_for_what_others_leave(self):
+        busy = [server("a", running=4, waiting=6)]
+        back = timing(waited=0.9, returned=True)
+        decision = choice.decide(busy, back, TERMS, widened=True)
+        self.assertEqual(decision, choice.Wait(2 * TERMS.wait_step))
+
+    def test_caller_that_came_back_is_refused_well_before_its_end(self):
+        busy = [server("a", running=4, waiting=6)]
+        back = timing(waited=1.9, remaining=0.5, returned=True)
+        decision = choice.decide(busy, back, TERMS, widened=True)
+        self.assertIsInstance(decision, choice.Refuse)
 
     def test_refuses_what_no_server_can_answer_in_time(self):
         late = timing(waited=0.5, remaining=0.1)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -168,6 +168,7 @@
             arrived=case.request.arrived - case.used,
             expires=case.expires,
             tried=frozenset(case.tried),
+            returned=case.used > attempts.RETURNED_AFTER,
         )
 
     def _may_repeat_now(self, case: _Case) -> bool:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -34,6 +34,7 @@
         arrived: when the caller began to try.
         expires: when the caller or the route gives up.
         tried: servers that it was sent to before.
+        returned: whether the caller has come back after a failure.
     """
 
     route: tables.Route
@@ -41,6 +42,7 @@
     arrived: float
     expires: float
     tried: frozenset[ids.ServerId]
+    returned: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,6 +151,7 @@
             waited=now - order.arrived,
             target=order.route.latency_target,
             remaining=order.expires - now,
+            returned=order.returned,
         )
 
     def _claim(self, server: ids.ServerId, now: float) -> bool:
