--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -243,7 +243,6 @@
             route=case.route,
             request=case.request,
             expires=case.expires,
-            health_path=self._picker.health_path(case.service),
             picked=picked,
         )
         return asyncio.create_task(self._sender.send(order))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -11,6 +11,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.dispatch import evidence
+from hyssopwind.core.dispatch import probing
 from hyssopwind.core.dispatch import repeats
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import reading
@@ -25,6 +26,7 @@
 from hyssopwind.daemon.gateway import health
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.daemon.gateway import listening
+from hyssopwind.daemon.gateway import load_checks
 from hyssopwind.daemon.gateway import measures
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import reloading
@@ -84,11 +86,18 @@
             lambda: not self._reader.is_failing,
             self._crashes.take_notice,
         )
+        self._checks = load_checks.LoadChecks(
+            self._known.catalogue,
+            self._evidence,
+            self._checker,
+            self._fleet,
+            probing.ProbeBudget(options.probe_rate, clock.now()),
+        )
         self._picker = picker.Picker(
             options,
             self._known.catalogue,
             self._evidence,
-            self._checker,
+            self._checks,
             self._fleet,
             tuned.choosing,
         )
@@ -99,7 +108,11 @@
             self._known,
             self._picker,
             sending.Sender(
-                self._pool, self._evidence, self._crashes, self._metrics
+                self._pool,
+                self._evidence,
+                self._crashes,
+                self._metrics,
+                self._checks.health_path,
             ),
             self._budget,
             self._fleet.size,
@@ -205,7 +218,7 @@
             self._pool.keep_only(known.addresses())
             listed = known.servers()
             self._evidence.keep_only(listed)
-            self._picker.forget(listed)
+            self._checks.forget(listed)
 
     def _limits(self) -> tables.CallerLimits:
         configuration = self._known.catalogue.configuration
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 import logbook
 
+from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import judgement
 from hyssopwind.core.discovery import entries
@@ -35,7 +37,6 @@
         route: the route of the request.
         request: the request of the caller.
         expires: when the caller or the route gives up.
-        health_path: path of the health check of the server.
         picked: the choice of the server, with what decided it.
     """
 
@@ -43,7 +44,6 @@
     route: tables.Route
     request: requests.CallerRequest
     expires: float
-    health_path: str
     picked: choice.Send
 
 
@@ -56,11 +56,13 @@
         seen: evidence.Evidence,
         crash_watch: crashes.CrashWatch,
         counters: measures.GatewayMetrics,
+        health_path: Callable[[ids.ServiceId], str],
     ):
         self._pool = connections
         self._evidence = seen
         self._crashes = crash_watch
         self._counters = counters
+        self._health_path = health_path
 
     async def send(self, order: SendOrder) -> judgement.AttemptResult:
         """Returns how the attempt ended."""
@@ -142,8 +144,9 @@
         elif isinstance(result, judgement.Failed):
             tag = result.kind.name.lower()
             if judgement.is_crash(result):
+                path = self._health_path(order.entry.service)
                 self._crashes.note_broken(
-                    order.request, order.entry, order.health_path, started
+                    order.request, order.entry, path, started
                 )
             if result.kind is not judgement.FailureKind.WITHHELD:
                 self._evidence.note_failure(server, now)
