--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -85,7 +85,7 @@
         """Starts to wait for the first request."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._connections.add(self)
-        self._arm(self._handling.limits().header_timeout)
+        self._arm(self._handling.limits().idle_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the caller."""
@@ -176,8 +176,11 @@
                 self._close()
                 return
         self._start_waiting()
+        limits = self._handling.limits()
         if self.is_idle:
-            self._arm(self._handling.limits().idle_timeout)
+            self._arm(limits.idle_timeout)
+        elif not self._slots:
+            self._arm(limits.header_timeout)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -41,7 +41,7 @@
         expires: when the caller or the route gives up.
         tried: servers that it was sent to.
         used: seconds that the caller spent on earlier attempts.
-        possible: whether a server may have run it.
+        possible: servers that may have run it.
     """
 
     request: requests.CallerRequest
@@ -50,7 +50,7 @@
     expires: float
     tried: set[ids.ServerId]
     used: float = 0.0
-    possible: bool = False
+    possible: set[ids.ServerId] = dataclasses.field(default_factory=set)
     last: judgement.AttemptResult | None = None
 
 
@@ -237,7 +237,7 @@
         listed = self._known.catalogue.find(picked.server)
         assert listed is not None
         case.tried.add(picked.server)
-        case.possible = True
+        case.possible.add(picked.server)
         order = sending.SendOrder(
             entry=listed.entry,
             route=case.route,
@@ -245,7 +245,16 @@
             expires=case.expires,
             picked=picked,
         )
-        return asyncio.create_task(self._sender.send(order))
+        return asyncio.create_task(self._send(case, order))
+
+    async def _send(
+        self, case: _Case, order: sending.SendOrder
+    ) -> judgement.AttemptResult:
+        result = await self._sender.send(order)
+        execution = judgement.judge_execution(result)
+        if execution is judgement.Execution.NEVER:
+            case.possible.discard(order.entry.id)
+        return result
 
     def _release(
         self, case: _Case, task: "asyncio.Task[judgement.AttemptResult]"
@@ -276,11 +285,17 @@
         assert result is not None
         if isinstance(result, judgement.WholeAnswer):
             return result.answer
-        return judgement.failure_outcome(
+        failure = judgement.failure_outcome(
             result,
             may_repeat=case.route.idempotent,
             retry_after=self._retry_after(case),
         )
+        if case.possible and isinstance(failure, outcomes.NotRun):
+            # The last server did not run it, but an earlier one may have.
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, failure.detail
+            )
+        return failure
 
     def _expired(self, case: _Case) -> outcomes.Outcome:
         if case.possible:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
@@ -45,10 +45,10 @@
         status, pairs, body = _render_failure(outcome, request)
     fields_out = heads.new_fields()
     for name, value in pairs:
-        if name.lower() != "content-length":
-            fields_out.add(name, value)
+        fields_out.add(name, value)
     has_body = status not in (204, 304)
-    if has_body:
+    # The answer to HEAD states the length that GET would have.
+    if has_body and not (is_head and "Content-Length" in fields_out):
         fields_out["Content-Length"] = str(len(body))
     if closes:
         fields_out["Connection"] = "close"
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -113,7 +113,7 @@
         except TimeoutError:
             return judgement.Failed(judgement.FailureKind.TIMED_OUT)
         self._pool.release(used)
-        return _judge(answer, clock.now() - started)
+        return _judge(answer, order.request.method, clock.now() - started)
 
     def _note(
         self,
@@ -192,7 +192,9 @@
     return inputs
 
 
-def _judge(answer: answers.Answer, latency: float) -> judgement.AttemptResult:
+def _judge(
+    answer: answers.Answer, method: str, latency: float
+) -> judgement.AttemptResult:
     """Returns what an answer says of the attempt."""
     is_stamped = fields.SERVER_STAMP in answer.fields
     if answer.status == 421 or fields.NOT_RUN in answer.fields:
@@ -200,6 +202,9 @@
     if not is_stamped:
         # Every answer that a server made bears its stamp.
         return judgement.Failed(judgement.FailureKind.GARBLED)
-    pairs = headers.to_pairs(headers.end_to_end(answer.fields))
+    kept = headers.end_to_end(answer.fields)
+    if method == "HEAD" and "Content-Length" in answer.fields:
+        kept["Content-Length"] = answer.fields["Content-Length"]
+    pairs = headers.to_pairs(kept)
     answered = outcomes.Answered(answer.status, pairs, answer.body)
     return judgement.WholeAnswer(answered, "", latency)
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -1,6 +1,7 @@
 """One daemon with stand-ins of the store and of servers, in one process."""
 
 import asyncio
+import collections
 import itertools
 import json
 import os
@@ -178,6 +179,26 @@
         self.assertEqual((await self.read_answer(reader))[0], 400)
         writer.close()
 
+    async def test_head_request_keeps_the_length_of_the_answer(self):
+        answer = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+            b"Content-Length: 77\r\n\r\n"
+        )
+        for each in self.servers:
+            each.options.script.append(answer)
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a", "HEAD"))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3.0)
+        self.assertIn(b"Content-Length: 77\r\n", head)
+        writer.close()
+
+    async def test_connection_may_wait_before_its_first_request(self):
+        reader, writer = await self.connect()
+        await asyncio.sleep(0.8)  # longer than a head may take
+        writer.write(self.request("/safe/a"))
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        writer.close()
+
     async def test_slow_head_ends(self):
         reader, writer = await self.connect()
         writer.write(b"GET /safe/a HTTP/1.1\r\n")
@@ -246,6 +267,23 @@
         self.assertEqual(status, 502)
         self.assertEqual(self.ran(), 1)
 
+    async def test_refusal_after_a_broken_answer_promises_nothing(self):
+        shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        script = collections.deque([b"", shed])
+        for each in self.servers:
+            each.options.script = script
+        status, _, body = await self.call("/safe/a")
+        self.assertEqual(status, 502)
+        self.assertEqual(json.loads(body)["outcome"], "unknown")
+
+    async def test_refusal_by_all_servers_is_passed_on(self):
+        shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        for each in self.servers:
+            each.options.script.extend([shed] * 2)
+        status, _, body = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+
     async def test_safe_request_goes_to_another_server(self):
         self.servers[0].options.script.extend([b""] * 4)
         for _ in range(3):
