--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_sessions.py
@@ -0,0 +1,166 @@
+"""Scripted sessions of daemons on the platform, kept in golden files.
+
+Each session is a few daemons, a store and a script. What it records is when
+each daemon takes a change in, and from whom; times are virtual, so that a
+session always takes the same course.
+"""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeAlias
+from unittest import mock
+
+from hyssopwind.core import ids
+from hyssopwind.core import registry
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.virtual import loop
+from hyssopwind.standins.virtual import site_fleet
+from hyssopwind.transport import clock
+
+START = 100.0  # seconds; the clock of a session begins after zero
+SETTLED = 5.0  # seconds until all daemons know one another
+SERVICE = ids.ServiceId("s")
+PLAN = site_fleet.FleetPlan(centres=2, daemons=2, seed=5)
+
+Script: TypeAlias = Callable[["Session"], Coroutine[Any, Any, None]]
+
+sessions: "registry.Registry[str, Script]" = registry.Registry("session")
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """A fleet and what happened to it.
+
+    Attributes:
+        fleet: the daemons and the store.
+        lines: what happened, in order.
+    """
+
+    fleet: site_fleet.VirtualFleet
+    lines: list[str]
+    _seen: dict[str, tuple[object, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def note(self, event: str, **details: object) -> None:
+        """Records an event."""
+        time = round(clock.now() - START, 2)
+        self.lines.append(json.dumps({"time": time, "event": event, **details}))
+
+    async def watch(self, seconds: float) -> None:
+        """Records the changes that daemons take in for some time."""
+        end = clock.now() + seconds
+        while clock.now() < end - 1e-6:
+            for ip in sorted(self.fleet.daemons):
+                self._look(ip)
+            await asyncio.sleep(0.01)
+
+    def _look(self, ip: str) -> None:
+        daemon = self.fleet.daemons[ip]
+        known = daemon.known.catalogue
+        servers = [
+            listed.entry.id for listed in known.usable(SERVICE, clock.now())
+        ]
+        state = (known.version, sorted(known.evacuated), sorted(servers))
+        if self._seen.get(ip) == state:
+            return
+        self._seen[ip] = state
+        self.note(
+            "daemon knows",
+            daemon=daemon.options.name,
+            version=known.version,
+            evacuated=state[1],
+            servers=state[2],
+            reads=daemon._should_read(),
+        )
+
+    def publish(self, version: int) -> None:
+        """Writes a configuration to the store."""
+        routes = [documents.route_resource("r", "/r/")]
+        self._write("op/config", documents.configuration(version, routes))
+
+    def register(self, name: str, zone: str, state: str = "ready") -> None:
+        """Writes the entry of a server to the store."""
+        entry = documents.server_entry("10.1.1.1:80", zone=zone, state=state)
+        self._write(f"servers/{name}", entry)
+
+    def evacuate(self, zone: str) -> None:
+        """Asks for a data centre to be left."""
+        self._write(f"op/evacuate/{zone}", {})
+
+    def remove(self, key: str) -> None:
+        """Removes an item from the store."""
+        self.fleet.store.write(key, None)
+        self.note("store", removes=key)
+
+    def _write(self, key: str, document: dict[str, Any]) -> None:
+        self.fleet.store.write(key, json.dumps(document).encode())
+        self.note("store", writes=key)
+
+
+def render(name: str) -> str:
+    """Plays a session and returns its course, one event a line."""
+
+    async def play() -> str:
+        running = asyncio.get_running_loop()
+        with mock.patch.object(clock, "now", lambda: START + running.time()):
+            session = Session(site_fleet.VirtualFleet(PLAN), [])
+            session.publish(1)
+            session.register("i-0", "dc-0")
+            session.register("i-1", "dc-1")
+            session.fleet.start_all()
+            await session.watch(SETTLED)
+            await sessions.find(name)(session)
+        return "\n".join(session.lines) + "\n"
+
+    return loop.run_virtual(play())
+
+
+@sessions.register("site-turned-away")
+async def play_turned_away(session: Session) -> None:
+    """The store turns a leader away while the configuration changes."""
+    leader = sorted(session.fleet.readers())[0]
+    session.fleet.daemons[leader].store_refuses = True
+    session.note("store turns away", daemon=leader)
+    await session.watch(0.5)
+    session.publish(3)
+    await session.watch(1.0)
+    session.register("i-1", "dc-1", "draining")
+    await session.watch(2.0)
+    session.fleet.daemons[leader].store_refuses = False
+    session.note("store serves again", daemon=leader)
+    session.publish(8)
+    await session.watch(2.0)
+
+
+@sessions.register("site-rolling-restart")
+async def play_rolling_restart(session: Session) -> None:
+    """All daemons stop and start in turn while the configuration changes."""
+    version = 1
+    for ip in sorted(session.fleet.daemons):
+        session.fleet.daemons[ip].exchange.leave()
+        session.note("daemon leaves", daemon=ip)
+        await session.watch(0.5)
+        session.fleet.kill(ip)
+        version += 2
+        session.publish(version)
+        await session.watch(0.5)
+        session.fleet.start(ip)
+        session.note("daemon starts", daemon=ip)
+        await session.watch(1.0)
+
+
+@sessions.register("site-evacuation")
+async def play_evacuation(session: Session) -> None:
+    """A data centre is evacuated and taken back, with a server replaced."""
+    session.evacuate("dc-1")
+    await session.watch(1.0)
+    session.remove("servers/i-1")
+    session.register("i-2", "dc-1")
+    await session.watch(1.0)
+    session.remove("op/evacuate/dc-1")
+    await session.watch(1.0)
