--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -24,19 +24,14 @@
         seeds: peer addresses of a few daemons, some of which may be down.
         first_start: whether the whole fleet starts for the first time.
         store_address: the platform's store.
-        store_history: seconds for which the store keeps its history.
         grace: seconds from SIGTERM to SIGKILL.
         drain_bound: seconds within which a leaving server gets no new work.
         configuration_bound: seconds within which a change is in force.
         evacuation_bound: seconds within which a data centre is left.
-        contact: seconds of undisturbed running after which bounds hold.
         retry_ratio: repeats as a share of the requests, over all daemons.
         retry_window: seconds over which repeats are counted.
         retry_slack: repeats allowed in a window beyond the share.
-        warmup_overshoot: factor on the rate that a cold server tolerates.
-        warmup_slack: requests a second beyond that.
         probe_rate: health checks of one server a second, over all daemons.
-        max_descriptors: file descriptors of the process.
     """
 
     name: ids.DaemonId
@@ -52,19 +47,21 @@
     seeds: tuple[str, ...]
     first_start: bool
     store_address: str
-    store_history: float
     grace: float
     drain_bound: float
     configuration_bound: float
     evacuation_bound: float
-    contact: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
-    warmup_overshoot: float
-    warmup_slack: float
     probe_rate: float
-    max_descriptors: int
+
+    @property
+    def change_bound(self) -> float:
+        """Seconds within which any published change is to be acted on."""
+        return min(
+            self.drain_bound, self.configuration_bound, self.evacuation_bound
+        )
 
 
 class LiveSettings:
--- a/packages/core/src/hyssopwind/core/fleet/reading.py
+++ b/packages/core/src/hyssopwind/core/fleet/reading.py
@@ -18,6 +18,8 @@
 # Age in seconds at which a daemon reads for itself. A leader's copy is
 # confirmed every second, and its heartbeat comes every half.
 READ_AGE = 1.7
+# The same as a share of the time that changes may take, where that is less.
+READ_SHARE = 0.85
 # More seconds for each place in rank, and their largest sum: the bounds on
 # changes leave no more.
 RANK_STEP = 0.1
@@ -33,12 +35,14 @@
         data_centre: where it runs.
         age: age of its copy in seconds; infinite before the first read.
         first_start: whether the whole fleet starts for the first time.
+        bound: seconds within which changes are to be acted on.
     """
 
     name: ids.DaemonId
     data_centre: ids.DataCentreId
     age: float
     first_start: bool = True
+    bound: float = 2.0
 
 
 def should_read(
@@ -73,4 +77,5 @@
     if passed_over == position:
         return True
     delay = min(LONGEST_RANK_DELAY, RANK_STEP * position)
-    return min(state.age, running) > READ_AGE + delay
+    limit = min(READ_AGE, READ_SHARE * state.bound)
+    return min(state.age, running) > limit + delay
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
@@ -115,6 +115,15 @@
                 old = reading.READ_AGE + reading.LONGEST_RANK_DELAY + 0.01
                 self.assertTrue(self.reads(name, 20.0, old))
 
+    def test_tighter_bounds_are_read_for_sooner(self):
+        name = self.ranked[-1]
+        fleet = make_fleet(name, "abcdef".replace(name, ""))
+        for peer in fleet.near():
+            peer.direct_at = 20.0
+        delay = reading.LONGEST_RANK_DELAY
+        state = reading.ReadingState(name, NORTH, 0.9 + delay, bound=1.0)
+        self.assertTrue(reading.should_read(state, fleet, 20.0))
+
     def test_restarted_daemon_reads_at_once(self):
         fleet = roster.FleetRoster(ids.DaemonId("a"), "10.0.0.1", NORTH, 0.0)
         state = reading.ReadingState(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -76,7 +76,11 @@
         )
         self._store = store.StoreClient(options.store_address)
         self._reader = store_reader.StoreReader(
-            self._store, self._known, self._should_read, tuned.reading
+            self._store,
+            self._known,
+            self._should_read,
+            tuned.reading,
+            self._live,
         )
         self._crashes = crashes.CrashWatch(self._checker, self._spread_crash)
         self._gossip = gossip.Gossip(
@@ -238,6 +242,7 @@
             self._options.data_centre,
             self._known.age(),
             self._options.first_start,
+            self._live.current.change_bound,
         )
         return reading.should_read(state, self._fleet, clock.now())
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -7,12 +7,14 @@
 import logbook
 
 from hyssopwind.core.discovery import items
+from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import knowledge
 from hyssopwind.platform import items as platform_items
 from hyssopwind.platform import store
 from hyssopwind.transport import clock
 
+WATCH_SHARE = 0.5  # of the time that changes may take, for one call
 FIRST_BACKOFF = 0.1  # seconds
 LONGEST_BACKOFF = 0.8  # seconds; the store must be met soon on its return
 IDLE_POLL = 0.05  # seconds between two questions whether to read
@@ -29,11 +31,13 @@
         known: knowledge.Knowledge,
         should_read: Callable[[], bool],
         terms: tuning.ReadingSettings,
+        live: settings.LiveSettings,
     ):
         self._client = client
         self._known = known
         self._should_read = should_read
         self._terms = terms
+        self._live = live
         self._must_list = False
         self._failing = False
         self._random = random.Random()
@@ -76,7 +80,7 @@
             return
         sent = clock.now()
         delta = await self._client.wait_for_changes(
-            "", revision, self._terms.watch_wait
+            "", revision, self._watch_wait()
         )
         # An empty answer says that nothing had changed when the wait ended.
         as_of = sent if delta.items else max(sent, clock.now() - 0.1)
@@ -84,6 +88,11 @@
         if delta.items:
             await asyncio.sleep(self._terms.merge_delay)
 
+    def _watch_wait(self) -> float:
+        """Returns the seconds of one call, so short that silence is noticed."""
+        share = WATCH_SHARE * self._live.current.change_bound
+        return min(self._terms.watch_wait, share)
+
     async def _list(self) -> None:
         sent = clock.now()
         found: list[items.Item] = []
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -164,7 +164,11 @@
         )
         client = VirtualStoreClient(self, fleet.store)
         self.reader = store_reader.StoreReader(
-            client, self.known, self._should_read, tuning.ReadingSettings()
+            client,
+            self.known,
+            self._should_read,
+            tuning.ReadingSettings(),
+            settings.LiveSettings(options),
         )
         self.exchange = _VirtualGossip(fleet, self)
         self.known.revisions.subscribe(lambda _: self.exchange.spread_change())
