Name the items that exist when removals before a listing are unknown

Cause: a daemon that has just listed the store has no tombstones of what was removed before. A peer at a slightly earlier revision that pulled from it got the changes without those removals, moved on to its revision and kept the removed server for good.

Now such a peer gets the keys of what exists, and drops the rest; values that it holds already are not sent again. The virtual fleet compares contents as well as revisions, restarted daemons there read at once as they do on the platform.

--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -36,18 +36,24 @@
     Attributes:
         items: changed and removed items.
         revision: revision of the copy afterwards.
-        complete: whether `items` is all that exists, so that any other item
-            of an earlier revision is gone.
+        complete: whether `items` and `kept` name all that exists, so that any
+            other item of an earlier revision is gone.
+        kept: keys of items that exist and that the receiver holds already.
     """
 
     items: tuple[Item, ...]
     revision: int
     complete: bool
+    kept: frozenset[str] = frozenset()
 
 
 class ItemCopy:
     """The items known here, with the revision that they stand for.
 
+    A listing does not show what was removed before it. A copy that took one
+    therefore can't tell a peer at an earlier revision which of the peer's
+    items are gone, and names those that exist instead.
+
     Examples:
         >>> copy = ItemCopy()
         >>> changed = copy.apply(Delta((Item("a", b"1", 5),), 5, True))
@@ -65,7 +71,8 @@
             collections.OrderedDict()
         )
         self._revision = 0
-        self._forgotten = 0
+        # Each removal after this revision has a tombstone.
+        self._removals_since = 0
 
     @property
     def revision(self) -> int:
@@ -85,16 +92,21 @@
                 changed.append(item)
         if delta.complete:
             changed.extend(self._drop_missing(delta))
+            self._removals_since = max(self._removals_since, delta.revision)
         self._revision = max(self._revision, delta.revision)
         return changed
 
     def delta_since(self, revision: int) -> Delta:
         """Returns what a copy at `revision` lacks."""
-        if revision <= self._forgotten:
-            items = tuple(self._items.values())
-            return Delta(items, self._revision, True)
         items = tuple(self._changes_after(revision))
-        return Delta(items, self._revision, False)
+        if revision >= self._removals_since:
+            return Delta(items, self._revision, False)
+        kept = frozenset(
+            item.key
+            for item in self._items.values()
+            if item.revision <= revision
+        )
+        return Delta(items, self._revision, True, kept)
 
     def _changes_after(self, revision: int) -> Iterable[Item]:
         for item in self._items.values():
@@ -118,7 +130,7 @@
         return known is None or known.value != item.value
 
     def _drop_missing(self, delta: Delta) -> Iterable[Item]:
-        listed = {item.key for item in delta.items}
+        listed = {item.key for item in delta.items} | delta.kept
         for key, item in list(self._items.items()):
             if key in listed or item.revision > delta.revision:
                 continue
@@ -131,4 +143,4 @@
         self._tombstones.move_to_end(key)
         while len(self._tombstones) > MAX_TOMBSTONES:
             _, oldest = self._tombstones.popitem(last=False)
-            self._forgotten = max(self._forgotten, oldest)
+            self._removals_since = max(self._removals_since, oldest)
--- a/packages/core/src/hyssopwind/core/fleet/messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from hyssopwind.core.discovery import items
+
 MAX_AGE_MS = 3_600_000  # an hour; stands for "never"
 
 
@@ -72,13 +74,15 @@
     Attributes:
         items: key, value and revision of each; no value for a removal.
         revision: revision of the sender's copy.
-        complete: whether the items are all that exist.
+        complete: whether the items and the kept ones are all that exist.
+        kept: keys of older items that exist.
         age_ms: age of the sender's copy.
     """
 
     items: list[tuple[str, bytes | None, int]]
     revision: int
     complete: bool
+    kept: list[str]
     age_ms: int
 
 
@@ -109,10 +113,34 @@
     return _DATAGRAMS.decode(data)
 
 
-def decode_changes(data: bytes) -> Changes:
-    """Returns the changes that a peer sent.
+def encode_delta(delta: items.Delta, age_ms: int) -> bytes:
+    """Returns the bytes of the answer to a pull.
+
+    Args:
+        delta: what the asking copy lacks.
+        age_ms: age of the copy that answers.
+    """
+    changed = [(item.key, item.value, item.revision) for item in delta.items]
+    return encode(
+        Changes(
+            changed, delta.revision, delta.complete, sorted(delta.kept), age_ms
+        )
+    )
+
+
+def decode_delta(data: bytes) -> tuple[items.Delta, int]:
+    """Returns what a peer sent, and the age of its copy in milliseconds.
 
     Raises:
         msgspec.DecodeError: the bytes are no changes.
+
+    Examples:
+        >>> delta = items.Delta((items.Item("a", b"1", 5),), 5, True)
+        >>> decode_delta(encode_delta(delta, 20)) == (delta, 20)
+        True
     """
-    return _CHANGES.decode(data)
+    changes = _CHANGES.decode(data)
+    changed = tuple(items.Item(*fields) for fields in changes.items)
+    kept = frozenset(changes.kept)
+    delta = items.Delta(changed, changes.revision, changes.complete, kept)
+    return delta, changes.age_ms
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -116,13 +116,7 @@
     def changes_after(self, revision: int) -> bytes:
         """Returns what a peer with a copy at `revision` lacks, encoded."""
         delta = self._known.copy.delta_since(revision)
-        changes = messages.Changes(
-            [(item.key, item.value, item.revision) for item in delta.items],
-            delta.revision,
-            delta.complete,
-            self._age_ms(),
-        )
-        return messages.encode(changes)
+        return messages.encode_delta(delta, self._age_ms())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the socket."""
@@ -258,13 +252,11 @@
         target = f"/changes?after={self._known.copy.revision}"
         try:
             answer = await self._pool.get(address, target, PULL_TIMEOUT)
-            changes = messages.decode_changes(answer.body)
+            delta, age_ms = messages.decode_delta(answer.body)
         except (connection.ExchangeError, msgspec.DecodeError) as error:
             _log.warn("pull failed", extra={"peer": ip, "error": str(error)})
             return
-        taken = tuple(items.Item(*fields) for fields in changes.items)
-        delta = items.Delta(taken, changes.revision, changes.complete)
-        as_of = asked - changes.age_ms / 1000
+        as_of = asked - age_ms / 1000
         self._known.take(delta, as_of, f"peer {ip}")
 
     def _take_crash(self, notice: messages.CrashNotice) -> None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
@@ -38,6 +38,9 @@
         while clock.now() < end:
             number += 1
             fleet.store.write(f"op/evacuate/z{number % 7}", b"{}")
+            if number % 3 == 0:
+                gone = (number - 2) % 7
+                fleet.store.write(f"op/evacuate/z{gone}", None)
             await self.watch(fleet, step)
 
     async def watch(self, fleet, seconds):
@@ -57,6 +60,19 @@
                 continue
             held = daemon.known.copy.revision
             self.assertGreaterEqual(held, due[-1], f"{ip} at {now:.2f}")
+            self.check_items(daemon, due[-1], f"{ip} at {now:.2f}")
+
+    def check_items(self, daemon, revision, place):
+        """What last changed up to a revision is held, or known as removed."""
+        held = daemon.known.copy.items
+        for key, last in self.last_changes(daemon.store).items():
+            if last.revision > revision:
+                continue
+            value = held[key].value if key in held else None
+            self.assertEqual(value, last.value, f"{key} {place}")
+
+    def last_changes(self, store):
+        return {item.key: item for item in store.history}
 
 
 class CalmTest(FleetCase):
@@ -184,6 +200,33 @@
 
         self.run_with(disturb)
 
+    def test_rolling_restart_while_servers_leave(self):
+        """Leaders that started lately can't know what left before."""
+
+        async def main(seed):
+            fleet = self.start(seed)
+            await asyncio.sleep(5.0)
+            keys = [f"op/evacuate/s{number}" for number in range(60)]
+            for key in keys:
+                fleet.store.write(key, b"{}")
+            await self.watch(fleet, 3.0)
+            for ip in sorted(
+                fleet.daemons, key=lambda _: fleet.random.random()
+            ):
+                fleet.kill(ip)
+                await self.watch(fleet, 0.3)
+                fleet.store.write(keys.pop(), None)
+                await asyncio.sleep(0.05)
+                # Readers merge changes, so this one is not known elsewhere.
+                fleet.store.write(keys.pop(), None)
+                fleet.start(ip)
+                await self.watch(fleet, 0.1)
+            await self.watch(fleet, 4.0)
+
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                virtual_run(functools.partial(main, seed))
+
 
 class RandomTest(FleetCase):
     """Overlapping troubles, drawn anew every second."""
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -139,10 +139,8 @@
         if source is None:
             return
         data = source.exchange.changes_after(self._known.copy.revision)
-        changes = messages.decode_changes(data)
-        taken = tuple(items.Item(*fields) for fields in changes.items)
-        delta = items.Delta(taken, changes.revision, changes.complete)
-        as_of = asked - changes.age_ms / 1000
+        delta, age_ms = messages.decode_delta(data)
+        as_of = asked - age_ms / 1000
         self._known.take(delta, as_of, f"peer {ip}")
 
 
@@ -153,6 +151,7 @@
         self, fleet: "VirtualFleet", options: settings.GatewaySettings
     ):
         self.options = options
+        self.store = fleet.store
         self.store_refuses = False
         self.store_silent = False
         self.silences = 0
@@ -235,6 +234,9 @@
     def start(self, ip: str) -> None:
         """Starts a daemon, or starts it again without memory."""
         self.daemons[ip] = VirtualDaemon(self, self._options[ip])
+        self._options[ip] = dataclasses.replace(
+            self._options[ip], first_start=False
+        )
 
     def kill(self, ip: str) -> None:
         """Ends a daemon without a word."""
