Listen from the environment, and import less before callers are served

Callers are turned away until the listener is open.

Ruled out: doing without ssl (logbook imports it), -OO (the standard library has no compiled files for it).

--- a/packages/daemon/src/hyssopwind/daemon/gateway/__main__.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/__main__.py
@@ -5,29 +5,30 @@
 so that callers who connect meanwhile wait a moment and are not turned away.
 """
 
+import gc
 import os
 import sys
 
 from hyssopwind.daemon.gateway import listening
-from hyssopwind.platform import boot
 
-# All connections on the platform are plain. aiohttp would otherwise read all
-# certificate authorities as it is imported, a fifth of the start.
-os.environ["SSL_CERT_FILE"] = os.devnull
-os.environ["SSL_CERT_DIR"] = os.devnull
+# Where to listen, as in the settings; reading those would take a third of the
+# start. The daemon listens after that where the variable is not set.
+CALLERS_VARIABLE = "HYSSOPWIND_CALLERS_ADDRESS"
 
 
 def main() -> int:
     """Listens, imports the daemon and runs it."""
+    # Nothing that is imported becomes garbage; `starting` collects again.
+    gc.disable()
+    address = os.environ.get(CALLERS_VARIABLE, "")
     try:
-        options = boot.load()
-        listener = listening.listen(options.callers_address)
-    except (boot.BootError, OSError) as error:
-        print(f"hyssopwindd: {error}", file=sys.stderr)
+        listener = listening.listen(address) if address else None
+    except (OSError, ValueError) as error:
+        print(f"hyssopwindd: {CALLERS_VARIABLE}: {error}", file=sys.stderr)
         return 1
     from hyssopwind.daemon.gateway import starting
 
-    return starting.start(options, listener)
+    return starting.start(listener)
 
 
 if __name__ == "__main__":
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Composes the daemon that serves on the platform, and runs it."""
 
 import asyncio
+import importlib
 import signal
 import socket
 from collections.abc import Coroutine
@@ -137,7 +138,7 @@
         await self._side.start(self._options, self._metrics_port)
         server = await self._listen()
         await self._gossip.start()
-        self._known.revisions.subscribe(lambda _: self._gossip.spread_change())
+        self._spawn(self._spread_changes())
         self._spawn(self._gossip.run())
         self._spawn(self._reader.run())
         self._spawn(self._reloader.run())
@@ -214,6 +215,13 @@
         server.close()
         _log.info("stopped", extra={"connections": len(self._connections)})
 
+    async def _spread_changes(self) -> None:
+        """Tells the others of each change at once, not by the next beat."""
+        await self._known.wait_for_configuration(None)
+        # A sixth of the start; callers are served meanwhile.
+        await asyncio.to_thread(importlib.import_module, "reactivex")
+        self._known.revisions.subscribe(lambda _: self._gossip.spread_change())
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/knowledge.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
+import typing
 
 import logbook
-import reactivex
-from reactivex import subject
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
@@ -15,6 +14,10 @@
 from hyssopwind.platform import items as platform_items
 from hyssopwind.transport import clock
 
+if typing.TYPE_CHECKING:
+    import reactivex
+    from reactivex import subject
+
 _log = logbook.Logger("knowledge")
 
 
@@ -26,16 +29,25 @@
         self.catalogue = catalogue.Catalogue()
         self.freshness = freshness.Freshness()
         self._configured = asyncio.Event()
-        self._unreadable: dict[str, int] = {}
-        self._revisions: subject.Subject[int] = subject.Subject()
+        self._unreadable: set[str] = set()
+        self._revisions: subject.Subject[int] | None = None
 
     @property
-    def revisions(self) -> reactivex.Observable[int]:
-        """Revisions of the copy, as it moves on."""
+    def revisions(self) -> "reactivex.Observable[int]":
+        """Revisions of the copy from now on, as it moves on."""
+        if self._revisions is None:
+            # A daemon that starts imports it when it serves callers already.
+            from reactivex import subject
+
+            self._revisions = subject.Subject()
         return self._revisions
 
-    async def wait_for_configuration(self, seconds: float) -> bool:
-        """Waits until a configuration is in force; returns whether one is."""
+    async def wait_for_configuration(self, seconds: float | None) -> bool:
+        """Waits until a configuration is in force; returns whether one is.
+
+        Args:
+            seconds: how long to wait; `None` for as long as it takes.
+        """
         if self.catalogue.configuration is not None:
             return True
         with contextlib.suppress(TimeoutError):
@@ -67,7 +79,7 @@
             self._take_item(item, now, source)
         if self.catalogue.configuration is not None:
             self._configured.set()
-        if self.copy.revision > before:
+        if self._revisions is not None and self.copy.revision > before:
             self._revisions.on_next(self.copy.revision)
         return len(changed)
 
@@ -101,7 +113,7 @@
             return
         if len(self._unreadable) > items.MAX_TOMBSTONES:
             self._unreadable.clear()
-        self._unreadable[item.key] = item.revision
+        self._unreadable.add(item.key)
         found = getattr(record, "findings", ())
         _log.warn(
             "item left aside",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
@@ -1,7 +1,6 @@
 """Starts the daemon on the platform."""
 
 import asyncio
-import gc
 import os
 import pathlib
 import socket
@@ -10,14 +9,16 @@
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import reading
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon import collecting
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import gateway
+from hyssopwind.daemon.gateway import listening
+from hyssopwind.platform import boot
 
 # Relative to the root of the repository, where the platform starts it.
 TUNING_PATH = pathlib.Path("deploy/gateway.toml")
 METRICS_PORT_VARIABLE = "HYSSOPWIND_METRICS_PORT"
 EXIT_FINDINGS = 1
-GC_THRESHOLDS = (20_000, 20, 50)  # objects, then collections of each age
 
 
 def read_tuning(path: pathlib.Path) -> tuning.GatewayTuning | None:
@@ -35,13 +36,36 @@
     return result.value
 
 
-def start(options: settings.GatewaySettings, listener: socket.socket) -> int:
-    """Serves until SIGTERM.
+def check_listener(
+    listener: socket.socket, options: settings.GatewaySettings
+) -> None:
+    """Checks that callers are listened for where the settings say.
+
+    Raises:
+        boot.BootError: the listener has another address.
+    """
+    host, port = listener.getsockname()
+    if f"{host}:{port}" != options.callers_address:
+        raise boot.BootError(
+            f"listens on {host}:{port}, but the settings name"
+            f" {options.callers_address}"
+        )
+
+
+def start(listener: socket.socket | None) -> int:
+    """Reads the settings and serves until SIGTERM.
 
     Args:
-        options: the platform's settings.
-        listener: listens for callers.
+        listener: listens for callers already, or `None`.
     """
+    try:
+        options = boot.load()
+        if listener is None:
+            listener = listening.listen(options.callers_address)
+        check_listener(listener, options)
+    except (boot.BootError, OSError) as error:
+        print(f"hyssopwindd: {error}", file=sys.stderr)
+        return EXIT_FINDINGS
     tuned = read_tuning(TUNING_PATH)
     if tuned is None:
         return EXIT_FINDINGS
@@ -51,8 +75,7 @@
     if not port.isdigit():
         print(f"hyssopwindd: {METRICS_PORT_VARIABLE} names no port")
         return EXIT_FINDINGS
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    collecting.begin_serving()
     asyncio.run(_serve(options, tuned, listener, int(port), stream))
     return 0
 
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -4,7 +4,6 @@
 for as long as it imports, and each command needs only a part.
 """
 
-import gc
 import pathlib
 import sys
 
@@ -12,7 +11,6 @@
 from cleo import helpers
 from cleo.commands import command
 
-GC_THRESHOLDS = (20_000, 20, 50)  # objects, then collections of each age
 EXIT_FINDINGS = 1
 EXIT_USAGE = 2
 
@@ -32,6 +30,7 @@
         """Reads the settings and serves."""
         import uvloop
 
+        from hyssopwind.daemon import collecting
         from hyssopwind.daemon import daemon
         from hyssopwind.daemon import log_output
         from hyssopwind.daemon import settings_file
@@ -46,8 +45,7 @@
             self.line_error(str(error))
             return EXIT_FINDINGS
         log_output.install_handler(settings.logs)
-        gc.freeze()
-        gc.set_threshold(*GC_THRESHOLDS)
+        collecting.begin_serving()
         uvloop.run(daemon.run(settings))
         return 0
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import shlex
 import shutil
 import signal
@@ -19,6 +20,19 @@
 ROOT = pathlib.Path(__file__).resolve().parents[6]
 BUILD_TIMEOUT = 600.0  # seconds; the platform allows fifteen minutes
 BUILD_INPUTS = ("deploy", "packages", "platform")
+PLACEHOLDER = re.compile(r"\{\{([a-z_.]+)\}\}")
+
+
+def fill(text, fields):
+    """Fills placeholders as the platform does; nothing where no value is."""
+
+    def find(match):
+        value = fields
+        for name in match[1].split("."):
+            value = value.get(name, {})
+        return value if isinstance(value, str) else ""
+
+    return PLACEHOLDER.sub(find, text)
 
 
 class DeploymentTest(unittest.IsolatedAsyncioTestCase):
@@ -66,14 +80,16 @@
             for path in (self.root / name).rglob("*")
         }
 
-    async def start(self, settings):
+    async def start(self, settings, **changed):
         path = self.root / "local.toml"
         path.write_text(settings)
+        fields = tomllib.loads(settings)
         role = self.deploy["roles"]["gateway"]
         words = shlex.split(role["run"])
         self.assertEqual(words[0], "python3")
         environment = {
-            **role["env"],
+            **{name: fill(text, fields) for name, text in role["env"].items()},
+            **changed,
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(self.root / "target/deps"),
             "HYSSOPWIND_BOOT": str(path),
@@ -134,3 +150,11 @@
         self.assertEqual(process.returncode, 1)
         self.assertEqual(errors.count(b"\n"), 1)
         self.assertIn(b'key "listen": is missing', errors)
+
+        elsewhere = f"127.0.0.1:{ports.free_ports(1)[0]}"
+        process = await self.start(
+            settings, HYSSOPWIND_CALLERS_ADDRESS=elsewhere
+        )
+        _, errors = await asyncio.wait_for(process.communicate(), 10.0)
+        self.assertEqual(process.returncode, 1)
+        self.assertIn(f"listens on {elsewhere}".encode(), errors)
