Keep the fleet from reading the store in place of its leaders

While the store turned a third of the daemons away, 39 to 43 of 96 read for 10 s: the daemon next in rank told only two others that it reads, so that all of its data centre took it for silent and took its place. 2. A change that came at the end of a watch confirmed the copy as of the start of the watch, 1 s earlier; with the merge of changes and the next watch the copy counted as 2.2 s old, and 90 of 96 daemons read for themselves. 3. In an outage each daemon tried again every 0.6 s.

Now a daemon that reads tells its whole data centre, an answer confirms the copy as of its making (less the 0.2 s that a slow store's answer travels), the merge belongs to the time of the next watch, and retries wait 0.5 s for each place in rank.

Also: rosters go only to members with another digest of the daemons that they know, and an equal digest in the leader's heartbeat confirms the others.

--- a/packages/core/src/hyssopwind/core/fleet/messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/messages.py
@@ -25,6 +25,7 @@
         age_ms: age of that copy.
         reads: whether its own calls to the platform succeed.
         leaving: whether it is about to stop.
+        roster: digest of the daemons that it knows.
     """
 
     name: str
@@ -34,6 +35,7 @@
     age_ms: int
     reads: bool
     leaving: bool
+    roster: int
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
@@ -106,7 +108,7 @@
         msgspec.DecodeError: the bytes are no message.
 
     Examples:
-        >>> beat = Beat("a", "127.0.0.1", "north", 7, 20, True, False)
+        >>> beat = Beat("a", "127.0.0.1", "north", 7, 20, True, False, 1)
         >>> decode(encode(beat)) == beat
         True
     """
--- a/packages/core/src/hyssopwind/core/fleet/reading.py
+++ b/packages/core/src/hyssopwind/core/fleet/reading.py
@@ -24,6 +24,13 @@
 # changes leave no more.
 RANK_STEP = 0.1
 LONGEST_RANK_DELAY = 0.6
+# Seconds after a failed call until the next one of a leader, which doubles up
+# to the longest: the platform must be met soon on its return.
+FIRST_RETRY = 0.1
+LONGEST_RETRY = 0.8
+# Seconds for each place in rank that a retry waits at least. Calls are billed
+# also when they fail, and one daemon that succeeds tells all others.
+RETRY_RANK_STEP = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,17 +72,53 @@
         return True
     if running < START_WAIT:
         return False
-    position = 0
+    before = _before(state, fleet)
     passed_over = 0
-    for peer in fleet.ranked(state.data_centre):
-        if peer.name == state.name:
-            break
-        position += 1
+    for peer in before:
         is_silent = now - peer.direct_at > roster.SUSPECT_AFTER
         if not peer.reads or (is_silent and running > roster.SUSPECT_AFTER):
             passed_over += 1
-    if passed_over == position:
+    if passed_over == len(before):
         return True
-    delay = min(LONGEST_RANK_DELAY, RANK_STEP * position)
+    delay = min(LONGEST_RANK_DELAY, RANK_STEP * len(before))
     limit = min(READ_AGE, READ_SHARE * state.bound)
     return min(state.age, running) > limit + delay
+
+
+def retry_delay(
+    state: ReadingState, fleet: roster.FleetRoster, failures: int, draw: float
+) -> float:
+    """Returns the seconds until a daemon calls again after failed calls.
+
+    In an outage all daemons of a data centre read, so those further down in
+    rank wait longer, and their calls together grow less than their number.
+
+    Args:
+        state: the daemon.
+        fleet: those that it knows.
+        failures: its failed calls in a row.
+        draw: a random number from 0 to 1.
+
+    Examples:
+        >>> here = ids.DataCentreId("north")
+        >>> name = ids.DaemonId("a")
+        >>> fleet = roster.FleetRoster(name, "127.0.0.1", here, now=0.0)
+        >>> state = ReadingState(name, here, 5.0)
+        >>> [retry_delay(state, fleet, n, draw=1.0) for n in (1, 2, 9)]
+        [0.1, 0.2, 0.8]
+    """
+    delay = min(LONGEST_RETRY, FIRST_RETRY * 2.0 ** (failures - 1))
+    place = len(_before(state, fleet))
+    return max(delay, RETRY_RANK_STEP * place) * (0.5 + 0.5 * draw)
+
+
+def _before(
+    state: ReadingState, fleet: roster.FleetRoster
+) -> list[roster.Peer]:
+    """Returns the peers that are before a daemon in rank."""
+    before = []
+    for peer in fleet.ranked(state.data_centre):
+        if peer.name == state.name:
+            break
+        before.append(peer)
+    return before
--- a/packages/core/src/hyssopwind/core/fleet/roster.py
+++ b/packages/core/src/hyssopwind/core/fleet/roster.py
@@ -4,6 +4,10 @@
 hash. Members send heartbeats to the first two in rank; the leader sends its
 own to all members and to the leaders elsewhere. No agreement is needed: two
 leaders cost some messages, and none is noticed by silence.
+
+A heartbeat carries a digest of the daemons that its sender knows. The leader
+lists them only to members with another digest; an equal one in the leader's
+heartbeat confirms all that a member knows.
 """
 
 import dataclasses
@@ -18,7 +22,8 @@
 # Seconds without a message after which a daemon of the same data centre is
 # passed over: two heartbeats.
 SUSPECT_AFTER = 1.1
-# Seconds after which it is forgotten: rosters repeat every second.
+# Seconds after which it is forgotten. The leader confirms members with each
+# heartbeat, and a leader that takes over does so two seconds later.
 NEAR_LIFE = 3.0
 # The same for other data centres, whose rosters repeat every five seconds.
 FAR_LIFE = 12.0
@@ -39,6 +44,7 @@
         revision: revision of its copy.
         reads: whether its calls to the platform succeed.
         leaving: whether it is about to stop.
+        roster: digest of the daemons that it knows; 0 before a heartbeat.
     """
 
     name: ids.DaemonId
@@ -49,6 +55,7 @@
     revision: int = 0
     reads: bool = True
     leaving: bool = False
+    roster: int = 0
 
 
 class FleetRoster:
@@ -65,6 +72,7 @@
         self._peers: dict[ids.DaemonId, Peer] = {}
         self._seen: dict[ids.DaemonId, float] = {name: now}
         self._started = now
+        self._digest: int | None = None
 
     @property
     def started(self) -> float:
@@ -81,7 +89,12 @@
         peer.direct_at = now
         peer.revision = beat.revision
         peer.reads = beat.reads
-        peer.leaving = beat.leaving
+        if peer.leaving != beat.leaving:
+            peer.leaving = beat.leaving
+            self._digest = None
+        peer.roster = beat.roster
+        if peer is self.leader(now) and beat.roster == self.digest():
+            self._confirm(now)
         return is_new
 
     def take_roster(self, roster: messages.Roster, now: float) -> bool:
@@ -106,6 +119,7 @@
                 ended.append(name)
         for name in ended:
             del self._peers[name]
+            self._digest = None
         for name, seen in list(self._seen.items()):
             if now - seen > SIZE_MEMORY and name not in self._peers:
                 del self._seen[name]
@@ -137,14 +151,29 @@
         found.sort(key=lambda peer: _rank(peer.name), reverse=True)
         return found
 
+    def leader(self, now: float) -> Peer | None:
+        """Returns the leader of the own data centre, or `None` without one."""
+        for peer in self.ranked(self._own.data_centre):
+            if peer is self._own or now - peer.direct_at <= SUSPECT_AFTER:
+                return peer
+        return None
+
     def is_leader(self, now: float) -> bool:
         """Whether this daemon leads its data centre."""
-        for peer in self.ranked(self._own.data_centre):
-            if peer is self._own:
-                return True
-            if now - peer.direct_at <= SUSPECT_AFTER:
-                return False
-        return False
+        return self.leader(now) is self._own
+
+    def digest(self) -> int:
+        """Returns a digest of the daemons known, without those that leave."""
+        if self._digest is None:
+            known = [self._own, *self._peers.values()]
+            names = sorted(f"{p.name}\0{p.ip}" for p in known if not p.leaving)
+            self._digest = xxhash.xxh3_64_intdigest("\n".join(names).encode())
+        return self._digest
+
+    def differing(self) -> list[Peer]:
+        """Returns the near daemons that know other daemons than this one."""
+        digest = self.digest()
+        return [peer for peer in self.near() if peer.roster != digest]
 
     def leaders(self, count: int) -> list[Peer]:
         """Returns the first in rank of the own data centre, without itself."""
@@ -167,6 +196,7 @@
     def leave(self) -> None:
         """Notes that this daemon is about to stop."""
         self._own.leaving = True
+        self._digest = None
 
     def list_members(
         self, now: float, *, near_only: bool
@@ -192,10 +222,18 @@
         if peer is None or peer.ip != ip:
             peer = Peer(name, ip, ids.DataCentreId(data_centre), heard_at)
             self._peers[name] = peer
+            self._digest = None
         peer.heard_at = max(peer.heard_at, heard_at)
         self._seen[name] = max(heard_at, self._seen.get(name, heard_at))
         return peer
 
+    def _confirm(self, now: float) -> None:
+        """Takes all daemons as heard of by the leader, an interval ago."""
+        heard_at = now - BEAT_INTERVAL
+        for name, peer in self._peers.items():
+            peer.heard_at = max(peer.heard_at, heard_at)
+            self._seen[name] = max(self._seen[name], heard_at)
+
     def _life(self, data_centre: str) -> float:
         if data_centre == self._own.data_centre:
             return NEAR_LIFE
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
@@ -15,6 +15,7 @@
         "age_ms": 0,
         "reads": True,
         "leaving": False,
+        "roster": 0,
         **changes,
     }
     return messages.Beat(name, f"10.0.0.{ord(name)}", centre, **values)
@@ -74,6 +75,57 @@
         return [peer.name for peer in fleet.ranked(NORTH)][:2]
 
 
+class DigestTest(unittest.TestCase):
+    """The leader's heartbeat stands for a list of all daemons."""
+
+    def setUp(self):
+        fleet = make_fleet("a", "bc")
+        first, own, other = [peer.name for peer in fleet.ranked(NORTH)]
+        self.first, self.other = first, other
+        self.fleet = make_fleet(own, [first, other])
+
+    def beat(self, name, now, digest):
+        self.fleet.take_beat(make_beat(name, roster=digest), now)
+        self.fleet.expire(now)
+
+    def known(self):
+        return {peer.name for peer in self.fleet.peers()}
+
+    def test_equal_digest_of_the_leader_confirms_all_daemons(self):
+        for step in range(1, 21):
+            self.beat(self.first, 0.5 * step, self.fleet.digest())
+        self.assertEqual(self.known(), {self.first, self.other})
+
+    def test_other_digest_confirms_nothing(self):
+        for step in range(1, 21):
+            self.beat(self.first, 0.5 * step, 7)
+        self.assertEqual(self.known(), {self.first})
+
+    def test_daemon_that_does_not_lead_confirms_nothing(self):
+        for step in range(1, 21):
+            digest = self.fleet.digest()
+            self.beat(self.first, 0.5 * step, 7)
+            self.beat(self.other, 0.5 * step, digest)
+        self.fleet.take_beat(make_beat("z"), 10.0)
+        for step in range(21, 41):
+            digest = self.fleet.digest()
+            self.beat(self.first, 0.5 * step, 7)
+            self.beat(self.other, 0.5 * step, digest)
+        self.assertEqual(self.known(), {self.first, self.other})
+
+    def test_order_of_arrival_does_not_matter(self):
+        one = make_fleet("a", "bcd")
+        other = make_fleet("a", "dcb")
+        self.assertEqual(one.digest(), other.digest())
+        other.take_beat(make_beat("d", leaving=True), 0.1)
+        self.assertNotEqual(one.digest(), other.digest())
+
+    def test_members_with_another_digest_are_listed(self):
+        fleet = make_fleet("a", "bc")
+        fleet.take_beat(make_beat("b", roster=fleet.digest()), 0.1)
+        self.assertEqual([p.name for p in fleet.differing()], ["c"])
+
+
 class ReadingTest(unittest.TestCase):
     def setUp(self):
         fleet = make_fleet("a", "bcdef")
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -1,7 +1,7 @@
 """Composes the daemon that serves on the platform, and runs it."""
 
 import asyncio
-import importlib
+import random
 import signal
 import socket
 from collections.abc import Coroutine
@@ -44,6 +44,9 @@
 # Seconds after SIGTERM in which the balancer still sends connections: two
 # readiness checks, one a second, and their time-outs.
 BALANCER_DELAY = 3.0
+# Seconds after the first configuration until reactivex is imported, which takes
+# a sixth of the start; the callers who waited for it are served by then.
+STREAMS_DELAY = 1.0
 
 _log = logbook.Logger("gateway")
 
@@ -65,6 +68,7 @@
         self._metrics_port = metrics_port
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
+        self._random = random.Random()
         self._connections: set[caller_connection.CallerConnection] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._metrics = measures.GatewayMetrics()
@@ -80,6 +84,7 @@
             self._store,
             self._known,
             self._should_read,
+            self._retry_delay,
             tuned.reading,
             self._live,
         )
@@ -89,6 +94,7 @@
             self._fleet,
             self._known,
             lambda: not self._reader.is_failing,
+            lambda: self._reader.is_reading,
             self._crashes.take_notice,
         )
         self._checks = load_checks.LoadChecks(
@@ -218,8 +224,7 @@
     async def _spread_changes(self) -> None:
         """Tells the others of each change at once, not by the next beat."""
         await self._known.wait_for_configuration(None)
-        # A sixth of the start; callers are served meanwhile.
-        await asyncio.to_thread(importlib.import_module, "reactivex")
+        await asyncio.sleep(STREAMS_DELAY)
         self._known.revisions.subscribe(lambda _: self._gossip.spread_change())
 
     async def _keep_house(self) -> None:
@@ -244,16 +249,24 @@
             and self._known.catalogue.configuration is not None
         )
 
-    def _should_read(self) -> bool:
-        state = reading.ReadingState(
+    def _reading_state(self) -> reading.ReadingState:
+        return reading.ReadingState(
             self._options.name,
             self._options.data_centre,
             self._known.age(),
             self._options.first_start,
             self._live.current.change_bound,
         )
+
+    def _should_read(self) -> bool:
+        state = self._reading_state()
         return reading.should_read(state, self._fleet, clock.now())
 
+    def _retry_delay(self, failures: int) -> float:
+        state = self._reading_state()
+        draw = self._random.random()
+        return reading.retry_delay(state, self._fleet, failures, draw)
+
     def _spread_crash(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
         self._gossip.spread_crash(fingerprint, crashes)
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -50,6 +50,7 @@
         fleet: roster.FleetRoster,
         known: knowledge.Knowledge,
         reads: Callable[[], bool],
+        is_reading: Callable[[], bool],
         take_notice: Callable[[ids.Fingerprint, int], None],
     ):
         self._live = live
@@ -58,6 +59,7 @@
         self._fleet = fleet
         self._known = known
         self._reads = reads
+        self._is_reading = is_reading
         self._take_notice = take_notice
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -155,7 +157,7 @@
             return
         if self._round % NEAR_ROSTERS == 0:
             members = self._fleet.list_members(now, near_only=False)
-            self._send_roster(members, self._fleet.near())
+            self._send_roster(members, self._fleet.differing())
         if self._round % FAR_ROSTERS == 0:
             members = self._fleet.list_members(now, near_only=True)
             self._send_roster(members, self._fleet.far_leaders())
@@ -175,7 +177,10 @@
     def _send_beats(self, *, include_far: bool) -> None:
         self._sent_revision = self._known.copy.revision
         beat = self._beat()
-        if not self._fleet.is_leader(clock.now()):
+        # All of the data centre must hear from a daemon that reads in place of
+        # the leader, or each of them would take its place.
+        is_leader = self._fleet.is_leader(clock.now())
+        if not is_leader and not self._is_reading():
             self._send_all(beat, self._fleet.leaders(LEADERS_TOLD))
             return
         self._send_all(beat, self._fleet.near())
@@ -191,6 +196,7 @@
             self._age_ms(),
             self._reads(),
             self._leaving,
+            self._fleet.digest(),
         )
 
     def _age_ms(self) -> int:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -9,6 +9,7 @@
 from hyssopwind.core.dispatch import choice
 from hyssopwind.core.dispatch import coldness
 from hyssopwind.core.dispatch import evidence
+from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import roster
 from hyssopwind.core.routing import tables
@@ -65,8 +66,12 @@
         A cold server that is returned has been counted as sent to.
         """
         widened = False
+        is_first = True
         while True:
-            candidates = await self._ask(order, widened=widened)
+            candidates = await self._ask(
+                order, widened=widened, is_first=is_first
+            )
+            is_first = False
             now = clock.now()
             timing = self._timing(order, now)
             decision = choice.decide(
@@ -157,7 +162,7 @@
         )
 
     def _sample(
-        self, listed: list[catalogue.Listed], widened: bool
+        self, listed: list[catalogue.Listed], widened: bool, is_first: bool
     ) -> list[catalogue.Listed]:
         near = []
         far = []
@@ -166,16 +171,21 @@
                 near.append(server)
             else:
                 far.append(server)
-        chosen = _draw(self._random, near, self._terms.near_sample)
+        wanted = self._terms.near_sample
+        if is_first:
+            chosen = sampling.usual(self._options.name, near, wanted)
+        else:
+            chosen = sampling.draw(self._random, near, wanted)
         if widened or not chosen:
-            chosen += _draw(self._random, far, self._terms.far_sample)
+            chosen += sampling.draw(self._random, far, self._terms.far_sample)
         return chosen
 
     async def _ask(
-        self, order: PickOrder, *, widened: bool
+        self, order: PickOrder, *, widened: bool, is_first: bool = False
     ) -> list[choice.Candidate]:
         """Returns the servers that may be chosen at this moment."""
-        asked = self._sample(self._eligible(order, clock.now()), widened)
+        eligible = self._eligible(order, clock.now())
+        asked = self._sample(eligible, widened, is_first)
         found = []
         for reading in await self._checks.ask(order.service, asked):
             # The check may have shown that a server is cold.
@@ -194,11 +204,3 @@
             penalty=self._evidence.penalty(entry.id, clock.now()),
             crowding=self._evidence.crowding(entry.service),
         )
-
-
-def _draw(
-    randomness: random.Random, listed: list[catalogue.Listed], count: int
-) -> list[catalogue.Listed]:
-    if len(listed) <= count:
-        return list(listed)
-    return randomness.sample(listed, count)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -1,7 +1,6 @@
 """Reads the platform's store as long as this daemon is to read it."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
 import logbook
@@ -15,44 +14,57 @@
 from hyssopwind.transport import clock
 
 WATCH_SHARE = 0.5  # of the time that changes may take, for one call
-FIRST_BACKOFF = 0.1  # seconds
-LONGEST_BACKOFF = 0.8  # seconds; the store must be met soon on its return
+SHORTEST_WATCH = 0.1  # seconds; calls are billed
 IDLE_POLL = 0.05  # seconds between two questions whether to read
+# Seconds that an answer may have been on its way: a slow store takes 0.25 s. A
+# copy that counts as older than it is makes daemons read that need not.
+DELIVERY = 0.2
 
 _log = logbook.Logger("store")
 
 
 class StoreReader:
-    """Lists once, then waits for changes, while `should_read` says so."""
+    """Lists once, then waits for changes, while `should_read` says so.
+
+    `retry_delay` gives the seconds after a number of failed calls in a row.
+    """
 
     def __init__(
         self,
         client: store.StoreClient,
         known: knowledge.Knowledge,
         should_read: Callable[[], bool],
+        retry_delay: Callable[[int], float],
         terms: tuning.ReadingSettings,
         live: settings.LiveSettings,
     ):
         self._client = client
         self._known = known
         self._should_read = should_read
+        self._retry_delay = retry_delay
         self._terms = terms
         self._live = live
         self._must_list = False
-        self._failing = False
-        self._random = random.Random()
+        self._merged = False
+        self._reading = False
+        self._failures = 0
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this daemon reads, and its last call succeeded."""
+        return self._reading
 
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed."""
-        return self._failing
+        return self._failures > 0
 
     async def run(self) -> None:
         """Reads until it is cancelled."""
-        backoff = FIRST_BACKOFF
         while True:
             if not self._should_read():
-                self._failing = False
+                self._failures = 0
+                self._reading = False
                 await asyncio.sleep(IDLE_POLL)
                 continue
             try:
@@ -64,12 +76,11 @@
             except store.StoreError as error:
                 self._note_failure(error)
                 self._client.reconnect()
-                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
-                backoff = min(LONGEST_BACKOFF, backoff * 2)
+                await asyncio.sleep(self._retry_delay(self._failures))
                 continue
-            backoff = FIRST_BACKOFF
-            if self._failing:
-                self._failing = False
+            self._reading = True
+            if self._failures:
+                self._failures = 0
                 _log.info("store regained", extra={"age": self._known.age()})
 
     async def _read_once(self) -> None:
@@ -79,19 +90,24 @@
             self._must_list = False
             return
         sent = clock.now()
-        delta = await self._client.wait_for_changes(
-            "", revision, self._watch_wait()
-        )
-        # An empty answer says that nothing had changed when the wait ended.
-        as_of = sent if delta.items else max(sent, clock.now() - 0.1)
+        wait = self._watch_wait()
+        delta = await self._client.wait_for_changes("", revision, wait)
+        # The answer holds all changes up to the moment at which it was made.
+        made = clock.now() - DELIVERY
+        as_of = max(sent, made if delta.items else min(made, sent + wait))
         self._known.take(delta, as_of, "store")
-        if delta.items:
+        self._merged = bool(delta.items)
+        if self._merged:
             await asyncio.sleep(self._terms.merge_delay)
 
     def _watch_wait(self) -> float:
         """Returns the seconds of one call, so short that silence is noticed."""
         share = WATCH_SHARE * self._live.current.change_bound
-        return min(self._terms.watch_wait, share)
+        wait = min(self._terms.watch_wait, share)
+        # The merge of changes belongs to the time until the copy is confirmed.
+        if self._merged:
+            return max(SHORTEST_WATCH, wait - self._terms.merge_delay)
+        return wait
 
     async def _list(self) -> None:
         sent = clock.now()
@@ -113,9 +129,10 @@
         )
 
     def _note_failure(self, error: store.StoreError) -> None:
-        if self._failing:
+        self._failures += 1
+        self._reading = False
+        if self._failures > 1:
             return
-        self._failing = True
         _log.warn(
             "store lost",
             extra={"error": str(error), "age": self._known.age()},
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from hyssopwind.core import ids
+from hyssopwind.core.fleet import roster
 from hyssopwind.standins.virtual import loop
 from hyssopwind.standins.virtual import site_fleet
 from hyssopwind.transport import clock
@@ -107,6 +108,38 @@
 
         self.assertEqual(virtual_run(main), {15})
 
+    def test_control_stays_small_at_the_two_year_size(self):
+        """200 daemons in six data centres, with a change every second."""
+
+        async def main():
+            fleet = self.start(centres=6, daemons=33)
+            await asyncio.sleep(12.0)
+            fleet.sent_bytes.clear()
+            await self.change_for(fleet, 10.0, step=1.0)
+            return max(fleet.sent_bytes.values()) / 10.0
+
+        # Bytes a second that a daemon may send for control.
+        self.assertLessEqual(virtual_run(main), 20_000)
+
+    def test_lost_and_new_daemons_are_known_to_all(self):
+        async def main():
+            fleet = self.start(daemons=12)
+            await asyncio.sleep(8.0)
+            for ip in ("10.0.0.3", "10.1.0.7", "10.2.0.12"):
+                fleet.kill(ip)
+            await asyncio.sleep(3 * roster.NEAR_LIFE)
+            lost = self.near_known(fleet)
+            fleet.start("10.1.0.7")
+            await asyncio.sleep(roster.NEAR_LIFE)
+            return lost, self.near_known(fleet)
+
+        lost, found = virtual_run(main)
+        self.assertEqual(lost, {11})
+        self.assertEqual(found, {11, 12})
+
+    def near_known(self, fleet):
+        return {1 + len(d.roster.near()) for d in fleet.daemons.values()}
+
     def test_notice_of_a_crash_reaches_every_daemon_once(self):
         async def main():
             fleet = self.start()
@@ -200,6 +233,61 @@
 
         self.run_with(disturb)
 
+    def test_outage_is_not_met_by_calls_of_the_whole_fleet(self):
+        """Failed calls are billed too; leaders go on trying."""
+
+        async def main():
+            fleet = self.start(centres=3, daemons=33)
+            await asyncio.sleep(5.0)
+            for daemon in fleet.daemons.values():
+                daemon.store_refuses = True
+            before = fleet.store.calls
+            await asyncio.sleep(10.0)
+            calls = fleet.store.calls - before
+            for daemon in fleet.daemons.values():
+                daemon.store_refuses = False
+            fleet.store.write("op/evacuate/after", b"{}")
+            await asyncio.sleep(BOUND)
+            return calls, {
+                daemon.known.copy.revision for daemon in fleet.daemons.values()
+            }
+
+        calls, revisions = virtual_run(main)
+        # Calls are to cost a twentieth of a day's worth at most, 1,470 of them
+        # on a fleet of this size; a day without an outage makes 500.
+        self.assertLessEqual(calls, 970)
+        self.assertEqual(len(revisions), 1)
+
+    def test_store_turns_leaders_away_from_a_large_fleet(self):
+        """One daemon takes the place of each leader, not all the others."""
+
+        async def main():
+            fleet = self.start(centres=4, daemons=24)
+            await asyncio.sleep(5.0)
+            for ip in self.leaders(fleet):
+                fleet.daemons[ip].store_refuses = True
+            await self.change_for(fleet, 3.0)
+            before = fleet.store.calls
+            await self.change_for(fleet, 10.0, step=1.0)
+            return fleet.store.calls - before
+
+        # Two readers a data centre, the leader that tries again included, with
+        # two calls for each of ten changes.
+        self.assertLessEqual(virtual_run(main), 4 * 2 * 2 * 10)
+
+    def test_changes_make_only_the_leaders_read(self):
+        """A copy is as fresh as the answer that brought a change."""
+
+        async def main():
+            fleet = self.start(centres=4, daemons=24)
+            await asyncio.sleep(5.0)
+            before = fleet.store.calls
+            await self.change_for(fleet, 20.0, step=2.23)
+            return fleet.store.calls - before
+
+        # Four leaders with two calls a second at most.
+        self.assertLessEqual(virtual_run(main), 4 * 2 * 20)
+
     def test_rolling_restart_while_servers_leave(self):
         """Leaders that started lately can't know what left before."""
 
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import random
 from collections.abc import Iterator
@@ -29,6 +30,7 @@
 FAR_DELAY = 0.0015  # seconds, one way
 STORE_DELAY = 0.004  # seconds for an answer
 LOSS = 0.01  # share of the datagrams
+DATAGRAM_HEADERS = 28  # bytes, of IP and UDP
 
 
 class VirtualStore:
@@ -124,6 +126,7 @@
             daemon.roster,
             daemon.known,
             lambda: not daemon.reader.is_failing,
+            lambda: daemon.reader.is_reading,
             daemon.take_notice,
         )
         self._virtual = fleet
@@ -152,6 +155,7 @@
     ):
         self.options = options
         self.store = fleet.store
+        self._random = random.Random(fleet.random.random())
         self.store_refuses = False
         self.store_silent = False
         self.silences = 0
@@ -166,6 +170,7 @@
             client,
             self.known,
             self._should_read,
+            self._retry_delay,
             tuning.ReadingSettings(),
             settings.LiveSettings(options),
         )
@@ -185,15 +190,23 @@
         for task in self._tasks:
             task.cancel()
 
-    def _should_read(self) -> bool:
-        state = reading.ReadingState(
+    def _reading_state(self) -> reading.ReadingState:
+        return reading.ReadingState(
             self.options.name,
             self.options.data_centre,
             self.known.age(),
             self.options.first_start,
         )
+
+    def _should_read(self) -> bool:
+        state = self._reading_state()
         return reading.should_read(state, self.roster, clock.now())
 
+    def _retry_delay(self, failures: int) -> float:
+        state = self._reading_state()
+        draw = self._random.random()
+        return reading.retry_delay(state, self.roster, failures, draw)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
@@ -217,6 +230,7 @@
         self.store = VirtualStore()
         self.random = random.Random(plan.seed)
         self.daemons: dict[str, VirtualDaemon] = {}
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.cut: set[frozenset[str]] = set()
         self._plan = plan
         self._options: dict[str, settings.GatewaySettings] = {}
@@ -250,6 +264,7 @@
 
     def deliver(self, sender: VirtualDaemon, ip: str, data: bytes) -> None:
         """Delivers a datagram after the delay of its link, or loses it."""
+        self.sent_bytes[sender.options.ip] += len(data) + DATAGRAM_HEADERS
         if self.reachable(sender, ip) is None or self.random.random() < LOSS:
             return
         is_near = ip.split(".")[1] == sender.options.ip.split(".")[1]
