Pace rosters, so that narrow links do not lose them

Cause: a leader sent 115 datagrams of 900 bytes at once, and a seed greeted each of 96 daemons with the whole list as they started. A VM's link of 5 to 10 Mbit/s queues less than that and loses the rest, always for the same members. Those members take themselves for leaders, read the store, and disagree on who may send to a cold server.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -31,6 +31,10 @@
 FAR_BEATS = 2  # heartbeat intervals between two to other data centres
 NEAR_ROSTERS = 2  # heartbeat intervals between two rosters to members
 FAR_ROSTERS = 10  # the same to the leaders elsewhere
+# Datagrams of rosters sent at a time, and seconds between two times: 180 KB/s,
+# a third of the narrowest link of 5 Mbit/s, whose queue a burst would overflow.
+ROSTER_BATCH = 10
+ROSTER_PACE = 0.05
 SEED_BEATS = 6  # heartbeat intervals after the start with calls to seeds
 LONE_BEATS = 4  # intervals between two calls to seeds without any peer
 PULL_TIMEOUT = 0.5  # seconds; a pull takes milliseconds
@@ -69,6 +73,9 @@
         self._sent_revision = 0
         self._leaving = False
         self._pulls: dict[str, asyncio.Task[None]] = {}
+        self._rosters: collections.deque[tuple[bytes, str]] = (
+            collections.deque()
+        )
         self._notices: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
@@ -155,7 +162,7 @@
         self._send_beats(include_far=far)
         if not self._fleet.is_leader(now):
             return
-        if self._round % NEAR_ROSTERS == 0:
+        if self._round % NEAR_ROSTERS == 0 and not self._rosters:
             members = self._fleet.list_members(now, near_only=False)
             self._send_roster(members, self._fleet.differing())
         if self._round % FAR_ROSTERS == 0:
@@ -208,9 +215,22 @@
     def _send_roster(
         self, members: list[messages.Member], peers: list[roster.Peer]
     ) -> None:
+        waiting: list[tuple[bytes, str]] = []
         for start in range(0, len(members), MEMBERS_PER_DATAGRAM):
             part = members[start : start + MEMBERS_PER_DATAGRAM]
-            self._send_all(messages.Roster(self._options.name, part), peers)
+            data = messages.encode(messages.Roster(self._options.name, part))
+            waiting.extend((data, peer.ip) for peer in peers)
+        if not self._rosters:
+            self._loop.call_soon(self._send_queued)
+        self._rosters.extend(waiting)
+
+    def _send_queued(self) -> None:
+        """Sends some of the queued datagrams, and the others later."""
+        for _ in range(min(ROSTER_BATCH, len(self._rosters))):
+            data, ip = self._rosters.popleft()
+            self._send(data, ip)
+        if self._rosters:
+            self._loop.call_later(ROSTER_PACE, self._send_queued)
 
     def _send_all(
         self, message: messages.Datagram, peers: Iterable[roster.Peer]
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
@@ -2,81 +2,14 @@
 
 import asyncio
 import functools
-import unittest
-from unittest import mock
 
 from hyssopwind.core import ids
 from hyssopwind.core.fleet import roster
-from hyssopwind.standins.virtual import loop
-from hyssopwind.standins.virtual import site_fleet
+from hyssopwind.standins.tests import site_fleet_case
 from hyssopwind.transport import clock
 
-BOUND = 2.0  # seconds in which a confirmed change is to be in force
-CONTACT = 3.0  # seconds of undisturbed running after which the bound holds
-
-
-def virtual_run(main):
-    """Runs a coroutine function in virtual time, from a time after zero."""
-
-    async def timed():
-        running = asyncio.get_running_loop()
-        with mock.patch.object(clock, "now", lambda: 100.0 + running.time()):
-            return await main()
-
-    return loop.run_virtual(timed())
-
-
-class FleetCase(unittest.TestCase):
-    def start(self, seed=1, **plan):
-        fleet = site_fleet.VirtualFleet(site_fleet.FleetPlan(seed=seed, **plan))
-        fleet.start_all()
-        return fleet
-
-    async def change_for(self, fleet, seconds, step=0.37):
-        """Makes changes and checks the bound until some time has passed."""
-        end = clock.now() + seconds
-        number = 0
-        while clock.now() < end:
-            number += 1
-            fleet.store.write(f"op/evacuate/z{number % 7}", b"{}")
-            if number % 3 == 0:
-                gone = (number - 2) % 7
-                fleet.store.write(f"op/evacuate/z{gone}", None)
-            await self.watch(fleet, step)
-
-    async def watch(self, fleet, seconds):
-        end = clock.now() + seconds
-        while clock.now() < end:
-            await asyncio.sleep(0.05)
-            self.check(fleet)
-
-    def check(self, fleet):
-        """Every daemon in touch holds what was confirmed a bound ago."""
-        now = clock.now()
-        due = [r for t, r in fleet.store.confirmed if t <= now - BOUND]
-        if not due:
-            return
-        for ip, daemon in fleet.daemons.items():
-            if now - daemon.disturbed_at < CONTACT:
-                continue
-            held = daemon.known.copy.revision
-            self.assertGreaterEqual(held, due[-1], f"{ip} at {now:.2f}")
-            self.check_items(daemon, due[-1], f"{ip} at {now:.2f}")
-
-    def check_items(self, daemon, revision, place):
-        """What last changed up to a revision is held, or known as removed."""
-        held = daemon.known.copy.items
-        for key, last in self.last_changes(daemon.store).items():
-            if last.revision > revision:
-                continue
-            value = held[key].value if key in held else None
-            self.assertEqual(value, last.value, f"{key} {place}")
-
-    def last_changes(self, store):
-        return {item.key: item for item in store.history}
-
-
-class CalmTest(FleetCase):
+
+class CalmTest(site_fleet_case.FleetCase):
     def test_one_daemon_of_each_data_centre_reads(self):
         async def main():
             fleet = self.start()
@@ -85,41 +18,18 @@
             await self.watch(fleet, 10.0)
             return len(list(fleet.readers())), fleet.store.calls - before
 
-        readers, calls = virtual_run(main)
+        readers, calls = site_fleet_case.virtual_run(main)
         self.assertEqual(readers, 3)
         # One call a second for each reader, waiting for changes.
         self.assertLessEqual(calls, 3 * 10 + 3)
 
-    def test_a_hundred_daemons_make_as_many_calls(self):
-        async def main():
-            fleet = self.start(centres=4, daemons=25)
-            await asyncio.sleep(5.0)
-            before = fleet.store.calls
-            await self.watch(fleet, 5.0)
-            return fleet.store.calls - before
-
-        self.assertLessEqual(virtual_run(main), 4 * 5 + 4)
-
     def test_all_daemons_know_all_others(self):
         async def main():
             fleet = self.start()
             await asyncio.sleep(8.0)
             return {d.roster.size() for d in fleet.daemons.values()}
 
-        self.assertEqual(virtual_run(main), {15})
-
-    def test_control_stays_small_at_the_two_year_size(self):
-        """200 daemons in six data centres, with a change every second."""
-
-        async def main():
-            fleet = self.start(centres=6, daemons=33)
-            await asyncio.sleep(12.0)
-            fleet.sent_bytes.clear()
-            await self.change_for(fleet, 10.0, step=1.0)
-            return max(fleet.sent_bytes.values()) / 10.0
-
-        # Bytes a second that a daemon may send for control.
-        self.assertLessEqual(virtual_run(main), 20_000)
+        self.assertEqual(site_fleet_case.virtual_run(main), {15})
 
     def test_lost_and_new_daemons_are_known_to_all(self):
         async def main():
@@ -133,7 +43,7 @@
             await asyncio.sleep(roster.NEAR_LIFE)
             return lost, self.near_known(fleet)
 
-        lost, found = virtual_run(main)
+        lost, found = site_fleet_case.virtual_run(main)
         self.assertEqual(lost, {11})
         self.assertEqual(found, {11, 12})
 
@@ -153,10 +63,10 @@
                 if d is not sender
             ]
 
-        self.assertEqual(virtual_run(main), [1] * 14)
+        self.assertEqual(site_fleet_case.virtual_run(main), [1] * 14)
 
 
-class DisturbedTest(FleetCase):
+class DisturbedTest(site_fleet_case.FleetCase):
     """Troubles one by one; changes go on all the while."""
 
     def run_with(self, disturb, seconds=12.0, seed=1):
@@ -166,15 +76,7 @@
             disturb(fleet)
             await self.change_for(fleet, seconds)
 
-        virtual_run(main)
-
-    def leaders(self, fleet):
-        now = clock.now()
-        return [
-            ip
-            for ip, daemon in fleet.daemons.items()
-            if daemon.roster.is_leader(now)
-        ]
+        site_fleet_case.virtual_run(main)
 
     def test_killed_leaders(self):
         def disturb(fleet):
@@ -233,61 +135,6 @@
 
         self.run_with(disturb)
 
-    def test_outage_is_not_met_by_calls_of_the_whole_fleet(self):
-        """Failed calls are billed too; leaders go on trying."""
-
-        async def main():
-            fleet = self.start(centres=3, daemons=33)
-            await asyncio.sleep(5.0)
-            for daemon in fleet.daemons.values():
-                daemon.store_refuses = True
-            before = fleet.store.calls
-            await asyncio.sleep(10.0)
-            calls = fleet.store.calls - before
-            for daemon in fleet.daemons.values():
-                daemon.store_refuses = False
-            fleet.store.write("op/evacuate/after", b"{}")
-            await asyncio.sleep(BOUND)
-            return calls, {
-                daemon.known.copy.revision for daemon in fleet.daemons.values()
-            }
-
-        calls, revisions = virtual_run(main)
-        # Calls are to cost a twentieth of a day's worth at most, 1,470 of them
-        # on a fleet of this size; a day without an outage makes 500.
-        self.assertLessEqual(calls, 970)
-        self.assertEqual(len(revisions), 1)
-
-    def test_store_turns_leaders_away_from_a_large_fleet(self):
-        """One daemon takes the place of each leader, not all the others."""
-
-        async def main():
-            fleet = self.start(centres=4, daemons=24)
-            await asyncio.sleep(5.0)
-            for ip in self.leaders(fleet):
-                fleet.daemons[ip].store_refuses = True
-            await self.change_for(fleet, 3.0)
-            before = fleet.store.calls
-            await self.change_for(fleet, 10.0, step=1.0)
-            return fleet.store.calls - before
-
-        # Two readers a data centre, the leader that tries again included, with
-        # two calls for each of ten changes.
-        self.assertLessEqual(virtual_run(main), 4 * 2 * 2 * 10)
-
-    def test_changes_make_only_the_leaders_read(self):
-        """A copy is as fresh as the answer that brought a change."""
-
-        async def main():
-            fleet = self.start(centres=4, daemons=24)
-            await asyncio.sleep(5.0)
-            before = fleet.store.calls
-            await self.change_for(fleet, 20.0, step=2.23)
-            return fleet.store.calls - before
-
-        # Four leaders with two calls a second at most.
-        self.assertLessEqual(virtual_run(main), 4 * 2 * 20)
-
     def test_rolling_restart_while_servers_leave(self):
         """Leaders that started lately can't know what left before."""
 
@@ -313,10 +160,10 @@
 
         for seed in range(1, 9):
             with self.subTest(seed=seed):
-                virtual_run(functools.partial(main, seed))
+                site_fleet_case.virtual_run(functools.partial(main, seed))
 
 
-class RandomTest(FleetCase):
+class RandomTest(site_fleet_case.FleetCase):
     """Overlapping troubles, drawn anew every second."""
 
     async def play(self, seed):
@@ -330,7 +177,9 @@
             await self.change_for(fleet, 1.0)
         for heal in healing:
             heal()
-        await self.change_for(fleet, CONTACT + BOUND)
+        await self.change_for(
+            fleet, site_fleet_case.CONTACT + site_fleet_case.BOUND
+        )
 
     def disturb(self, fleet):
         kind = fleet.random.choice(
@@ -400,4 +249,4 @@
     def test_bound_holds_for_daemons_in_touch(self):
         for seed in range(1, 9):
             with self.subTest(seed=seed):
-                virtual_run(functools.partial(self.play, seed))
+                site_fleet_case.virtual_run(functools.partial(self.play, seed))
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -216,11 +216,15 @@
         centres: number of data centres.
         daemons: daemons in each.
         seed: seed of losses and faults.
+        link_rate: bytes a second that the link of a VM carries.
+        link_queue: bytes that may wait for it; more are lost.
     """
 
     centres: int = 3
     daemons: int = 5
     seed: int = 1
+    link_rate: float = 125e6
+    link_queue: float = 1e6
 
 
 class VirtualFleet:
@@ -232,6 +236,7 @@
         self.daemons: dict[str, VirtualDaemon] = {}
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.cut: set[frozenset[str]] = set()
+        self._free_at: dict[str, float] = {}
         self._plan = plan
         self._options: dict[str, settings.GatewaySettings] = {}
         seeds = [_ip(c, 1) for c in range(min(3, plan.centres))]
@@ -264,7 +269,8 @@
 
     def deliver(self, sender: VirtualDaemon, ip: str, data: bytes) -> None:
         """Delivers a datagram after the delay of its link, or loses it."""
-        self.sent_bytes[sender.options.ip] += len(data) + DATAGRAM_HEADERS
+        if not self._queue(sender.options.ip, len(data) + DATAGRAM_HEADERS):
+            return
         if self.reachable(sender, ip) is None or self.random.random() < LOSS:
             return
         is_near = ip.split(".")[1] == sender.options.ip.split(".")[1]
@@ -277,6 +283,17 @@
 
         asyncio.get_running_loop().call_later(delay, arrive)
 
+    def _queue(self, ip: str, size: int) -> bool:
+        """Puts bytes on the link of a VM; returns whether they found room."""
+        self.sent_bytes[ip] += size
+        now = clock.now()
+        free_at = max(now, self._free_at.get(ip, now))
+        waiting = (free_at - now) * self._plan.link_rate
+        if waiting + size > self._plan.link_queue:
+            return False
+        self._free_at[ip] = free_at + size / self._plan.link_rate
+        return True
+
     def readers(self) -> Iterator[str]:
         """Yields the daemons that read the store now."""
         for ip, daemon in self.daemons.items():
