--- a/packages/core/src/hyssopwind/core/pools/tests/test_ejection.py
+++ b/packages/core/src/hyssopwind/core/pools/tests/test_ejection.py
@@ -3,7 +3,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import messages
 from hyssopwind.core.pools import server_load
-from hyssopwind.core.settings import documents
+from hyssopwind.core.pools.tests import test_owner
 
 SERVER = ids.ServerId("s")
 
@@ -12,9 +12,8 @@
     """A server's process is down for a second under load near its limit."""
 
     def setUp(self):
-        self.load = server_load.ServerLoad(
-            SERVER, documents.ServiceSettings(route="/a/")
-        )
+        service = test_owner.make_service()
+        self.load = server_load.ServerLoad(SERVER, service.settings)
         self.told = messages.ServerTell(SERVER, 0, 0, 0, 0, "a", 0.0)
 
     def tell(self, now, **counts):
