--- a/packages/core/src/hyssopwind/core/fleet/roster.py
+++ b/packages/core/src/hyssopwind/core/fleet/roster.py
@@ -45,6 +45,7 @@
         reads: whether its calls to the platform succeed.
         leaving: whether it is about to stop.
         roster: digest of the daemons that it knows; 0 before a heartbeat.
+        rank: rendezvous hash of its name; the highest leads.
     """
 
     name: ids.DaemonId
@@ -56,6 +57,10 @@
     reads: bool = True
     leaving: bool = False
     roster: int = 0
+    rank: int = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.rank = xxhash.xxh3_64_intdigest(self.name.encode())
 
 
 class FleetRoster:
@@ -93,7 +98,7 @@
             peer.leaving = beat.leaving
             self._digest = None
         peer.roster = beat.roster
-        if peer is self.leader(now) and beat.roster == self.digest():
+        if beat.roster == self.digest() and peer is self.leader(now):
             self._confirm(now)
         return is_new
 
@@ -148,7 +153,7 @@
         ]
         if data_centre == self._own.data_centre and not self._own.leaving:
             found.append(self._own)
-        found.sort(key=lambda peer: _rank(peer.name), reverse=True)
+        found.sort(key=lambda peer: peer.rank, reverse=True)
         return found
 
     def leader(self, now: float) -> Peer | None:
@@ -240,10 +245,6 @@
         return FAR_LIFE
 
 
-def _rank(name: ids.DaemonId) -> int:
-    return xxhash.xxh3_64_intdigest(name.encode())
-
-
 def _member(peer: Peer, heard_at: float, now: float) -> messages.Member:
     age = min(messages.MAX_AGE_MS, max(0, round((now - heard_at) * 1000)))
     return messages.Member(peer.name, peer.ip, peer.data_centre, age)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -18,7 +18,7 @@
 IDLE_POLL = 0.05  # seconds between two questions whether to read
 # Seconds that an answer may have been on its way: a slow store takes 0.25 s. A
 # copy that counts as older than it is makes daemons read that need not.
-DELIVERY = 0.2
+DELIVERY = 0.25
 
 _log = logbook.Logger("store")
 
