--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -5,7 +5,6 @@
 
 import logbook
 
-from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import knowledge
@@ -91,7 +90,9 @@
             return
         sent = clock.now()
         wait = self._watch_wait()
-        delta = await self._client.wait_for_changes("", revision, wait)
+        delta = await self._client.wait_for_changes(
+            platform_items.ALL_KEYS, revision, wait
+        )
         # The answer holds all changes up to the moment at which it was made.
         made = clock.now() - DELIVERY
         as_of = max(sent, made if delta.items else min(made, sent + wait))
@@ -111,19 +112,13 @@
 
     async def _list(self) -> None:
         sent = clock.now()
-        found: list[items.Item] = []
-        revision = 0
-        for prefix in platform_items.PREFIXES:
-            listing = await self._client.list_items(prefix)
-            found.extend(listing.items)
-            revision = min(revision or listing.revision, listing.revision)
-        delta = items.Delta(tuple(found), revision, True)
+        delta = await self._client.list_items(platform_items.ALL_KEYS)
         changed = self._known.take(delta, sent, "listing")
         _log.info(
             "store listed",
             extra={
-                "revision": revision,
-                "items": len(found),
+                "revision": delta.revision,
+                "items": len(delta.items),
                 "changed": changed,
             },
         )
