Confirm the copy as of the end of a wait without changes

DELIVERY made a calm copy count as up to 1.75 s old, 0.05 s below the age at which the next in rank reads. The end of the wait is known, so nothing has to be guessed there.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -93,9 +93,11 @@
         delta = await self._client.wait_for_changes(
             platform_items.ALL_KEYS, revision, wait
         )
-        # The answer holds all changes up to the moment at which it was made.
-        made = clock.now() - DELIVERY
-        as_of = max(sent, made if delta.items else min(made, sent + wait))
+        # The answer holds all changes up to the moment at which it was made,
+        # which is the end of the wait if there are none.
+        now = clock.now()
+        waited = not delta.items and now >= sent + wait
+        as_of = sent + wait if waited else max(sent, now - DELIVERY)
         self._known.take(delta, as_of, "store")
         self._merged = bool(delta.items)
         if self._merged:
