--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,12 +9,20 @@
 fi
 # The packages are copied rather than installed: pip would build them in
 # their source folders, which must stay as they are.
-rm -rf target/deps/hyssopwind
-mkdir -p target/deps/hyssopwind
+rm -rf target/new
+mkdir -p target/new
 for package in packages/core packages/transport packages/daemon platform; do
-  cp -R "$package/src/hyssopwind/." target/deps/hyssopwind/
+  cp -R "$package/src/hyssopwind/." target/new/
 done
-find target/deps/hyssopwind -type d -name tests -prune -exec rm -rf {} +
-# Processes can't write beside their sources, so they would compile the
-# packages anew at each start.
-python3 -m compileall -q target/deps/hyssopwind
+find target/new -type d \( -name tests -o -name __pycache__ \) -prune \
+  -exec rm -rf {} +
+# What is the same stays in place: daemons that start meanwhile import it.
+if ! diff -rq -x __pycache__ target/new target/deps/hyssopwind >/dev/null 2>&1
+then
+  rm -rf target/deps/hyssopwind
+  mv target/new target/deps/hyssopwind
+  # Processes can't write beside their sources, so they would compile the
+  # packages anew at each start.
+  python3 -m compileall -q target/deps/hyssopwind
+fi
+rm -rf target/new
