Report answers that callers did not get whole, and what a stop leaves behind

Needed to tell the hypotheses of the incident apart: nothing in the log or the metrics said why a connection closed, how far its requests were, or what was still unsent when the process ended.

`answer not delivered` names the request, its stage (queued, running, held behind earlier answers, buffered in the process) and what closed the connection; `stopping` and `stopped` state requests, unsent and unacknowledged bytes, and `stopped` whether the deadline ended the drain. Counter: hyssopwind_undelivered_answers_total{stage,cause}. No decision changes. Tests: test_site_gateway.UndeliveredAnswerTest.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -17,9 +17,13 @@
 
 from hyssopwind.core import outcomes
 from hyssopwind.core.routing import tables
+from hyssopwind.core.stopping import deliveries
 from hyssopwind.daemon.gateway import caller_parsing
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import rendering
+from hyssopwind.platform import field_names
+from hyssopwind.transport import boot_clock
+from hyssopwind.transport import send_queue
 
 MAX_PIPELINED_REQUESTS = 64  # unanswered requests on one connection
 # Time after the last answer in which the caller can still read it.
@@ -38,6 +42,7 @@
         limits: the limits in force.
         is_stopping: whether the daemon stops, so that connections close.
         log_rejection: logs a request that was rejected before it was served.
+        count_undelivered: counts an answer that was not delivered whole.
     """
 
     serve: Callable[
@@ -47,6 +52,9 @@
     limits: Callable[[], tables.CallerLimits]
     is_stopping: Callable[[], bool]
     log_rejection: Callable[[outcomes.Failure], None]
+    count_undelivered: Callable[
+        [deliveries.DeliveryStage, deliveries.CloseCause], None
+    ]
 
 
 class _PendingRequest:
@@ -65,6 +73,15 @@
         self.answer: bytes | None = None
         self.closes_connection = request is None or request.closes_connection
 
+    @property
+    def stage(self) -> deliveries.DeliveryStage:
+        """How far the request is."""
+        if self.answer is not None:
+            return deliveries.DeliveryStage.HELD
+        if self.task is not None:
+            return deliveries.DeliveryStage.RUNNING
+        return deliveries.DeliveryStage.QUEUED
+
 
 class CallerConnection(asyncio.Protocol):
     """Reads requests, serves them and writes the answers in order."""
@@ -83,9 +100,33 @@
         self._pending_requests: collections.deque[_PendingRequest] = (
             collections.deque()
         )
+        # Requests whose answers are written, the last of them not wholly sent.
+        self._buffered_requests: list[caller_requests.CallerRequest | None] = []
+        self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
 
+    @property
+    def pending_count(self) -> int:
+        """The number of requests whose answers have not been written."""
+        return len(self._pending_requests)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that are still held in the process."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Bytes of answers in the kernel that the caller's end lacks."""
+        if self._transport is None:
+            return 0
+        return send_queue.unacknowledged_bytes(
+            self._transport.get_extra_info("socket")
+        )
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is pending or partly read."""
@@ -97,6 +138,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the idle timeout of the new connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        # Reports each write that the kernel does not take at once.
+        self._transport.set_write_buffer_limits(high=0)
         self._connections.add(self)
         self._start_timer(self._callbacks.limits().idle_timeout_seconds)
 
@@ -123,13 +166,39 @@
         """Closes the connection when the caller has closed its side."""
         return False
 
+    def pause_writing(self) -> None:
+        """Records that answers are held in the process."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Records that the kernel has taken all answers."""
+        self._is_write_paused = False
+        self._buffered_requests.clear()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the pending requests of a closed connection."""
+        cause = deliveries.CloseCause.CALLER
+        if self._is_closed:
+            cause = deliveries.CloseCause.DAEMON
+        elif exc is not None:
+            cause = deliveries.CloseCause.RESET
+        self.report_undelivered(cause)
         self._is_closed = True
         self._connections.discard(self)
         self._stop_timer()
         self._cancel_pending_requests()
 
+    def report_undelivered(self, cause: deliveries.CloseCause) -> None:
+        """Logs and counts the answers that a close at this moment loses."""
+        for request in self._buffered_requests:
+            self._report(request, deliveries.DeliveryStage.BUFFERED, cause)
+        self._buffered_requests.clear()
+        self._report_pending(cause)
+
+    def _report_pending(self, cause: deliveries.CloseCause) -> None:
+        for pending in self._pending_requests:
+            self._report(pending.request, pending.stage, cause)
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is pending or partly read."""
         if self.is_idle:
@@ -196,7 +265,10 @@
             if self._is_closed:
                 return
             assert pending.answer is not None
+            self._buffered_requests.append(pending.request)
             self._write(pending.answer)
+            if not self._is_write_paused:
+                self._buffered_requests.clear()
             if pending.closes_connection:
                 self._close()
                 return
@@ -222,7 +294,31 @@
             self._transport.pause_reading()
         self._complete(pending, failure)
 
+    def _report(
+        self,
+        request: caller_requests.CallerRequest | None,
+        stage: deliveries.DeliveryStage,
+        cause: deliveries.CloseCause,
+    ) -> None:
+        self._callbacks.count_undelivered(stage, cause)
+        log_fields: dict[str, object] = {
+            "stage": stage.value,
+            "cause": cause.value,
+            "stopping": self._callbacks.is_stopping(),
+            "unsent_bytes": self.unsent_bytes,
+            "unacknowledged_bytes": self.unacknowledged_bytes,
+        }
+        if request is not None:
+            log_fields["request"] = request.fields.get(
+                field_names.REQUEST_ID, ""
+            )
+            log_fields["ms"] = round(
+                (boot_clock.now() - request.arrived_at) * 1000
+            )
+        _log.info("answer not delivered", extra=log_fields)
+
     def _close(self) -> None:
+        self._report_pending(deliveries.CloseCause.DAEMON)
         self._is_closed = True
         self._stop_timer()
         self._cancel_pending_requests()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -19,6 +19,7 @@
 from hyssopwind.core.fleet import reader_selection
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
+from hyssopwind.core.stopping import deliveries
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
@@ -193,6 +194,7 @@
             limits=self._caller_limits,
             is_stopping=self._stop_event.is_set,
             log_rejection=self._log_rejection,
+            count_undelivered=self._metrics.count_undelivered,
         )
         return await self._loop.create_server(
             lambda: caller_connection.CallerConnection(
@@ -237,7 +239,14 @@
             - STOP_MARGIN_SECONDS
         )
         self._gossip.announce_stop()
-        _log.info("stopping", extra={"connections": len(self._connections)})
+        _log.info(
+            "stopping",
+            extra={
+                **self._connection_counts(),
+                "grace_ms": round(self._live_settings.current.grace * 1000),
+            },
+        )
+        is_idle = False
         while boot_clock.now() < deadline:
             await asyncio.sleep(0.05)
             if boot_clock.now() < stop_requested_at + BALANCER_DELAY_SECONDS:
@@ -245,9 +254,31 @@
             for connection in list(self._connections):
                 connection.close_if_idle()
             if all(connection.is_idle for connection in self._connections):
+                is_idle = True
                 break
         server.close()
-        _log.info("stopped", extra={"connections": len(self._connections)})
+        _log.info(
+            "stopped",
+            extra={
+                **self._connection_counts(),
+                "reason": "idle" if is_idle else "deadline",
+                "ms": round((boot_clock.now() - stop_requested_at) * 1000),
+            },
+        )
+        for connection in self._connections:
+            connection.report_undelivered(deliveries.CloseCause.PROCESS_END)
+
+    def _connection_counts(self) -> dict[str, int]:
+        """Returns what the connections of callers hold, for the log."""
+        connections = self._connections
+        return {
+            "connections": len(connections),
+            "requests": sum(each.pending_count for each in connections),
+            "unsent_bytes": sum(each.unsent_bytes for each in connections),
+            "unacknowledged_bytes": sum(
+                each.unacknowledged_bytes for each in connections
+            ),
+        }
 
     async def _announce_changes(self) -> None:
         """Announces each change at once, not only with the next heartbeat."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterator
 from typing import Any
 
+from hyssopwind.core.stopping import deliveries
+
 MAX_SERIES = 4_096  # combinations of label values of one metric
 _BUCKET_BOUNDS_SECONDS = (
     0.005,
@@ -82,6 +84,9 @@
         self._attempts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._undelivered: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._bucket_counts: dict[str, list[int]] = {}
         self._latency_sums: dict[str, float] = {}
         self._sources: GaugeSources | None = None
@@ -110,6 +115,12 @@
         if len(self._attempts) < MAX_SERIES:
             self._attempts[service, result] += 1
 
+    def count_undelivered(
+        self, stage: deliveries.DeliveryStage, cause: deliveries.CloseCause
+    ) -> None:
+        """Counts an answer that its caller did not get whole."""
+        self._undelivered[stage.value, cause.value] += 1
+
     def render(self) -> bytes:
         """Returns the metrics in the text format of Prometheus."""
         import prometheus_client
@@ -138,6 +149,14 @@
         for attempt_labels, count in self._attempts.items():
             attempts.add_metric(attempt_labels, count)
         yield attempts
+        undelivered = metrics_core.CounterMetricFamily(
+            "hyssopwind_undelivered_answers",
+            "Answers that callers did not get whole",
+            labels=["stage", "cause"],
+        )
+        for delivery_labels, count in self._undelivered.items():
+            undelivered.add_metric(delivery_labels, count)
+        yield undelivered
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
             value = getattr(self._sources, name)() if self._sources else 0.0
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -62,6 +62,7 @@
             limits=lambda: _LIMITS,
             is_stopping=lambda: False,
             log_rejection=lambda _: None,
+            count_undelivered=lambda _stage, _cause: None,
         )
         server = await loop.create_server(
             lambda: caller_connection.CallerConnection(
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -7,6 +7,8 @@
 import os
 import unittest
 
+import logbook
+
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import gateway
@@ -443,6 +445,82 @@
             self.assertEqual((await self.call("/safe/a"))[0], 200)
 
 
+class UndeliveredAnswerTest(GatewayTestCase):
+    """The log and the metrics name each answer that a caller lacks."""
+
+    def find_lines(self, handler, message):
+        return [
+            record.extra
+            for record in handler.records
+            if record.message == message
+        ]
+
+    async def read_metrics(self):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.ports[4]
+        )
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        _, _, body = await self.read_answer(reader)
+        writer.close()
+        return body.decode()
+
+    async def test_departure_of_the_caller_is_reported(self):
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.8
+        with logbook.TestHandler().applicationbound() as handler:
+            _, writer = await self.connect()
+            writer.write(self.request("/safe/a", request_id="r7"))
+            await self.wait_until(lambda: self.count_executions() == 1)
+            writer.close()
+            await self.wait_until(lambda: not self.daemon._connections)
+            (line,) = self.find_lines(handler, "answer not delivered")
+        self.assertEqual(line["request"], "r7")
+        self.assertEqual((line["stage"], line["cause"]), ("running", "caller"))
+        self.assertIn(
+            "hyssopwind_undelivered_answers_total"
+            '{cause="caller",stage="running"} 1.0',
+            await self.read_metrics(),
+        )
+
+    async def test_answer_held_in_the_process_is_reported(self):
+        answer = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+            b"Content-Length: 16000000\r\n\r\n" + bytes(16_000_000)
+        )
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(answer)
+        with logbook.TestHandler().applicationbound() as handler:
+            _, writer = await self.connect()
+            writer.transport.pause_reading()
+            writer.write(self.request("/safe/a", request_id="r7"))
+            await self.wait_until(
+                lambda: any(
+                    connection.unsent_bytes
+                    for connection in self.daemon._connections
+                )
+            )
+            writer.transport.abort()
+            await self.wait_until(lambda: not self.daemon._connections)
+            (line,) = self.find_lines(handler, "answer not delivered")
+        self.assertEqual(line["request"], "r7")
+        self.assertEqual(line["stage"], "buffered")
+
+    async def test_stop_is_logged_with_what_connections_hold(self):
+        with logbook.TestHandler().applicationbound() as handler:
+            _, writer = await self.connect()
+            await self.wait_until(lambda: self.daemon._connections)
+            self.daemon._stop_event.set()
+            await asyncio.wait_for(self.daemon_task, 6.0)
+            (stopping,) = self.find_lines(handler, "stopping")
+            (stopped,) = self.find_lines(handler, "stopped")
+        self.assertEqual(stopping["connections"], 1)
+        self.assertEqual(stopping["requests"], 0)
+        self.assertEqual(stopped["reason"], "idle")
+        self.assertEqual(stopped["unsent_bytes"], 0)
+        self.assertGreaterEqual(stopped["ms"], 3_000)
+        writer.close()
+
+
 class StopTest(GatewayTestCase):
     async def test_stopping_daemon_answers_requests_in_flight(self):
         for stand_in in self.servers:
