--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
@@ -0,0 +1,219 @@
+"""Planned stops of a gateway, judged by what callers and servers see."""
+
+import asyncio
+import contextlib
+import socket
+
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.tests import site_gateway_case
+
+LARGE_BODY_BYTES = 16_000_000  # more than socket buffers hold
+
+GRACE_SECONDS = 4.0  # as in the settings file of the stand-ins
+
+
+def make_answer(body):
+    """Returns an answer of a stand-in server to the request that it gets."""
+    head = (
+        "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class StopTestCase(site_gateway_case.GatewayTestCase):
+    routes = [
+        *site_gateway_case.GatewayTestCase.routes,
+        documents.make_route_resource("long", "/long/", timeout_s=30.0),
+    ]
+
+    def set_work(self, seconds):
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = seconds
+
+    async def read_answers(self, reader):
+        """Returns the ids of all whole answers until the connection ends."""
+        answered = []
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                _, headers, _ = await self.read_answer(reader)
+                answered.append(headers["request-id"])
+        return answered
+
+    def executed_ids(self):
+        return {
+            request_id
+            for stand_in in self.servers
+            for request_id in stand_in.executions
+        }
+
+
+class PipelinedStopTest(StopTestCase):
+    async def test_request_behind_a_finished_answer_is_not_cut(self):
+        """An answer that waits for an earlier one is not the last for sure."""
+        reader, writer = await self.connect()
+        self.request_stop()
+        self.set_work(0.6)
+        writer.write(self.request("/safe/a", request_id="r0"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        self.set_work(0.05)
+        writer.write(self.request("/safe/a", request_id="r1"))
+        await self.wait_until(lambda: self.count_executions() == 2)
+        await asyncio.sleep(0.2)
+        self.set_work(0.6)
+        writer.write(self.request("/safe/a", request_id="r2"))
+        answered = await self.read_answers(reader)
+        self.assertEqual(self.executed_ids() - set(answered), set())
+        writer.close()
+
+    async def test_caller_that_never_pauses_loses_no_answer(self):
+        """The connection is never idle, and yet must end before the daemon."""
+        self.set_work(0.3)
+        reader, writer = await self.connect()
+
+        async def send():
+            with contextlib.suppress(OSError):
+                for number in range(200):
+                    writer.write(
+                        self.request("/safe/a", request_id=f"r{number}")
+                    )
+                    await writer.drain()
+                    await asyncio.sleep(0.1)
+
+        sending = asyncio.create_task(send())
+        await asyncio.sleep(0.3)
+        self.request_stop()
+        stopped_at = asyncio.get_running_loop().time()
+        answered = await self.read_answers(reader)
+        seconds = asyncio.get_running_loop().time() - stopped_at
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        self.assertLess(seconds, GRACE_SECONDS)
+        self.assertGreater(len(answered), 3)
+        self.assertEqual(self.executed_ids() - set(answered), set())
+        writer.close()
+
+    async def test_request_behind_a_closing_one_does_not_run(self):
+        """The connection ends with the answer to the closing request."""
+        self.set_work(0.2)
+        reader, writer = await self.connect()
+        writer.write(
+            self.request("/safe/a", request_id="r0", Connection="close")
+            + self.request("/safe/a", request_id="r1")
+        )
+        self.assertEqual(await self.read_answers(reader), ["r0"])
+        self.assertEqual(self.executed_ids(), {"r0"})
+        writer.close()
+
+
+class LateRequestTest(StopTestCase):
+    async def test_request_that_would_outlast_the_daemon_is_refused(self):
+        """A new connection after the balancer delay gets a promise at once."""
+        self.set_work(1.8)
+        self.request_stop()
+        await asyncio.sleep(2.5)
+        reader, writer = await self.connect()
+        started = asyncio.get_running_loop().time()
+        writer.write(self.request("/long/a", Deadline_Ms="3000"))
+        status, headers, _ = await self.read_answer(reader)
+        elapsed = asyncio.get_running_loop().time() - started
+        self.assertEqual(status, 503)
+        self.assertLess(elapsed, 0.2)
+        self.assertLess(float(headers["retry-after"]), 0.2)
+        self.assertEqual(headers["connection"], "close")
+        self.assertEqual(self.executed_ids(), set())
+        writer.close()
+
+    async def test_request_that_fits_is_still_served(self):
+        self.set_work(0.3)
+        self.request_stop()
+        await asyncio.sleep(2.5)
+        status, _, _ = await self.call("/safe/a", Deadline_Ms="800")
+        self.assertEqual(status, 200)
+
+    async def test_half_read_request_is_answered_at_the_deadline(self):
+        """Its caller would otherwise see only the end of the connection."""
+        reader, writer = await self.connect()
+        head = self.request("/unsafe/a", "POST", Content_Length="10")
+        writer.write(head + b"12345")
+        await asyncio.sleep(0.1)
+        self.request_stop()
+        status, headers, _ = await self.read_answer(reader)
+        self.assertEqual(status, 503)
+        self.assertEqual(headers["connection"], "close")
+        writer.close()
+
+    async def test_long_request_is_answered_when_the_drain_ends(self):
+        """Its caller learns that the outcome is unknown."""
+        self.set_work(30.0)
+        reader, writer = await self.connect()
+        writer.write(self.request("/long/a", Deadline_Ms="20000"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        self.request_stop()
+        status, _, _ = await self.read_answer(reader)
+        self.assertEqual(status, 502)
+        writer.close()
+
+    async def test_daemon_waits_for_attempts_whose_caller_has_left(self):
+        """The end of the process would break off a non-idempotent request."""
+        self.set_work(0.6)
+        self.request_stop()
+        await asyncio.sleep(2.6)
+        _, writer = await self.connect()
+        writer.write(self.request("/unsafe/a", "POST", Deadline_Ms="850"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        writer.transport.abort()
+        await asyncio.wait({self.daemon_task}, timeout=3.0)
+        running = sum(stand_in.running_count for stand_in in self.servers)
+        self.assertEqual(running, 0)
+
+
+class DeliveryTest(StopTestCase):
+    async def test_slow_reader_gets_the_whole_last_answer(self):
+        """A pause of the caller longer than the time to linger."""
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(
+                make_answer(bytes(LARGE_BODY_BYTES))
+            )
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a", Connection="close"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        writer.transport.pause_reading()
+        await asyncio.sleep(1.5)
+        writer.transport.resume_reading()
+        _, _, body = await self.read_answer(reader)
+        self.assertEqual(len(body), LARGE_BODY_BYTES)
+        writer.close()
+
+    async def test_stop_waits_for_unsent_answers(self):
+        """The end of the process discards what its transports still hold."""
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(
+                make_answer(bytes(LARGE_BODY_BYTES))
+            )
+        reader, writer = await self.connect()
+        self.request_stop()
+        writer.write(self.request("/safe/a"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        writer.transport.pause_reading()
+        done, _ = await asyncio.wait({self.daemon_task}, timeout=3.3)
+        self.assertEqual(done, set())
+        writer.transport.resume_reading()
+        _, _, body = await self.read_answer(reader)
+        self.assertEqual(len(body), LARGE_BODY_BYTES)
+        writer.close()
+        await asyncio.wait_for(self.daemon_task, 2.0)
+
+    async def test_caller_that_uploads_on_gets_its_rejection(self):
+        """A close with unread bytes resets the connection of the caller."""
+        body = bytes(LARGE_BODY_BYTES)
+        head = self.request("/unsafe/a", "POST", Content_Length=str(len(body)))
+
+        def upload():
+            address = ("127.0.0.1", self.ports[0])
+            with socket.create_connection(address, timeout=5.0) as client:
+                client.sendall(head + body)
+                return client.recv(4096)
+
+        answer = await asyncio.to_thread(upload)
+        self.assertIn(b" 413 ", answer.split(b"\r\n")[0])
