Choose the last answer of a stopping connection when it is written

What callers saw: a pipelined request that a server had run was not answered; the connection closed after the answer before it.

Cause: an answer was marked as the last of its connection, and encoded with `Connection: close`, as soon as it was known. Answers are written in the order of the requests, so it could wait for an earlier one. Requests read meanwhile were passed on to servers, and the close with the marked answer cancelled them.

Why it works: the choice is made in the same step as the write and the close, when the queue is known to be empty, so nothing can be passed on in between.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -63,20 +63,20 @@
     Attributes:
         request: the request; `None` for bytes that are no valid request.
         task: serves the request, once started.
-        answer: the encoded answer, once complete.
+        outcome: how it ended, once it has.
         closes_connection: whether the connection ends with the answer.
     """
 
     def __init__(self, request: caller_requests.CallerRequest | None):
         self.request = request
         self.task: asyncio.Task[None] | None = None
-        self.answer: bytes | None = None
+        self.outcome: outcomes.Outcome | None = None
         self.closes_connection = request is None or request.closes_connection
 
     @property
     def stage(self) -> deliveries.DeliveryStage:
         """How far the request is."""
-        if self.answer is not None:
+        if self.outcome is not None:
             return deliveries.DeliveryStage.HELD
         if self.task is not None:
             return deliveries.DeliveryStage.RUNNING
@@ -214,7 +214,7 @@
     def _start_runnable_requests(self) -> None:
         """Starts the requests that need not wait for earlier ones any more."""
         for position, pending in enumerate(self._pending_requests):
-            if pending.task is not None or pending.answer is not None:
+            if pending.task is not None or pending.outcome is not None:
                 continue
             if pending.request is None:
                 return
@@ -237,39 +237,23 @@
     def _complete(
         self, pending: _PendingRequest, outcome: outcomes.Outcome
     ) -> None:
-        # A connection closes only after the answer to its last request, so
-        # that no request that a server received loses its answer.
-        is_last = (
-            self._pending_requests and self._pending_requests[-1] is pending
-        )
-        nothing_follows = is_last and self._request_reader.is_between_requests
-        if nothing_follows and self._callbacks.is_stopping():
-            pending.closes_connection = True
-        is_head = (
-            pending.request is not None and pending.request.method == "HEAD"
-        )
-        pending.answer = rendering.render(
-            outcome,
-            pending.request,
-            closes_connection=pending.closes_connection,
-            is_head=is_head,
-        )
+        pending.outcome = outcome
         self._write_completed()
 
     def _write_completed(self) -> None:
-        while (
-            self._pending_requests
-            and self._pending_requests[0].answer is not None
-        ):
+        while self._pending_requests:
+            outcome = self._pending_requests[0].outcome
+            if outcome is None:
+                break
             pending = self._pending_requests.popleft()
             if self._is_closed:
                 return
-            assert pending.answer is not None
-            self._buffered_requests.append(pending.request)
-            self._write(pending.answer)
-            if not self._is_write_paused:
-                self._buffered_requests.clear()
-            if pending.closes_connection:
+            # Decided with the write, because a request may have followed since
+            # the outcome was known. Without it no request that a server
+            # received loses its answer.
+            is_last = pending.closes_connection or self._is_last_of_stop()
+            self._write_answer(pending, outcome, closes_connection=is_last)
+            if is_last:
                 self._close()
                 return
         self._start_runnable_requests()
@@ -279,6 +263,29 @@
         elif not self._pending_requests:
             self._start_timer(limits.header_timeout_seconds)
 
+    def _is_last_of_stop(self) -> bool:
+        """Whether the daemon stops and no request is left to be answered."""
+        return self._callbacks.is_stopping() and self.is_idle
+
+    def _write_answer(
+        self,
+        pending: _PendingRequest,
+        outcome: outcomes.Outcome,
+        *,
+        closes_connection: bool,
+    ) -> None:
+        request = pending.request
+        answer = rendering.render(
+            outcome,
+            request,
+            closes_connection=closes_connection,
+            is_head=request is not None and request.method == "HEAD",
+        )
+        self._buffered_requests.append(request)
+        self._write(answer)
+        if not self._is_write_paused:
+            self._buffered_requests.clear()
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
