Take no request that would outlast a stopping gateway

What callers saw: the connection closed without an answer at the end of the grace period, while servers ran their requests; up to then the daemon had taken each request that came on a connection which was never idle, or on a new one.

Cause: a stop had one time limit, that of the process, and nothing compared a request with it. A connection closed only when no request followed, so that of a caller who always has one under way stayed open until the process ended and cut what was in progress.

Now core/stopping/stop_plan.py holds the times of a stop. Later a request is passed on only if its own deadline lies before the end of the drain, and is refused at once otherwise (503, not run, come back at another daemon); requests behind unanswered ones are not taken, so that each connection ends with the answers that are due. The selection of a server counts with the same limit. What is still in progress at the end, only early requests, is answered 502 or 503 instead of cut, and so is a request that is half read.

--- /dev/null
+++ b/packages/core/src/hyssopwind/core/stopping/tests/test_stop_plan.py
@@ -0,0 +1,44 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from hyssopwind.core.stopping import stop_plan
+
+GRACES = strategies.floats(min_value=0.5, max_value=120.0)
+OFFSETS = strategies.floats(min_value=0.0, max_value=130.0)
+
+
+class StopPlanTest(unittest.TestCase):
+    @given(GRACES)
+    def test_times_are_in_order_and_within_the_grace_period(self, grace):
+        """A stop that outlasts the grace period is ended by SIGKILL."""
+        plan = stop_plan.StopPlan(10.0, grace)
+        times = [
+            plan.requested_at,
+            plan.admission_end,
+            plan.idle_close_at,
+            plan.deadline,
+            plan.handover_deadline,
+            plan.requested_at + grace,
+        ]
+        self.assertEqual(times, sorted(times))
+        self.assertLess(plan.handover_deadline, plan.requested_at + grace)
+
+    @given(GRACES, OFFSETS, OFFSETS)
+    def test_late_requests_end_before_the_drain(self, grace, offset, duration):
+        """Nothing excuses a cut of a request that was taken late."""
+        plan = stop_plan.StopPlan(10.0, grace)
+        now = 10.0 + offset
+        if now >= plan.admission_end and plan.may_start(now, now + duration):
+            self.assertLessEqual(now + duration, plan.deadline)
+
+    def test_early_requests_are_taken_whatever_their_deadline(self):
+        plan = stop_plan.StopPlan(10.0, 6.0)
+        self.assertTrue(plan.may_start(12.0, 22.0))
+        self.assertTrue(plan.takes_followers(12.0))
+
+    def test_followers_are_refused_once_late_requests_are_limited(self):
+        """A pipelining caller would keep its connection open for good."""
+        plan = stop_plan.StopPlan(10.0, 6.0)
+        self.assertFalse(plan.takes_followers(plan.admission_end))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -41,6 +41,7 @@
         may_overlap: whether a request may run while earlier ones still run.
         limits: the limits in force.
         is_stopping: whether the daemon stops, so that connections close.
+        takes_followers: whether requests behind unanswered ones are taken.
         log_rejection: logs a request that was rejected before it was served.
         count_undelivered: counts an answer that was not delivered whole.
     """
@@ -51,6 +52,7 @@
     may_overlap: Callable[[caller_requests.CallerRequest], bool]
     limits: Callable[[], tables.CallerLimits]
     is_stopping: Callable[[], bool]
+    takes_followers: Callable[[], bool]
     log_rejection: Callable[[outcomes.Failure], None]
     count_undelivered: Callable[
         [deliveries.DeliveryStage, deliveries.CloseCause], None
@@ -104,6 +106,8 @@
         self._buffered_requests: list[caller_requests.CallerRequest | None] = []
         self._is_write_paused = False
         self._timer: asyncio.TimerHandle | None = None
+        # Whether the last request has been read; later bytes are discarded.
+        self._is_input_ended = False
         self._is_closed = False
 
     @property
@@ -145,7 +149,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the caller and starts the requests they complete."""
-        if self._is_closed:
+        if self._is_closed or self._is_input_ended:
+            return
+        if self._pending_requests and not self._callbacks.takes_followers():
+            self._is_input_ended = True
             return
         limits = self._callbacks.limits()
         was_reading_head = self._request_reader.is_reading_head
@@ -157,10 +164,12 @@
         if self._request_reader.expects_continue and not self._pending_requests:
             self._write(rendering.CONTINUE_RESPONSE)
         for request in requests_read:
+            if self._is_input_ended:
+                return
             self._enqueue(request)
         failure = self._request_reader.failure
-        if failure is not None:
-            self._reject(failure.reason, failure.detail)
+        if failure is not None and not self._is_input_ended:
+            self._reject(outcomes.NotRun(failure.reason, failure.detail))
 
     def eof_received(self) -> bool:
         """Closes the connection when the caller has closed its side."""
@@ -204,10 +213,27 @@
         if self.is_idle:
             self._close()
 
+    def end_input(self, failure: outcomes.NotRun) -> None:
+        """Takes no further request; answers one that is partly read."""
+        if self._is_closed or self._is_input_ended:
+            return
+        is_partly_read = not self._request_reader.is_between_requests
+        if is_partly_read and not self._pending_requests:
+            self._reject(failure)
+            return
+        self._is_input_ended = True
+        if not self._pending_requests:
+            self._close()
+
     def _enqueue(self, request: caller_requests.CallerRequest) -> None:
         if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
-            self._reject(outcomes.Reason.OVERLOADED, "too many requests ahead")
+            self._reject(
+                outcomes.NotRun(
+                    outcomes.Reason.OVERLOADED, "too many requests ahead"
+                )
+            )
             return
+        self._is_input_ended = request.closes_connection
         self._pending_requests.append(_PendingRequest(request))
         self._start_runnable_requests()
 
@@ -265,7 +291,13 @@
 
     def _is_last_of_stop(self) -> bool:
         """Whether the daemon stops and no request is left to be answered."""
-        return self._callbacks.is_stopping() and self.is_idle
+        if self._pending_requests or not self._callbacks.is_stopping():
+            return False
+        return (
+            self._is_input_ended
+            or self._request_reader.is_between_requests
+            or not self._callbacks.takes_followers()
+        )
 
     def _write_answer(
         self,
@@ -290,12 +322,12 @@
         if self._transport is not None:
             self._transport.write(data)
 
-    def _reject(self, reason: outcomes.Reason, detail: str) -> None:
+    def _reject(self, failure: outcomes.NotRun) -> None:
         """Answers an invalid request with an error and stops reading."""
-        failure = outcomes.NotRun(reason, detail)
         self._callbacks.log_rejection(failure)
         pending = _PendingRequest(None)
         self._pending_requests.append(pending)
+        self._is_input_ended = True
         self._stop_timer()
         if self._transport is not None:
             self._transport.pause_reading()
@@ -361,7 +393,10 @@
             return
         if not self._request_reader.is_between_requests:
             self._reject(
-                outcomes.Reason.REQUEST_TOO_SLOW, "the request came too slowly"
+                outcomes.NotRun(
+                    outcomes.Reason.REQUEST_TOO_SLOW,
+                    "the request came too slowly",
+                )
             )
             return
         self._close()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -16,6 +16,7 @@
 from hyssopwind.core.routing import splitting
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
+from hyssopwind.core.stopping import stop_plan
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import replicated_state
@@ -90,6 +91,20 @@
         self._random = random.Random()
         self._deadline_tracker = retry_policy.DeadlineTracker()
         self._splitter = splitting.Splitter(self._random)
+        self._stop_plan: stop_plan.StopPlan | None = None
+        self._has_expired = False
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def start_stop(self, plan: stop_plan.StopPlan) -> None:
+        """Refuses, from now on, requests that would outlast a planned stop."""
+        self._stop_plan = plan
+
+    def expire_all(self) -> None:
+        """Ends all requests in progress, so that their callers get answers."""
+        self._has_expired = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            timeout.reschedule(now)
 
     def find_route(
         self, request: caller_requests.CallerRequest
@@ -130,11 +145,17 @@
                 ),
             )
         context = self._create_context(request, route)
+        if not self._may_start(context):
+            return self._log_outcome(request, context, self._stop_outcome())
         try:
             async with asyncio.timeout(
                 max(0.0, context.deadline - boot_clock.now())
-            ):
-                outcome = await self._run_attempts(context)
+            ) as timeout:
+                self._timeouts.add(timeout)
+                try:
+                    outcome = await self._run_attempts(context)
+                finally:
+                    self._timeouts.discard(timeout)
         except TimeoutError:
             outcome = self._timeout_outcome(context)
         except asyncio.CancelledError:
@@ -164,6 +185,19 @@
             request, route, service, deadline, set(), spent_seconds
         )
 
+    def _may_start(self, context: _RequestContext) -> bool:
+        plan = self._stop_plan
+        if plan is None:
+            return True
+        return plan.may_start(boot_clock.now(), context.deadline)
+
+    def _stop_outcome(self) -> outcomes.NotRun:
+        return outcomes.NotRun(
+            outcomes.Reason.STOPPING,
+            "the daemon stops before the request would be answered",
+            stop_plan.RETRY_AFTER_SECONDS,
+        )
+
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
             selected = await self._picker.pick(self._selection_request(context))
@@ -189,11 +223,14 @@
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
+        deadline = context.deadline
+        if self._stop_plan is not None:
+            deadline = min(deadline, self._stop_plan.deadline)
         return picker.SelectionRequest(
             route=context.route,
             service=context.service,
             arrived_at=context.request.arrived_at - context.spent_seconds,
-            deadline=context.deadline,
+            deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.spent_seconds
             > retry_policy.CALLER_RETRY_MIN_SECONDS,
@@ -345,6 +382,13 @@
         return failure
 
     def _timeout_outcome(self, context: _RequestContext) -> outcomes.Outcome:
+        if self._has_expired and context.may_have_run:
+            return outcomes.Unknown(
+                outcomes.Reason.STOPPING,
+                "the daemon stopped before a server answered",
+            )
+        if self._has_expired:
+            return self._stop_outcome()
         if context.may_have_run:
             return outcomes.Unknown(
                 outcomes.Reason.DEADLINE, "no server answered in time"
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -20,6 +20,7 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import deliveries
+from hyssopwind.core.stopping import stop_plan
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
@@ -41,11 +42,7 @@
 from hyssopwind.transport import connection_pools
 
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
-# Time left between the end of the drain and the kill by the platform.
-STOP_MARGIN_SECONDS = 0.4
-# Time after SIGTERM in which the platform's balancer still sends connections:
-# two readiness checks, one a second, and their timeouts.
-BALANCER_DELAY_SECONDS = 3.0
+DRAIN_CHECK_SECONDS = 0.05
 # Delay of the import of reactivex after the first configuration. The import
 # takes a sixth of the time of a start; callers who waited for the start are
 # served before it.
@@ -75,6 +72,7 @@
         self._metrics_port = metrics_port
         self._loop = asyncio.get_running_loop()
         self._stop_event = asyncio.Event()
+        self._stop_plan: stop_plan.StopPlan | None = None
         self._random = random.Random()
         self._connections: set[caller_connection.CallerConnection] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -160,7 +158,7 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains and stops."""
-        self._loop.add_signal_handler(signal.SIGTERM, self._stop_event.set)
+        self._loop.add_signal_handler(signal.SIGTERM, self._request_stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
         await self._internal_listeners.start(
             self._initial_settings, self._metrics_port
@@ -185,7 +183,20 @@
         for task in self._tasks:
             task.cancel()
         self._gossip.stop()
-        self._internal_listeners.stop()
+
+    def _request_stop(self) -> None:
+        """Starts the planned stop; a second signal changes nothing."""
+        if self._stop_plan is not None:
+            return
+        self._stop_plan = stop_plan.StopPlan(
+            boot_clock.now(), self._live_settings.current.grace
+        )
+        self._dispatcher.start_stop(self._stop_plan)
+        self._stop_event.set()
+
+    def _takes_followers(self) -> bool:
+        plan = self._stop_plan
+        return plan is None or plan.takes_followers(boot_clock.now())
 
     async def _listen(self) -> asyncio.Server:
         callbacks = caller_connection.CallerCallbacks(
@@ -193,6 +204,7 @@
             may_overlap=self._dispatcher.may_overlap,
             limits=self._caller_limits,
             is_stopping=self._stop_event.is_set,
+            takes_followers=self._takes_followers,
             log_rejection=self._log_rejection,
             count_undelivered=self._metrics.count_undelivered,
         )
@@ -231,43 +243,63 @@
         return outcome
 
     async def _drain(self, server: asyncio.Server) -> None:
-        """Waits for running requests; new connections may still be opened."""
-        stop_requested_at = boot_clock.now()
-        deadline = (
-            stop_requested_at
-            + self._live_settings.current.grace
-            - STOP_MARGIN_SECONDS
-        )
+        """Waits until all answers are delivered, at most until the deadline."""
+        plan = self._stop_plan
+        assert plan is not None
         self._gossip.announce_stop()
         _log.info(
             "stopping",
             extra={
                 **self._connection_counts(),
-                "grace_ms": round(self._live_settings.current.grace * 1000),
+                "grace_ms": round(plan.grace_seconds * 1000),
             },
         )
-        is_idle = False
-        while boot_clock.now() < deadline:
-            await asyncio.sleep(0.05)
-            if boot_clock.now() < stop_requested_at + BALANCER_DELAY_SECONDS:
-                continue
-            for connection in list(self._connections):
-                connection.close_if_idle()
-            if all(connection.is_idle for connection in self._connections):
-                is_idle = True
-                break
+        is_idle = await self._wait_for_idle(server, plan)
         server.close()
+        if not is_idle:
+            await self._end_requests(plan)
+        self._internal_listeners.stop()
         _log.info(
             "stopped",
             extra={
                 **self._connection_counts(),
                 "reason": "idle" if is_idle else "deadline",
-                "ms": round((boot_clock.now() - stop_requested_at) * 1000),
+                "ms": round((boot_clock.now() - plan.requested_at) * 1000),
             },
         )
         for connection in self._connections:
             connection.report_undelivered(deliveries.CloseCause.PROCESS_END)
 
+    async def _wait_for_idle(
+        self, server: asyncio.Server, plan: stop_plan.StopPlan
+    ) -> bool:
+        """Waits for running requests; returns whether none is left.
+
+        New connections may be opened until then.
+        """
+        while boot_clock.now() < plan.deadline:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+            if boot_clock.now() < plan.idle_close_at:
+                continue
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if all(connection.is_idle for connection in self._connections):
+                return True
+        return False
+
+    async def _end_requests(self, plan: stop_plan.StopPlan) -> None:
+        """Answers the requests that are left, and waits for their delivery."""
+        self._dispatcher.expire_all()
+        failure = outcomes.NotRun(
+            outcomes.Reason.STOPPING,
+            "the daemon stopped before it had read the request",
+            stop_plan.RETRY_AFTER_SECONDS,
+        )
+        while self._connections and boot_clock.now() < plan.handover_deadline:
+            for connection in list(self._connections):
+                connection.end_input(failure)
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
     def _connection_counts(self) -> dict[str, int]:
         """Returns what the connections of callers hold, for the log."""
         connections = self._connections
@@ -373,4 +405,4 @@
             "background task failed; stopping",
             extra={"error": repr(task.exception())},
         )
-        self._stop_event.set()
+        self._request_stop()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -49,7 +49,7 @@
         await self._listen(metrics_address, self._handle_metrics)
 
     def stop(self) -> None:
-        """Closes all internal listeners."""
+        """Closes all internal listeners; open connections stay."""
         for server in self._servers:
             server.close()
 
@@ -61,6 +61,7 @@
             may_overlap=lambda _: False,
             limits=lambda: _LIMITS,
             is_stopping=lambda: False,
+            takes_followers=lambda: True,
             log_rejection=lambda _: None,
             count_undelivered=lambda _stage, _cause: None,
         )
