Keep closing connections until their callers have the last answer

What callers saw: a large answer cut short, or a connection reset, although the daemon had logged the request as answered.

Cause: an answer counted as done once it was written to the transport. (1) One second after the end of the output the transport was aborted, with all that a slow reader had not taken. (2) A stopping process ended 50 ms after its connections had no request left, with unsent answers and without the second in which callers may close. (3) Reading was paused after a rejection; a close with unread bytes makes the kernel reset the connection, which discards the answer.

Now a closing connection is read to its end and kept until the caller closes, has acknowledged everything for a second, or makes no progress for the idle timeout (core/stopping/lingering.py). A stop waits until no connection is left, stops listening, and looks once more for connections accepted just before. An idle connection with unread bytes is not closed. Answers of the internal listeners are handed over in the same way.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -18,16 +18,17 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.routing import tables
 from hyssopwind.core.stopping import deliveries
+from hyssopwind.core.stopping import lingering
 from hyssopwind.daemon.gateway import caller_parsing
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import rendering
 from hyssopwind.platform import field_names
 from hyssopwind.transport import boot_clock
-from hyssopwind.transport import send_queue
+from hyssopwind.transport import socket_queues
 
 MAX_PIPELINED_REQUESTS = 64  # unanswered requests on one connection
-# Time after the last answer in which the caller can still read it.
-LINGER_SECONDS = 1.0
+# Interval of the check whether the last answer has been received.
+LINGER_CHECK_SECONDS = 0.2
 
 _log = logbook.Logger("callers")
 
@@ -105,9 +106,11 @@
         # Requests whose answers are written, the last of them not wholly sent.
         self._buffered_requests: list[caller_requests.CallerRequest | None] = []
         self._is_write_paused = False
+        self._last_answered: caller_requests.CallerRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
         # Whether the last request has been read; later bytes are discarded.
         self._is_input_ended = False
+        self._linger: lingering.Linger | None = None
         self._is_closed = False
 
     @property
@@ -127,10 +130,14 @@
         """Bytes of answers in the kernel that the caller's end lacks."""
         if self._transport is None:
             return 0
-        return send_queue.unacknowledged_bytes(
+        return socket_queues.unacknowledged_bytes(
             self._transport.get_extra_info("socket")
         )
 
+    @property
+    def _outstanding_bytes(self) -> int:
+        return self.unsent_bytes + self.unacknowledged_bytes
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is pending or partly read."""
@@ -149,6 +156,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the caller and starts the requests they complete."""
+        # Bytes are read to the end, because a close with unread bytes resets
+        # the connection and discards answers that the caller has not read.
         if self._is_closed or self._is_input_ended:
             return
         if self._pending_requests and not self._callbacks.takes_followers():
@@ -201,6 +210,9 @@
         """Logs and counts the answers that a close at this moment loses."""
         for request in self._buffered_requests:
             self._report(request, deliveries.DeliveryStage.BUFFERED, cause)
+        if not self._buffered_requests and self.unacknowledged_bytes:
+            stage = deliveries.DeliveryStage.UNACKNOWLEDGED
+            self._report(self._last_answered, stage, cause)
         self._buffered_requests.clear()
         self._report_pending(cause)
 
@@ -209,8 +221,13 @@
             self._report(pending.request, pending.stage, cause)
 
     def close_if_idle(self) -> None:
-        """Closes the connection unless a request is pending or partly read."""
-        if self.is_idle:
+        """Closes the connection unless it holds a request, also if unread."""
+        if self._is_closed or not self.is_idle:
+            return
+        raw_socket = None
+        if self._transport is not None:
+            raw_socket = self._transport.get_extra_info("socket")
+        if socket_queues.unread_bytes(raw_socket) == 0:
             self._close()
 
     def end_input(self, failure: outcomes.NotRun) -> None:
@@ -313,6 +330,7 @@
             closes_connection=closes_connection,
             is_head=request is not None and request.method == "HEAD",
         )
+        self._last_answered = request
         self._buffered_requests.append(request)
         self._write(answer)
         if not self._is_write_paused:
@@ -323,14 +341,12 @@
             self._transport.write(data)
 
     def _reject(self, failure: outcomes.NotRun) -> None:
-        """Answers an invalid request with an error and stops reading."""
+        """Answers an invalid request with an error and ends the input."""
         self._callbacks.log_rejection(failure)
         pending = _PendingRequest(None)
         self._pending_requests.append(pending)
         self._is_input_ended = True
         self._stop_timer()
-        if self._transport is not None:
-            self._transport.pause_reading()
         self._complete(pending, failure)
 
     def _report(
@@ -367,10 +383,30 @@
         if not transport.can_write_eof():
             transport.close()
             return
-        # Bytes that arrive after a close would reset the connection and
-        # discard an answer that the caller has not read yet.
         transport.write_eof()
-        self._loop.call_later(LINGER_SECONDS, transport.abort)
+        self._linger = lingering.Linger(
+            stall_seconds=self._callbacks.limits().idle_timeout_seconds,
+            outstanding_bytes=self._outstanding_bytes,
+            now=boot_clock.now(),
+        )
+        self._schedule_linger_check()
+
+    def _schedule_linger_check(self) -> None:
+        self._timer = self._loop.call_later(
+            LINGER_CHECK_SECONDS, self._check_linger
+        )
+
+    def _check_linger(self) -> None:
+        self._timer = None
+        if self._linger is None or self._transport is None:
+            return
+        outstanding = self._outstanding_bytes
+        if not self._linger.may_drop(
+            outstanding_bytes=outstanding, now=boot_clock.now()
+        ):
+            self._schedule_linger_check()
+            return
+        self._transport.abort()
 
     def _cancel_pending_requests(self) -> None:
         for pending in self._pending_requests:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -259,6 +259,11 @@
         if not is_idle:
             await self._end_requests(plan)
         self._internal_listeners.stop()
+        while (
+            self._internal_listeners.has_unsent_answers
+            and boot_clock.now() < plan.handover_deadline
+        ):
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
         _log.info(
             "stopped",
             extra={
@@ -283,8 +288,12 @@
                 continue
             for connection in list(self._connections):
                 connection.close_if_idle()
-            if all(connection.is_idle for connection in self._connections):
+            if self._connections:
+                continue
+            if not server.is_serving():
                 return True
+            # Connections that were accepted just before appear in later rounds.
+            server.close()
         return False
 
     async def _end_requests(self, plan: stop_plan.StopPlan) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -48,6 +48,11 @@
         await self._listen(gateway_settings.peers_address, self._handle_peer)
         await self._listen(metrics_address, self._handle_metrics)
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Whether answers are partly still held in the process."""
+        return any(each.unsent_bytes for each in self._connections)
+
     def stop(self) -> None:
         """Closes all internal listeners; open connections stay."""
         for server in self._servers:
