Wait at a stop for attempts whose caller has left

What servers saw: the connection of a non-idempotent request broke while they ran it, although the gateway lets such a request run to its end when its caller leaves, because its effect is wanted.

Cause: the drain looked at connections of callers only, so the process ended under these attempts. Nothing but the event loop, which keeps weak references, held their tasks either.

The dispatcher now holds each attempt until it ends, and the drain waits for them up to its deadline. Evidence: test_site_stop, LateRequestTest. test_daemon_waits_for_attempts_whose_caller_has_left failed before (the daemon ended with one request running) and passes now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -94,6 +94,13 @@
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
         self._timeouts: set[asyncio.Timeout] = set()
+        # The event loop itself keeps only weak references to tasks.
+        self._attempts: set[asyncio.Task[attempt_results.AttemptResult]] = set()
+
+    @property
+    def has_running_attempts(self) -> bool:
+        """Whether an attempt runs, also one whose caller has left."""
+        return bool(self._attempts)
 
     def start_stop(self, plan: stop_plan.StopPlan) -> None:
         """Refuses, from now on, requests that would outlast a planned stop."""
@@ -322,7 +329,10 @@
             deadline=context.deadline,
             selection=selected,
         )
-        return asyncio.create_task(self._send(context, attempt_request))
+        attempt = asyncio.create_task(self._send(context, attempt_request))
+        self._attempts.add(attempt)
+        attempt.add_done_callback(self._attempts.discard)
+        return attempt
 
     async def _send(
         self, context: _RequestContext, attempt_request: sending.AttemptRequest
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -288,7 +288,7 @@
                 continue
             for connection in list(self._connections):
                 connection.close_if_idle()
-            if self._connections:
+            if self._connections or self._dispatcher.has_running_attempts:
                 continue
             if not server.is_serving():
                 return True
