Ignore SIGHUP until the gateway can reload its settings

A SIGHUP while the gateway started ended the process, although its listener had already accepted the connections of callers.

Cause: the listener opens before the daemon is imported, but SIGHUP kept its default action, which ends the process, until the event loop installed its handler.

Evidence: StartSignalTest sends SIGHUP to a real process from the moment it listens.

The first statement of the entry point now ignores SIGHUP. `listening` is imported after it, so that the import of sockets does not lengthen the unprotected time.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/__main__.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/__main__.py
@@ -7,10 +7,9 @@
 
 import gc
 import os
+import signal
 import sys
 
-from hyssopwind.daemon.gateway import listening
-
 # Names the address for callers as in the settings, whose parsing takes a third
 # of the start. Without the variable the daemon listens after parsing them.
 CALLERS_ADDRESS_VARIABLE = "HYSSOPWIND_CALLERS_ADDRESS"
@@ -18,8 +17,13 @@
 
 def main() -> int:
     """Listens, imports the daemon and runs it."""
+    # The settings are read later than this, and the default action would end
+    # the process. The event loop replaces this disposition.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported objects do not become garbage; `starting` enables collection.
     gc.disable()
+    from hyssopwind.daemon.gateway import listening
+
     address = os.environ.get(CALLERS_ADDRESS_VARIABLE, "")
     try:
         listener = listening.listen(address) if address else None
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_signals.py
@@ -0,0 +1,101 @@
+"""Signals to the process of a gateway daemon."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import unittest
+
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import ports
+from hyssopwind.standins.site import store
+
+START_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 15.0
+HANGUP_INTERVAL_SECONDS = 0.005
+
+
+class StartSignalTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.store = store.StandInStore()
+        await self.store.start()
+        route = documents.make_route_resource("safe", "/safe/")
+        await self.store.put(
+            "op/config", documents.make_configuration(1, [route])
+        )
+        self.ports = ports.find_free_ports(5)
+        settings_path = pathlib.Path(directory.name) / "local.toml"
+        settings_path.write_text(
+            documents.render_settings(
+                store_address=self.store.address, ports=self.ports[:4]
+            )
+        )
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "hyssopwind.daemon.gateway",
+            env={
+                **os.environ,
+                "HYSSOPWIND_BOOT": str(settings_path),
+                "HYSSOPWIND_METRICS_PORT": str(self.ports[4]),
+                "HYSSOPWIND_CALLERS_ADDRESS": f"127.0.0.1:{self.ports[0]}",
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    async def asyncTearDown(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.communicate()
+        await self.store.stop()
+
+    async def fetch(self, port, target):
+        """Returns the answer to a GET; empty if nothing listens yet."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            return b""
+        writer.write(
+            f"GET {target} HTTP/1.1\r\nHost: {documents.HOST}\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+
+    async def wait_for_listener(self):
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
+            while self.process.returncode is None:
+                try:
+                    _, writer = await asyncio.open_connection(
+                        "127.0.0.1", self.ports[0]
+                    )
+                except OSError:
+                    await asyncio.sleep(HANGUP_INTERVAL_SECONDS)
+                    continue
+                writer.close()
+                return
+
+    # The default action of SIGHUP ended a daemon that was still starting, with
+    # the connections that callers had opened since it listened.
+    async def test_sighup_during_the_start_does_not_end_the_daemon(self):
+        await self.wait_for_listener()
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
+            while self.process.returncode is None:
+                self.process.send_signal(signal.SIGHUP)
+                answer = await self.fetch(self.ports[1], "/ready")
+                if answer.startswith(b"HTTP/1.1 200"):
+                    break
+                await asyncio.sleep(HANGUP_INTERVAL_SECONDS)
+        self.assertIsNone(self.process.returncode)
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_SECONDS)
+        self.assertEqual(self.process.returncode, 0)
