Close the connection of an exchange that is cancelled with its answer

A hedge that won, a caller that left or a timeout could leave an open connection to the server which belonged to no pool. It counted towards the connections that the server accepts until the server closed it.

Cause: ClientConnection.exchange closed its connection only if the answer had not come. A task that is cancelled in the same iteration of the event loop in which the answer was read ends with CancelledError although its future is done, and its caller then neither uses nor releases the connection.

Evidence: a new test in test_site_server_faults delivers the answer and cancels the task before it runs. Before the change the connection was still usable; after it, it is closed. How often this happens under load was not measured.

Every cancellation now closes the connection. An answer that is returned leaves it to the caller as before.

--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -137,3 +137,19 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         self.assertFalse(self.connection.is_usable)
+
+    # A cancellation in the iteration of the event loop that read the answer
+    # left an open connection that no pool held.
+    async def test_exchange_cancelled_as_its_answer_comes_ends_the_connection(
+        self,
+    ):
+        self.server.options.scripted_answers.append(None)
+        task = asyncio.create_task(
+            self.connection.exchange(REQUEST, "GET", is_own)
+        )
+        await asyncio.sleep(0.05)
+        self.connection.data_received(WHOLE.replace(b"ID", b"r1"))
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertFalse(self.connection.is_usable)
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -94,10 +94,13 @@
         self._transport.write(data)
         try:
             return await future
+        except asyncio.CancelledError:
+            # The answer may be complete, but nobody is left who could return
+            # the connection to a pool.
+            self.abort()
+            raise
         finally:
             self._pending = None
-            if not future.done() or future.cancelled():
-                self.abort()
             self._last_used_at = self._loop.time()
 
     def abort(self) -> None:
