Keep the bytes behind a chunked answer

A request got no answer, although its answer had been read, when a late or extra answer in chunks came before it in the same read. Seen in a test only.

Cause: the reader gave all bytes to the parser at once. The parser took the next answer as part of its own stream, and the reader kept nothing of it, so the search for the own answer went on with bytes still to come.

Evidence: a new test in test_site_server_faults sends both answers in one write. Before the change it timed out after 2 s, with the own answer in chunks and with a length. A second new test, which feeds the two answers in pieces of each size, failed before: `remaining` lacked the bytes that came with the end of the first answer.

Chunks and their trailers end with an empty line, so the parser now gets the bytes up to each empty line and the reader stops at the end of the answer. A connection with bytes behind an answer is not reused, as before. The parser refuses chunks that end with a bare line feed, so no other end exists (seven variants tried).

--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -5,6 +5,7 @@
 
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.standins.site import server
+from hyssopwind.transport import answers
 from hyssopwind.transport import connection
 
 REQUEST = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
@@ -20,6 +21,10 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
     b"Content-Length: 5\r\n\r\nstray"
 )
+CHUNKED_STRAY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n9\r\nst\r\n\r\nray\r\n0\r\n\r\n"
+)
 UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nwhole"
 
 
@@ -83,6 +88,25 @@
         self.assertEqual(result.body, b"whole")
         self.assertFalse(self.connection.is_usable)
 
+    # The end of a chunked answer was not found, so that the request waited for
+    # bytes that had been read with it.
+    async def test_own_answer_behind_a_chunked_one_is_read(self):
+        for own in (WHOLE, CHUNKED):
+            with self.subTest(own=own):
+                result = await self.exchange(CHUNKED_STRAY + own)
+                self.assertEqual(result.body, b"whole")
+                self.assertFalse(self.connection.is_usable)
+                self.connection = await self.connect()
+
+    async def test_chunked_answer_in_pieces_of_any_size_is_read(self):
+        data = CHUNKED_STRAY + CHUNKED
+        for size in range(1, len(data)):
+            reader = answers.AnswerReader("GET")
+            for start in range(0, len(data), size):
+                reader.feed(data[start : start + size])
+            self.assertEqual(reader.answer.body, b"st\r\n\r\nray")
+            self.assertEqual(bytes(reader.remaining), CHUNKED)
+
     async def test_unsolicited_bytes_end_an_idle_connection(self):
         await self.exchange(WHOLE)
         self.server.send_unsolicited(STRAY)
--- a/packages/transport/src/hyssopwind/transport/answers.py
+++ b/packages/transport/src/hyssopwind/transport/answers.py
@@ -56,6 +56,8 @@
         self._method = method
         self._body = bytearray()
         self._head: _Head | None = None
+        # The end of the chunks that the parser has got.
+        self._last_bytes = b""
 
     def feed(self, data: bytes) -> None:
         """Parses further bytes of the stream.
@@ -115,25 +117,36 @@
             self._finish(head, may_reuse=head.may_reuse)
 
     def _read_chunks(self, head: "_Head") -> None:
-        data = bytes(self.remaining)
-        self.remaining.clear()
-        is_clean = True
-        try:
-            head.feed(data)
-        except BadAnswerError:
-            # Bytes after the last chunk are also an error, but the answer is
-            # complete.
-            if not head.is_body_complete:
-                raise
-            is_clean = False
+        # The parser does not tell where the answer ends, so it gets the bytes
+        # up to each possible end. Those that follow may be another answer.
+        while self.remaining and not head.is_body_complete:
+            piece = bytes(self.remaining[: self._possible_end()])
+            del self.remaining[: len(piece)]
+            self._last_bytes = (self._last_bytes + piece)[-len(_HEAD_END) :]
+            head.feed(piece)
         self._body = head.body
         if len(self._body) > MAX_ANSWER_BYTES:
             raise AnswerTooLargeError
         if head.is_body_complete:
-            may_reuse = (
-                head.may_reuse and is_clean and not head.has_next_message
-            )
-            self._finish(head, may_reuse=may_reuse)
+            self._finish(head, may_reuse=head.may_reuse)
+
+    def _possible_end(self) -> int:
+        """Returns the number of bytes up to where chunks may end.
+
+        The last chunk and its trailers end with an empty line, which may have
+        begun in the bytes fed before.
+        """
+        for fed_count in range(len(_HEAD_END) - 1, 0, -1):
+            count = len(_HEAD_END) - fed_count
+            if (
+                self._last_bytes.endswith(_HEAD_END[:fed_count])
+                and self.remaining[:count] == _HEAD_END[fed_count:]
+            ):
+                return count
+        position = self.remaining.find(_HEAD_END)
+        if position < 0:
+            return len(self.remaining)
+        return position + len(_HEAD_END)
 
     def _finish(self, head: "_Head", *, may_reuse: bool) -> None:
         self.answer = Answer(
@@ -154,7 +167,6 @@
         self.ends_with_connection = False
         self.is_complete = False
         self.is_body_complete = False
-        self.has_next_message = False
         self._method = method
         self._parser = httptools.HttpResponseParser(self)
 
@@ -172,10 +184,6 @@
         ) as error:
             raise BadAnswerError(repr(error)) from error
 
-    def on_message_begin(self) -> None:
-        """Records whether a second answer follows the first."""
-        self.has_next_message = self.is_body_complete
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
         if not self.is_complete:
