Write the last log lines before the gateway ends

What was missing in the incident: no line of the stopped gateway names the lost requests. If the reader of a pipe is slow, lines wait in the process; they were dropped at its end, and they are those about the stop.

The process now waits up to 0.1 s for the reader. Evidence: test_log_output, test_last_lines_are_written_once_a_slow_reader_goes_on; without the method the rest of the buffer has no way out. That this emptied the users' record is a guess; it was cut short as well.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
@@ -19,6 +19,8 @@
 TUNING_PATH = pathlib.Path("deploy/gateway.toml")
 METRICS_PORT_VARIABLE = "HYSSOPWIND_METRICS_PORT"
 EXIT_FINDINGS = 1
+# Time for the reader of the log to take the last lines.
+LOG_CLOSE_TIMEOUT_SECONDS = 0.1
 
 
 def read_tuning(path: pathlib.Path) -> tuning.GatewayTuning | None:
@@ -83,6 +85,7 @@
             gateway_settings, gateway_tuning, listener, int(port), log_stream
         )
     )
+    log_stream.close(LOG_CLOSE_TIMEOUT_SECONDS)
     return 0
 
 
--- a/packages/daemon/src/hyssopwind/daemon/log_output.py
+++ b/packages/daemon/src/hyssopwind/daemon/log_output.py
@@ -2,6 +2,7 @@
 
 import datetime
 import os
+import select
 import sys
 import time
 from typing import Any
@@ -68,6 +69,22 @@
             self._dropped_count += 1
         del self._pending[:written]
 
+    def close(self, timeout_seconds: float) -> None:
+        """Writes the rest of the buffer, waiting for a slow reader.
+
+        Args:
+            timeout_seconds: seconds after which the rest is dropped.
+        """
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLOUT)
+        deadline = time.monotonic() + timeout_seconds
+        while self._pending:
+            remaining_seconds = deadline - time.monotonic()
+            if remaining_seconds <= 0.0:
+                return
+            poller.poll(remaining_seconds * 1000)
+            self.flush()
+
 
 def install_stream(stream: BoundedStream) -> None:
     """Writes all log records of level INFO or higher to a bounded stream."""
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_log_output.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_log_output.py
@@ -1,5 +1,7 @@
 import json
 import os
+import threading
+import time
 import unittest
 
 from hyssopwind.core.settings import tuning
@@ -38,6 +40,34 @@
         notice = os.read(self.read_end, 65_536).decode().splitlines()[-2]
         self.assertEqual(json.loads(notice)["count"], dropped)
 
+    def test_last_lines_are_written_once_a_slow_reader_goes_on(self):
+        """The lines about a stop are the last ones of a process."""
+        stream = self.make_stream(burst=1_000_000)
+        for _ in range(1_500):
+            stream.write("x" * 100 + "\n")
+        stream.write("last\n")
+        stream.flush()
+        received = bytearray()
+
+        def read():
+            time.sleep(0.1)
+            while not received.endswith(b"last\n"):
+                received.extend(os.read(self.read_end, 65_536))
+
+        reader = threading.Thread(target=read, daemon=True)
+        reader.start()
+        stream.close(timeout_seconds=5.0)
+        reader.join(5.0)
+        self.assertTrue(received.endswith(b"last\n"))
+
+    def test_close_gives_up_a_reader_that_does_not_read(self):
+        stream = self.make_stream(burst=1_000_000)
+        for _ in range(1_500):
+            stream.write("x" * 100 + "\n")
+        started = time.monotonic()
+        stream.close(timeout_seconds=0.1)
+        self.assertLess(time.monotonic() - started, 1.0)
+
     def test_writes_to_a_full_pipe_do_not_block_and_stay_bounded(self):
         stream = self.make_stream(burst=1_000_000)
         for _ in range(20_000):
