Drain a gateway on SIGINT as on SIGTERM

What callers saw: answers in progress were lost when a gateway got SIGINT, from Ctrl-C or a supervisor that sends it.

Cause: asyncio.run turns SIGINT into a cancellation of everything. Evidence: StopSignalTest.test_sigint_drains_like_sigterm, with a real process, failed before (no answer half a second later) and passes now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -157,8 +157,9 @@
         self._metrics.attach(self._gauge_sources(log_stream))
 
     async def run(self) -> None:
-        """Serves until SIGTERM, then drains and stops."""
-        self._loop.add_signal_handler(signal.SIGTERM, self._request_stop)
+        """Serves until SIGTERM or SIGINT, then drains and stops."""
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(signal_number, self._request_stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
         await self._internal_listeners.start(
             self._initial_settings, self._metrics_port
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_signals.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_signals.py
@@ -115,6 +115,18 @@
         self.assertEqual(self.process.returncode, 0)
 
 
+class StopSignalTest(ProcessTestCase):
+    # SIGINT cancelled everything in progress instead of draining.
+    async def test_sigint_drains_like_sigterm(self):
+        await self.wait_until_ready()
+        self.process.send_signal(signal.SIGINT)
+        await asyncio.sleep(0.5)
+        answer = await self.fetch(self.ports[0], "/other/")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 404"))
+        await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_SECONDS)
+        self.assertEqual(self.process.returncode, 0)
+
+
 class ReloadTest(ProcessTestCase):
     async def check_reload_is_survived(self, valid, invalid):
         await self.wait_until_ready()
