Invite a body whose request waits behind another

What callers saw: a pipelined request with `Expect: 100-continue` was answered 408 although its caller waited to be invited.

Cause: `100 Continue` was sent only if no request was pending as the head was read, and not when the answer before it had been written. Evidence: test_site_gateway, PipelineTest.test_body_behind_a_pending_request_is_invited failed before and passes now. Nothing is written or timed any more on a connection that has closed.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -170,8 +170,8 @@
             self._start_timer(limits.header_timeout_seconds)
         elif not self._request_reader.is_reading_head:
             self._stop_timer()
-        if self._request_reader.expects_continue and not self._pending_requests:
-            self._write(rendering.CONTINUE_RESPONSE)
+        if not self._pending_requests:
+            self._invite_body()
         for request in requests_read:
             if self._is_input_ended:
                 return
@@ -284,13 +284,13 @@
         self._write_completed()
 
     def _write_completed(self) -> None:
+        if self._is_closed:
+            return
         while self._pending_requests:
             outcome = self._pending_requests[0].outcome
             if outcome is None:
                 break
             pending = self._pending_requests.popleft()
-            if self._is_closed:
-                return
             # Decided with the write, because a request may have followed since
             # the outcome was known. Without it no request that a server
             # received loses its answer.
@@ -301,11 +301,18 @@
                 return
         self._start_runnable_requests()
         limits = self._callbacks.limits()
+        if not self._pending_requests:
+            self._invite_body()
         if self.is_idle:
             self._start_timer(limits.idle_timeout_seconds)
         elif not self._pending_requests:
             self._start_timer(limits.header_timeout_seconds)
 
+    def _invite_body(self) -> None:
+        """Sends `100 Continue` if the caller waits for it."""
+        if self._request_reader.expects_continue:
+            self._write(rendering.CONTINUE_RESPONSE)
+
     def _is_last_of_stop(self) -> bool:
         """Whether the daemon stops and no request is left to be answered."""
         if self._pending_requests or not self._callbacks.is_stopping():
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -152,6 +152,31 @@
             self.assertEqual(status, 200)
         writer.close()
 
+    async def test_body_behind_a_pending_request_is_invited(self):
+        """A caller that waits for `100 Continue` was answered 408."""
+        self.servers[0].options.work_seconds = 0.2
+        self.servers[1].options.work_seconds = 0.2
+        reader, writer = await self.connect()
+        writer.write(self.request("/safe/a", request_id="r0"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        writer.write(
+            self.request(
+                "/unsafe/a",
+                "POST",
+                "r1",
+                Content_Length="5",
+                Expect="100-continue",
+            )
+        )
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        async with asyncio.timeout(1.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(head, b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.write(b"hello")
+        status, _, body = await self.read_answer(reader)
+        self.assertEqual((status, body), (200, b"ran hello"))
+        writer.close()
+
     async def test_disconnect_of_the_caller_cancels_its_request(self):
         for stand_in in self.servers:
             stand_in.options.work_seconds = 0.8
