--- a/packages/standins/src/hyssopwind/standins/site/documents.py
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -10,7 +10,9 @@
     store_address: str,
     ports: list[int],
     name: str = "front-1",
+    ip: str = "127.0.0.1",
     seed_address: str = "",
+    grace_seconds: float = 4.0,
 ) -> str:
     """Returns the settings file that the platform writes for a daemon.
 
@@ -18,14 +20,16 @@
         store_address: address of the store.
         ports: ports for callers, readiness, peers and gossip.
         name: name of the daemon.
+        ip: address of its VM.
         seed_address: peer address of another daemon; none if empty.
+        grace_seconds: time between SIGTERM and SIGKILL.
     """
     callers_port, ready_port, peers_port, gossip_port = ports
     seeds = f'"{seed_address}"' if seed_address else ""
     return f"""
 node_name = "{name}"
 role = "gateway"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "north"
 region = "home"
 internal_port_range = [{gossip_port},{gossip_port}]
@@ -35,13 +39,13 @@
 [zones]
 north = "home"
 [listen]
-front = "127.0.0.1:{callers_port}"
-ready = "127.0.0.1:{ready_port}"
-control = "127.0.0.1:{peers_port}"
+front = "{ip}:{callers_port}"
+ready = "{ip}:{ready_port}"
+control = "{ip}:{peers_port}"
 [limits]
 memory_mb = 300
 [bounds]
-grace_s = 4
+grace_s = {grace_seconds:g}
 drain_s = 2
 retry_budget_ratio = 0.2
 [platform]
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/stops/plans.py
@@ -0,0 +1,180 @@
+"""What a run does, drawn from a scenario and a seed.
+
+All times are seconds since the start of the traffic.
+"""
+
+import dataclasses
+import enum
+import math
+
+
+class ActionKind(enum.Enum):
+    """What is done to a gateway process.
+
+    Attributes:
+        TERMINATE: SIGTERM; the first one is followed by SIGKILL after the grace
+            period.
+        RELOAD: SIGHUP.
+        FREEZE: SIGSTOP.
+        THAW: SIGCONT.
+        KILL: SIGKILL, as an unplanned fault.
+        START: the process starts again as soon as its predecessor has ended.
+    """
+
+    TERMINATE = "terminate"
+    RELOAD = "reload"
+    FREEZE = "freeze"
+    THAW = "thaw"
+    KILL = "kill"
+    START = "start"
+
+
+class Habit(enum.Enum):
+    """How a caller uses its connections.
+
+    Attributes:
+        KEPT: one request after the other on a kept connection.
+        CONTINUOUS: always `depth` requests under way on one connection.
+        BATCHES: `depth` requests in one write, the next after all answers.
+        BEHIND_SLOW: a slow request, a fast one behind it, and another one that
+            is sent when the fast one has ended at the server.
+        UNREAD: sends further requests while an answer is still unread.
+        NEW: a new connection for each request.
+    """
+
+    KEPT = "kept"
+    CONTINUOUS = "continuous"
+    BATCHES = "batches"
+    BEHIND_SLOW = "behind-slow"
+    UNREAD = "unread"
+    NEW = "new"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKind:
+    """Requests of one route.
+
+    Attributes:
+        name: name and path prefix of the route.
+        method: HTTP method; POST requests are not idempotent.
+        work_seconds: seconds of work at a server.
+        timeout_seconds: timeout of the route.
+        deadline_seconds: how long the caller waits.
+        target_latency_seconds: latency target of the route.
+    """
+
+    name: str
+    method: str
+    work_seconds: float
+    timeout_seconds: float
+    deadline_seconds: float
+    target_latency_seconds: float
+
+    @property
+    def is_safe(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.method == "GET"
+
+
+BROWSE = RequestKind("browse", "GET", 0.22, 1.2, 2.5, 0.6)
+BOOK = RequestKind("book", "POST", 0.29, 1.5, 3.0, 0.8)
+ROSTER = RequestKind("roster", "GET", 0.55, 3.0, 6.0, 1.5)
+VENUE = RequestKind("venue", "GET", 0.88, 5.0, 10.0, 2.0)
+KINDS = (BROWSE, BOOK, ROSTER, VENUE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Action:
+    """Something that is done to a gateway.
+
+    Attributes:
+        at: when it is done.
+        gateway: index of the gateway.
+        kind: what is done.
+    """
+
+    at: float
+    gateway: int
+    kind: ActionKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerPlan:
+    """One caller.
+
+    Attributes:
+        habit: how it uses its connections.
+        kind: its requests.
+        gateway: index of the gateway that it connects to first.
+        starts_at: when it sends its first request.
+        stops_at: when it sends no more requests.
+        depth: requests under way at the same time.
+        pause_seconds: pause after each answer.
+        work_seconds: work of each request at the server; that of the kind if
+            negative.
+        answer_bytes: length of the body of an answer.
+        read_bytes_per_second: rate at which it reads.
+        body_bytes: length of the body of a request.
+        body_seconds: time that it takes to send the body.
+        expects_continue: whether it waits for `100 Continue` before the body.
+        asks_to_close: whether it sends `Connection: close`.
+        heeds_rotation: whether it opens connections only to gateways that the
+            balancer uses, and otherwise as long as the process accepts them.
+    """
+
+    habit: Habit
+    kind: RequestKind
+    gateway: int = 0
+    starts_at: float = 0.0
+    stops_at: float = 9.0
+    depth: int = 1
+    pause_seconds: float = 0.0
+    work_seconds: float = -1.0
+    answer_bytes: int = 200
+    read_bytes_per_second: float = math.inf
+    body_bytes: int = 0
+    body_seconds: float = 0.0
+    expects_continue: bool = False
+    asks_to_close: bool = False
+    heeds_rotation: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One run, wholly determined by its scenario and seed.
+
+    Attributes:
+        scenario: name of the scenario.
+        seed: seed that the plan was drawn from.
+        gateway_count: number of gateways; each has the next one as its seed.
+        callers: the callers.
+        actions: what is done to the gateways, in the order of time.
+        busy_processes: processes that compete for the processor.
+        grace_seconds: time between SIGTERM and SIGKILL.
+    """
+
+    scenario: str
+    seed: int
+    gateway_count: int
+    callers: tuple[CallerPlan, ...]
+    actions: tuple[Action, ...]
+    busy_processes: int = 0
+    grace_seconds: float = 6.0
+
+    def describe(self) -> str:
+        """Returns the plan as text, one line for each action and caller."""
+        lines = [
+            f"scenario {self.scenario} seed {self.seed}:"
+            f" {self.gateway_count} gateways,"
+            f" {self.busy_processes} busy processes"
+        ]
+        for action in self.actions:
+            lines.append(
+                f"  {action.at:7.3f} gateway {action.gateway}"
+                f" {action.kind.value}"
+            )
+        lines += [
+            f"  caller {number}: {caller}"
+            for number, caller in enumerate(self.callers)
+        ]
+        return "\n".join(lines)
