Widen the stop rig: bodies, starts, freezes, series and site rates

Adds scenarios for slow bodies and `Expect: 100-continue`, callers that go on sending while answers are unread, connections after the balancer's delay, work up to the end of the grace period, signals while starting, repeated signals, freezes, rolling restarts, killed peers, busy cores, and requests at the rates of a site. A caller repeats a request once, on a new connection, where the protocol allows it.

--- a/packages/standins/src/hyssopwind/standins/stops/__main__.py
+++ b/packages/standins/src/hyssopwind/standins/stops/__main__.py
@@ -51,34 +51,55 @@
     """Runs the chosen scenarios with all seeds; returns the failed runs."""
     names = arguments.scenario or list(scenarios.SCENARIOS)
     failed_counts: collections.Counter[str] = collections.Counter()
+    jobs = asyncio.Semaphore(arguments.jobs)
     with tempfile.TemporaryDirectory(prefix="hyssopwind-") as text:
         directory = pathlib.Path(text)
         await rig.build(directory / "build")
-        for seed in parse_seeds(arguments.seeds):
-            for name in names:
-                log_directory = directory / f"{name}-{seed}"
-                log_directory.mkdir()
-                plan = scenarios.draw(name, seed)
-                if arguments.show_plans:
-                    print(plan.describe())
-                result = await rig.run(plan, directory / "build", log_directory)
-                line = make_report_line(result)
-                if arguments.report:
-                    with arguments.report.open("a", encoding="utf-8") as stream:
-                        stream.write(line + "\n")
-                failed_counts[name] += bool(result.broken)
-                print_result(result)
-                if result.broken and arguments.keep_logs:
-                    shutil.copytree(
-                        log_directory,
-                        arguments.keep_logs / log_directory.name,
-                        dirs_exist_ok=True,
-                    )
+
+        async def run_one(name: str, seed: int) -> None:
+            async with jobs:
+                result = await run_plan(name, seed, directory, arguments)
+            failed_counts[name] += not result.is_passed
+
+        await asyncio.gather(
+            *(
+                run_one(name, seed)
+                for seed in parse_seeds(arguments.seeds)
+                for name in names
+            )
+        )
+    seed_count = len(parse_seeds(arguments.seeds))
     for name in names:
-        print(f"{name}: {failed_counts[name]} failed runs")
+        print(f"{name}: {failed_counts[name]} of {seed_count} runs failed")
     return failed_counts.total()
 
 
+async def run_plan(
+    name: str,
+    seed: int,
+    directory: pathlib.Path,
+    arguments: argparse.Namespace,
+) -> rig.RunResult:
+    """Runs a scenario with one seed and prints its result."""
+    log_directory = directory / f"{name}-{seed}"
+    log_directory.mkdir()
+    plan = scenarios.draw(name, seed)
+    if arguments.show_plans:
+        print(plan.describe())
+    result = await rig.run(plan, directory / "build", log_directory)
+    print_result(result)
+    if arguments.report:
+        with arguments.report.open("a", encoding="utf-8") as stream:
+            stream.write(make_report_line(result) + "\n")
+    if not result.is_passed and arguments.keep_logs:
+        shutil.copytree(
+            log_directory,
+            arguments.keep_logs / log_directory.name,
+            dirs_exist_ok=True,
+        )
+    return result
+
+
 def print_result(result: rig.RunResult) -> None:
     """Prints the outcome of a run and its first findings."""
     plan = result.plan
@@ -86,10 +107,12 @@
     counts = collections.Counter(each.verdict.value for each in result.judged)
     shown = ", ".join(f"{count} {name}" for name, count in counts.items())
     print(
-        f"{'FAILED' if broken else 'passed'} {plan.scenario} seed"
+        f"{'passed' if result.is_passed else 'FAILED'} {plan.scenario} seed"
         f" {plan.seed}: {shown}",
         flush=True,
     )
+    for gateway, status in result.crashes:
+        print(f"  gateway {gateway} ended with status {status}")
     for each in broken[:MAX_PRINTED_FINDINGS]:
         print(f"  {judging.describe(each)}")
     if len(broken) > MAX_PRINTED_FINDINGS:
@@ -101,6 +124,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1", help="such as 1-50 or 3,7")
     parser.add_argument("--scenario", action="append")
+    parser.add_argument(
+        "--jobs", type=int, default=1, help="runs at the same time"
+    )
     parser.add_argument("--report", type=pathlib.Path)
     parser.add_argument("--keep-logs", type=pathlib.Path)
     parser.add_argument("--show-plans", action="store_true")
--- a/packages/standins/src/hyssopwind/standins/stops/callers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/callers.py
@@ -25,6 +25,8 @@
 SLOW_READ_INTERVAL_SECONDS = 0.05
 SLOW_RECEIVE_BUFFER_BYTES = 131_072
 BODY_PART_COUNT = 10
+WORK_SIGMA = 0.4  # of the logarithm of the work of paced requests
+RETRY_SUFFIX = "-retry"
 # Time after the last request in which outstanding answers still count.
 FINISH_SECONDS = 7.0
 
@@ -37,6 +39,7 @@
     Attributes:
         gateway: index of the gateway.
         is_usable: whether further requests may be sent.
+        retryable: requests without an answer that may be sent again.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
     ):
         self.gateway = gateway
         self.is_usable = True
+        self.retryable: list[records.CallerRecord] = []
         self._plan = plan
         self._number = number
         self._socket = connected_socket
@@ -117,11 +121,18 @@
             await self.wait_for_change(give_up_at - time.monotonic())
 
     async def close(self) -> None:
-        """Closes the connection; requests without an end stay open."""
+        """Closes the connection; requests without an end stay open.
+
+        Raises:
+            ValueError: bytes that came are no answer to the next request.
+        """
         self.is_usable = False
         self._reader_task.cancel()
-        await asyncio.gather(self._reader_task, return_exceptions=True)
-        self._socket.close()
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._reader_task
+        finally:
+            self._socket.close()
 
     def _encode_head(
         self, request_id: str, kind: plans.RequestKind, work_seconds: float
@@ -154,11 +165,11 @@
             self._may_send_body.clear()
         part = b"b" * (plan.body_bytes // BODY_PART_COUNT)
         loop = asyncio.get_running_loop()
-        for number in range(BODY_PART_COUNT):
-            if number == BODY_PART_COUNT - 1:
-                part = b"b" * (plan.body_bytes - number * len(part))
+        for _ in range(BODY_PART_COUNT - 1):
             await loop.sock_sendall(self._socket, part)
             await asyncio.sleep(plan.body_seconds / BODY_PART_COUNT)
+        last_bytes = plan.body_bytes - (BODY_PART_COUNT - 1) * len(part)
+        await loop.sock_sendall(self._socket, b"b" * last_bytes)
 
     async def _read(self) -> None:
         rate = self._plan.read_bytes_per_second
@@ -209,13 +220,20 @@
             self._end(record, records.Ending.WHOLE)
 
     def _parse_head(self, head: str, record: records.CallerRecord) -> bool:
-        """Reads the head of an answer; returns whether it is a final one."""
+        """Reads the head of an answer; returns whether it is a final one.
+
+        Raises:
+            ValueError: it is no head, or that of another request's answer.
+        """
         lines = head.split("\r\n")
         status = int(lines[0].split()[1])
         if status == 100:
             self._may_send_body.set()
             return False
         fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+        answered_id = fields.get(field_names.REQUEST_ID.lower())
+        if answered_id not in (None, record.request_id):
+            raise ValueError(f"{record.request_id} got {head!r}")
         record.status = status
         record.is_stamped = field_names.SERVER_STAMP.lower() in fields
         self._body_left = int(fields.get("content-length", "0"))
@@ -233,7 +251,11 @@
     def _end_pending(self, ending: records.Ending) -> None:
         self.is_usable = False
         while self._pending:
-            self._end(self._pending.popleft(), ending)
+            record = self._pending.popleft()
+            self._end(record, ending)
+            # Behind a closing answer no request counts as read.
+            if record.kind.is_safe or self._is_closing:
+                self.retryable.append(record)
         self._changed.set()
 
 
@@ -272,6 +294,7 @@
     async def run(self, traffic_start: float) -> None:
         """Sends requests until its plan ends."""
         self._stops_at = traffic_start + self.plan.stops_at
+        retries: list[records.CallerRecord] = []
         delay_seconds = traffic_start + self.plan.starts_at - time.monotonic()
         await asyncio.sleep(max(0.0, delay_seconds))
         while self.is_active:
@@ -280,10 +303,18 @@
                 await asyncio.sleep(RECONNECT_INTERVAL_SECONDS)
                 continue
             try:
+                for record in retries:
+                    if connection.is_usable:
+                        await connection.send(*self._make_retry(record))
                 await HABITS.find(self.plan.habit)(self, connection)
                 await connection.wait_for_answers()
             finally:
                 await connection.close()
+            retries = [
+                each
+                for each in connection.retryable
+                if not each.request_id.endswith(RETRY_SUFFIX)
+            ]
 
     def next_request(
         self,
@@ -299,6 +330,13 @@
         request_id = f"c{self._number}-{next(self._request_numbers)}"
         return request_id, kind, work_seconds
 
+    def _make_retry(
+        self, record: records.CallerRecord
+    ) -> tuple[str, plans.RequestKind, float]:
+        """Returns id, kind and work of the only retry of a request."""
+        _, kind, work_seconds = self.next_request(record.kind)
+        return record.request_id + RETRY_SUFFIX, kind, work_seconds
+
     async def _connect(self) -> Connection | None:
         gateway = self._select_gateway(self.plan)
         if gateway is None:
@@ -396,3 +434,19 @@
     await connection.send(*caller.next_request())
     await connection.wait_for_answers()
     await asyncio.sleep(caller.plan.pause_seconds)
+
+
+@HABITS.register(plans.Habit.PACED)
+async def send_paced(caller: Caller, connection: Connection) -> None:
+    """Sends requests as independent users of one connection would."""
+    while caller.is_active and connection.is_usable:
+        await asyncio.sleep(
+            caller.random.expovariate(1.0 / caller.plan.pause_seconds)
+        )
+        if not connection.is_usable:
+            return
+        if connection.unanswered_count >= caller.plan.depth:
+            continue
+        factor = caller.random.lognormvariate(0.0, WORK_SIGMA)
+        work_seconds = caller.plan.kind.work_seconds * factor
+        await connection.send(*caller.next_request(work_seconds=work_seconds))
--- a/packages/standins/src/hyssopwind/standins/stops/plans.py
+++ b/packages/standins/src/hyssopwind/standins/stops/plans.py
@@ -40,6 +40,8 @@
             is sent when the fast one has ended at the server.
         UNREAD: sends further requests while an answer is still unread.
         NEW: a new connection for each request.
+        PACED: at random intervals, with work of random length, whether or not
+            answers have come; `depth` limits the requests under way.
     """
 
     KEPT = "kept"
@@ -48,6 +50,7 @@
     BEHIND_SLOW = "behind-slow"
     UNREAD = "unread"
     NEW = "new"
+    PACED = "paced"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,11 +94,14 @@
         at: when it is done.
         gateway: index of the gateway.
         kind: what is done.
+        waits_for_listener: whether it also waits until the process accepts
+            connections, which it does before it has imported the rest.
     """
 
     at: float
     gateway: int
     kind: ActionKind
+    waits_for_listener: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,7 +115,7 @@
         starts_at: when it sends its first request.
         stops_at: when it sends no more requests.
         depth: requests under way at the same time.
-        pause_seconds: pause after each answer.
+        pause_seconds: pause after each answer; the mean interval if paced.
         work_seconds: work of each request at the server; that of the kind if
             negative.
         answer_bytes: length of the body of an answer.
@@ -126,7 +132,7 @@
     kind: RequestKind
     gateway: int = 0
     starts_at: float = 0.0
-    stops_at: float = 9.0
+    stops_at: float = 7.6
     depth: int = 1
     pause_seconds: float = 0.0
     work_seconds: float = -1.0
@@ -149,6 +155,8 @@
         gateway_count: number of gateways; each has the next one as its seed.
         callers: the callers.
         actions: what is done to the gateways, in the order of time.
+        starts_ready: whether all gateways serve before the traffic; otherwise
+            they are started by actions.
         busy_processes: processes that compete for the processor.
         grace_seconds: time between SIGTERM and SIGKILL.
     """
@@ -158,6 +166,7 @@
     gateway_count: int
     callers: tuple[CallerPlan, ...]
     actions: tuple[Action, ...]
+    starts_ready: bool = True
     busy_processes: int = 0
     grace_seconds: float = 6.0
 
@@ -172,6 +181,7 @@
             lines.append(
                 f"  {action.at:7.3f} gateway {action.gateway}"
                 f" {action.kind.value}"
+                f"{' once it listens' if action.waits_for_listener else ''}"
             )
         lines += [
             f"  caller {number}: {caller}"
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
 import random
@@ -29,6 +30,7 @@
 BUILD_TIMEOUT_SECONDS = 600.0  # The platform's limit is fifteen minutes.
 START_TIMEOUT_SECONDS = 20.0
 SERVER_COUNT = 4
+LISTENER_POLL_SECONDS = 0.002
 READINESS_INTERVAL_SECONDS = 1.0
 READINESS_TIMEOUT_SECONDS = 1.0
 MISSES_OUT_OF_ROTATION = 2
@@ -57,6 +59,21 @@
         """The requests that break the rule."""
         return judging.find_broken(self.judged)
 
+    @property
+    def crashes(self) -> list[tuple[int, int]]:
+        """Gateway and status of each end that no kill or stop explains."""
+        found = []
+        for number, timeline in enumerate(self.timelines):
+            for _, status in timeline.exits:
+                if status not in (0, -signal.SIGTERM, -signal.SIGKILL):
+                    found.append((number, status))
+        return found
+
+    @property
+    def is_passed(self) -> bool:
+        """Whether no answer was lost and no gateway crashed."""
+        return not self.broken and not self.crashes
+
 
 async def build(root: pathlib.Path) -> None:
     """Builds the gateway in `root` with the command of the deploy file.
@@ -191,6 +208,20 @@
             return False
         return b" 200 " in status_line
 
+    async def wait_for_listener(self) -> None:
+        """Waits until the process accepts connections of callers."""
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(
+                        *self.callers_address
+                    )
+                except OSError:
+                    await asyncio.sleep(LISTENER_POLL_SECONDS)
+                    continue
+                writer.close()
+                return
+
     async def watch_readiness(self) -> None:
         """Takes the gateway out of rotation and in again, as a balancer."""
         misses = 0
@@ -232,6 +263,8 @@
 class _Run:
     """One run of a plan."""
 
+    _run_numbers = itertools.count(os.getpid())
+
     def __init__(
         self,
         plan: plans.Plan,
@@ -239,6 +272,7 @@
         log_directory: pathlib.Path,
         stack: contextlib.AsyncExitStack,
     ):
+        self._number = next(self._run_numbers)
         self._plan = plan
         self._root = root
         self._log_directory = log_directory
@@ -269,7 +303,10 @@
         for action in self._plan.actions:
             delay_seconds = traffic_start + action.at - time.monotonic()
             await asyncio.sleep(max(0.0, delay_seconds))
-            await self._gateways[action.gateway].act(action.kind)
+            gateway = self._gateways[action.gateway]
+            if action.waits_for_listener:
+                await gateway.wait_for_listener()
+            await gateway.act(action.kind)
         await callers_ended
         timelines = tuple(each.timeline for each in self._gateways)
         judged = judging.judge_run(
@@ -290,7 +327,10 @@
         await platform_store.start()
         self._stack.push_async_callback(platform_store.stop)
         for number in range(SERVER_COUNT):
-            server = servers.RecordingServer(f"i-{number}")
+            # Most servers drop a request when its connection closes.
+            server = servers.RecordingServer(
+                f"i-{number}", drops_requests=number > 0
+            )
             await server.start()
             self._stack.push_async_callback(server.close)
             self._servers.append(server)
@@ -307,9 +347,12 @@
                 number, listen_ports, platform_store.address
             )
             self._gateways.append(gateway)
-            await gateway.start()
             self._stack.push_async_callback(gateway.close)
+            if self._plan.starts_ready:
+                await gateway.start()
         for gateway in self._gateways:
+            if not self._plan.starts_ready:
+                continue
             async with asyncio.timeout(START_TIMEOUT_SECONDS):
                 while not await gateway.is_ready():
                     await asyncio.sleep(0.05)
@@ -328,7 +371,8 @@
     ) -> _Gateway:
         # Each gateway has its own address, because all use the same ports.
         ips = [
-            f"127.0.0.{10 + each}" for each in range(self._plan.gateway_count)
+            f"127.0.{self._number % 250 + 1}.{each + 1}"
+            for each in range(self._plan.gateway_count)
         ]
         seed_ip = ips[(number + 1) % len(ips)]
         settings_path = self._log_directory / f"gateway-{number}.toml"
--- a/packages/standins/src/hyssopwind/standins/stops/servers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/servers.py
@@ -19,12 +19,14 @@
 
     Attributes:
         server_id: its id.
+        drops_requests: whether it stops work when the connection closes.
         records: the arrivals, in their order.
         address: IP address and port, empty before `start`.
     """
 
-    def __init__(self, server_id: str):
+    def __init__(self, server_id: str, *, drops_requests: bool):
         self.server_id = server_id
+        self.drops_requests = drops_requests
         self.records: list[records.ServerRecord] = []
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -89,9 +91,13 @@
         self.records.append(record)
         query = urllib.parse.parse_qs(target.query)
         record.began_at = time.monotonic()
-        if not await self._work(reader, int(query["work_ms"][0]) / 1000):
+        work_seconds = int(query["work_ms"][0]) / 1000
+        if not await self._work(reader, work_seconds):
             record.disconnected_at = time.monotonic()
-            return False
+            if self.drops_requests:
+                return False
+            work_end = record.began_at + work_seconds
+            await asyncio.sleep(max(0.0, work_end - time.monotonic()))
         record.ended_at = time.monotonic()
         answer_fields = {
             field_names.REQUEST_ID: request_id,
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -191,6 +191,8 @@
 
 
 class StopTest(unittest.TestCase):
+    maxDiff = None
+
     @classmethod
     def setUpClass(cls):
         directory = tempfile.TemporaryDirectory()
@@ -198,8 +200,6 @@
         cls.directory = pathlib.Path(directory.name)
         asyncio.run(rig.build(cls.directory / "build"))
 
-    maxDiff = None
-
     def check(self, name, seed):
         log_directory = self.directory / f"{name}-{seed}"
         log_directory.mkdir()
@@ -216,6 +216,7 @@
             if each.verdict is judging.Verdict.ANSWERED
         ]
         findings = [judging.describe(each) for each in result.broken]
+        self.assertEqual(result.crashes, [])
         self.assertEqual(findings, [])
         self.assertTrue(answered, "no request was answered")
 
@@ -237,6 +238,27 @@
     def test_exit_waits_for_written_answers(self):
         self.check("read-past-exit", 1)
 
+    # A connection was reset while its caller sent further requests, so that
+    # answers in the buffers of the kernel were discarded.
+    def test_caller_that_goes_on_sending_reads_its_answers(self):
+        self.check("unread-answers", 1)
+
+    # Requests of connections from after the balancer's delay were cut when the
+    # process ended.
+    def test_connections_after_the_balancer_delay_lose_no_answer(self):
+        self.check("new-connections", 1)
+
+    # SIGHUP ended a process that listened and had not imported the rest.
+    def test_reload_while_starting_does_not_end_the_process(self):
+        self.check("reload-while-starting", 2)
+
+    # Callers that wait for answers, and work that ends before the grace period.
+    def test_waiting_callers_lose_no_answer(self):
+        self.check("steady", 1)
+
+    def test_long_work_is_answered(self):
+        self.check("long-work", 1)
+
 
 if __name__ == "__main__":
     unittest.main()
