Add failing tests of stops with a late loop, a paused caller and the judging

- LateLoopTest.test_request_that_times_out_as_the_drain_ends_cuts_no_other: ending the drain raises RuntimeError ("Cannot change state of expiring Timeout") if the timeout of any request has just expired, and the daemon ends with all requests in progress cut.
- LateLoopTest.test_finished_answer_is_written_by_a_late_loop: a loop that is late by more than the time for the handover ends the process without writing a finished answer that waited for an earlier one.
- DeliveryTest.test_caller_that_pauses_gets_its_answer_before_the_end: a caller that reads nothing for the idle timeout gets 3,919,775 of 16,000,000 bytes, though the daemon has 1.2 s left.
- JudgingTest.test_own_answer_that_follows_the_disconnection_is_a_finding and test_request_that_a_server_got_was_wholly_sent: two excuses that the rule does not have.

--- a/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 from hyssopwind.standins.site import documents
 from hyssopwind.standins.tests import site_gateway_case
+from hyssopwind.transport import boot_clock
 
 LARGE_BODY_BYTES = 16_000_000  # more than socket buffers hold
 
@@ -207,6 +209,23 @@
         writer.close()
         await asyncio.wait_for(self.daemon_task, 2.0)
 
+    async def test_caller_that_pauses_gets_its_answer_before_the_end(self):
+        """It reads nothing for the idle timeout, but before the daemon ends."""
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(
+                make_answer(bytes(LARGE_BODY_BYTES))
+            )
+        reader, writer = await self.connect()
+        self.request_stop()
+        writer.write(self.request("/safe/a"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        writer.transport.pause_reading()
+        await asyncio.sleep(2.5)
+        writer.transport.resume_reading()
+        _, _, body = await self.read_answer(reader)
+        self.assertEqual(len(body), LARGE_BODY_BYTES)
+        writer.close()
+
     async def test_caller_that_uploads_on_gets_its_rejection(self):
         """A close with unread bytes resets the connection of the caller."""
         body = bytes(LARGE_BODY_BYTES)
@@ -220,3 +239,64 @@
 
         answer = await asyncio.to_thread(upload)
         self.assertIn(b" 413 ", answer.split(b"\r\n")[0])
+
+
+class LateLoopTest(StopTestCase):
+    """The event loop is blocked while times of the stop pass."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # As the end of a process would, which the loop of the test outlives.
+        self.daemon_task.add_done_callback(self.abort_connections)
+
+    def abort_connections(self, _):
+        for connection in list(self.daemon._connections):
+            connection._transport.abort()
+
+    async def block_at_end_of_drain(self, before, after):
+        """Blocks the loop from before to after the end of the drain, in s."""
+        plan = self.daemon._stop_plan
+        await asyncio.sleep(plan.deadline - before - boot_clock.now())
+        time.sleep(max(0.0, plan.deadline + after - boot_clock.now()))
+
+    async def test_request_that_times_out_as_the_drain_ends_cuts_no_other(self):
+        """A timeout that has just expired must not end the daemon."""
+        self.set_work(30.0)
+        reader, writer = await self.connect()
+        writer.write(self.request("/long/a", Deadline_Ms="20000"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        self.request_stop()
+        await asyncio.sleep(1.0)
+        plan = self.daemon._stop_plan
+        milliseconds = round((plan.deadline + 0.1 - boot_clock.now()) * 1000)
+        _, second_writer = await self.connect()
+        second_writer.write(
+            self.request(
+                "/long/a", request_id="r2", Deadline_Ms=str(milliseconds)
+            )
+        )
+        await self.wait_until(lambda: "r2" in self.executed_ids())
+        await self.block_at_end_of_drain(0.05, 0.15)
+        answered = await self.read_answers(reader)
+        self.assertEqual(answered, ["r1"])
+        writer.close()
+        second_writer.close()
+        await asyncio.wait_for(self.daemon_task, 2.0)
+
+    async def test_finished_answer_is_written_by_a_late_loop(self):
+        """It waited for an earlier answer when the handover ended."""
+        self.set_work(30.0)
+        reader, writer = await self.connect()
+        writer.write(self.request("/long/a", Deadline_Ms="20000"))
+        await self.wait_until(lambda: self.count_executions() == 1)
+        self.set_work(0.05)
+        writer.write(self.request("/safe/a", request_id="r2"))
+        await self.wait_until(lambda: "r2" in self.executed_ids())
+        self.set_work(30.0)  # of a hedge
+        self.request_stop()
+        await asyncio.sleep(0.1)
+        # Until after the handover, but before the kill after the grace period.
+        await self.block_at_end_of_drain(0.05, GRACE_SECONDS / 16 + 0.05)
+        answered = await self.read_answers(reader)
+        self.assertEqual(answered, ["r1", "r2"])
+        writer.close()
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -87,6 +87,19 @@
         working = make_arrival(TERMINATED_AT + 1.6)
         self.check(judging.Verdict.REPLACED, caller, [working])
 
+    def test_own_answer_that_follows_the_disconnection_is_a_finding(self):
+        # The gateway breaks off its attempt, and then answers itself.
+        caller = make_caller(ending=records.Ending.WHOLE, status=502)
+        broken_off = make_arrival(TERMINATED_AT + 1.6)
+        broken_off.disconnected_at = TERMINATED_AT + 1.999
+        self.check(judging.Verdict.REPLACED, caller, [broken_off])
+
+    def test_request_that_a_server_got_was_wholly_sent(self):
+        # Its caller pauses after the last part of the body.
+        caller = make_caller(sent_last_at=None)
+        arrival = make_arrival(TERMINATED_AT + 1.6, TERMINATED_AT + 1.9)
+        self.check(judging.Verdict.LOST, caller, [arrival])
+
     def test_timeout_or_deadline_excuses(self):
         arrival = make_arrival(TERMINATED_AT + 0.8)
         browse = make_caller(
