End a drain although a timeout has just expired

What callers saw: all requests in progress were cut when a drain ended in the moment in which the timeout of any request expired.

Cause: a timeout that has expired cannot be moved; RuntimeError left the drain half done and ended the daemon.

Evidence: test_site_stop, LateLoopTest.test_request_that_times_out_as_the_drain_ ends_cuts_no_other failed before and passes now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -111,7 +111,8 @@
         self._has_expired = True
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now)
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     def find_route(
         self, request: caller_requests.CallerRequest
