Write finished answers although the loop is late at the end of a drain

What callers saw: answers that servers had given, and that waited for an earlier one of their connection, were lost when the event loop was held up over the end of the drain, as on a busy core.

Cause: requests are ended in steps of the loop, and the drain looked at the time first; when it was over already, the daemon ended without any such step.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -305,10 +305,14 @@
             "the daemon stopped before it had read the request",
             stop_plan.RETRY_AFTER_SECONDS,
         )
-        while self._connections and boot_clock.now() < plan.handover_deadline:
+        while self._connections:
             for connection in list(self._connections):
                 connection.end_input(failure)
+            # At least once, also if the loop is late: the requests end and
+            # their answers are written meanwhile.
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
+            if boot_clock.now() >= plan.handover_deadline:
+                return
 
     def _connection_counts(self) -> dict[str, int]:
         """Returns what the connections of callers hold, for the log."""
