Wait in a stop for callers that pause reading

What callers saw: a caller that read nothing for the idle timeout lost the rest of its last answer, 1.2 s before the daemon ended.

Cause: the bound for callers that take nothing also held in a stop, whose own end bounds the wait.

Evidence: test_site_stop, DeliveryTest.test_caller_that_pauses_gets_its_answer_ before_the_end failed before (3,919,775 of 16,000,000 bytes) and passes now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import typing
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -392,9 +393,7 @@
             return
         transport.write_eof()
         self._linger = lingering.Linger(
-            stall_seconds=self._callbacks.limits().idle_timeout_seconds,
-            outstanding_bytes=self._outstanding_bytes,
-            now=boot_clock.now(),
+            outstanding_bytes=self._outstanding_bytes, now=boot_clock.now()
         )
         self._schedule_linger_check()
 
@@ -407,9 +406,14 @@
         self._timer = None
         if self._linger is None or self._transport is None:
             return
-        outstanding = self._outstanding_bytes
+        # The end of the process bounds the wait in a stop.
+        stall_seconds = math.inf
+        if not self._callbacks.is_stopping():
+            stall_seconds = self._callbacks.limits().idle_timeout_seconds
         if not self._linger.may_drop(
-            outstanding_bytes=outstanding, now=boot_clock.now()
+            outstanding_bytes=self._outstanding_bytes,
+            stall_seconds=stall_seconds,
+            now=boot_clock.now(),
         ):
             self._schedule_linger_check()
             return
