--- a/packages/standins/src/hyssopwind/standins/stops/callers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/callers.py
@@ -215,6 +215,11 @@
             if self._body_left:
                 return
             self._body_left = -1
+            if (
+                record.is_stamped
+                and record.bytes_received != self._plan.answer_bytes
+            ):
+                raise ValueError(f"{record} has another body than sent")
             self._pending.popleft()
             self._is_closing = not self.is_usable
             self._end(record, records.Ending.WHOLE)
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -48,11 +48,13 @@
             judging.judge(caller, arrivals, timeline, BOUNDS), verdict
         )
 
+    # An oracle that reports every stop would prove nothing.
     def test_whole_answer_is_no_finding(self):
         caller = make_caller(ending=records.Ending.WHOLE, is_stamped=True)
         arrival = make_arrival(TERMINATED_AT + 1.6, TERMINATED_AT + 1.9)
         self.check(judging.Verdict.ANSWERED, caller, [arrival])
 
+    # The finished work of a server, or a part of an answer, must not excuse it.
     def test_cut_request_that_was_passed_on_is_lost(self):
         arrival = make_arrival(TERMINATED_AT + 1.6, TERMINATED_AT + 1.9)
         for ending in (records.Ending.CLOSED, records.Ending.RESET):
@@ -61,6 +63,7 @@
                 caller = make_caller(ending=ending, **changes)
                 self.check(judging.Verdict.LOST, caller, [arrival])
 
+    # Requests behind a closing answer are excused only if no server got them.
     def test_position_on_the_connection_excuses_only_what_was_not_passed_on(
         self,
     ):
@@ -69,6 +72,7 @@
         arrival = make_arrival(TERMINATED_AT + 1.6)
         self.check(judging.Verdict.LOST, caller, [arrival])
 
+    # A request that was read and held back would otherwise go unnoticed.
     def test_request_that_was_not_passed_on_is_lost_after_the_slack(self):
         self.check(judging.Verdict.LOST_UNSENT, make_caller())
         late = make_caller(sent_last_at=TERMINATED_AT + 1.85)
@@ -79,6 +83,7 @@
         reset = make_caller(ending=records.Ending.RESET)
         self.check(judging.Verdict.UNKNOWN, reset)
 
+    # A failure in place of the answer would hide that a request was broken off.
     def test_own_answer_in_place_of_a_working_server_is_a_finding(self):
         caller = make_caller(ending=records.Ending.WHOLE, status=502)
         self.check(judging.Verdict.ANSWERED, caller)
@@ -87,6 +92,7 @@
         working = make_arrival(TERMINATED_AT + 1.6)
         self.check(judging.Verdict.REPLACED, caller, [working])
 
+    # The excuse must begin with the timeout, not shortly before it.
     def test_timeout_or_deadline_excuses(self):
         arrival = make_arrival(TERMINATED_AT + 0.8)
         browse = make_caller(
@@ -98,6 +104,7 @@
         earlier = dataclasses.replace(browse, ended_at=TERMINATED_AT + 1.99)
         self.check(judging.Verdict.LOST, earlier, [arrival])
 
+    # Requests from after the balancer's delay have no excuse.
     def test_work_at_the_end_excuses_only_requests_from_before_three_seconds(
         self,
     ):
@@ -120,6 +127,7 @@
         ended = make_arrival(TERMINATED_AT + 2.9, TERMINATED_AT + 4.9)
         self.check(judging.Verdict.LOST, early, [ended])
 
+    # A second signal would otherwise excuse requests of another three seconds.
     def test_repeated_signal_starts_no_new_grace_period(self):
         # 2.9 s after the second SIGTERM, but 3.1 s after the first.
         timeline = make_timeline(
@@ -133,6 +141,7 @@
         arrival = make_arrival(TERMINATED_AT + 3.2)
         self.check(judging.Verdict.LOST, caller, [arrival], timeline)
 
+    # An excuse without end would hide all losses after the first freeze.
     def test_freeze_excuses_for_the_contact_time_only(self):
         arrival = make_arrival(TERMINATED_AT + 1.6)
         recent = make_timeline(
@@ -144,6 +153,7 @@
         )
         self.check(judging.Verdict.LOST, make_caller(), [arrival], past)
 
+    # Reloads must not make requests lose their answers either.
     def test_reload_counts_for_requests_around_it(self):
         arrival = make_arrival(TERMINATED_AT + 1.6)
         recent = make_timeline(
@@ -155,6 +165,7 @@
         )
         self.check(judging.Verdict.CUT, make_caller(), [arrival], past)
 
+    # Without planned work, three cuts are allowed.
     def test_cuts_without_planned_work_count_from_the_fourth_on(self):
         timeline = make_timeline(terminated_at=[])
         for count, broken_count in ((3, 0), (4, 4)):
@@ -168,6 +179,7 @@
             judged = judging.judge_run(callers, arrivals, [timeline], BOUNDS)
             self.assertEqual(len(judging.find_broken(judged)), broken_count)
 
+    # The times of caller and server must be comparable in one line.
     def test_finding_shows_both_sides_relative_to_the_signal(self):
         arrival = make_arrival(TERMINATED_AT + 1.6, TERMINATED_AT + 1.9)
         (judged,) = judging.judge_run(
@@ -182,6 +194,7 @@
 
 
 class PlanTest(unittest.TestCase):
+    # A finding could not be played again.
     def test_seed_determines_the_plan(self):
         for name in scenarios.SCENARIOS:
             self.assertEqual(scenarios.draw(name, 7), scenarios.draw(name, 7))
@@ -252,10 +265,11 @@
     def test_reload_while_starting_does_not_end_the_process(self):
         self.check("reload-while-starting", 2)
 
-    # Callers that wait for answers, and work that ends before the grace period.
+    # A stop must not cut callers that wait for answers and heed the balancer.
     def test_waiting_callers_lose_no_answer(self):
         self.check("steady", 1)
 
+    # The process ended before the work of requests from before the delay.
     def test_long_work_is_answered(self):
         self.check("long-work", 1)
 
