--- a/packages/standins/src/hyssopwind/standins/process_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/process_fleet.py
@@ -54,6 +54,7 @@
         lease_ms: duration of the leases of the daemons.
         balancer_delay_ms: time between the end of readiness and the closing of
             the listener when a daemon stops gracefully.
+        stop_grace_ms: time that running requests may take after that.
         trace_sample_ratio: fraction of the requests that are traced.
         server_module: module that is started as a server.
     """
@@ -63,6 +64,7 @@
     daemons_per_data_centre: int = 2
     lease_ms: int = 1500
     balancer_delay_ms: int = 300
+    stop_grace_ms: int = 30_000
     trace_sample_ratio: float = 0.0
     server_module: str = "hyssopwind.standins.server"
 
@@ -184,7 +186,7 @@
         """
         url = f"http://{self.daemons[name].admin_address}/ready"
         async with asyncio.timeout(READY_TIMEOUT_SECONDS):
-            while not await self._has_status_200(url):
+            while not await self.has_status(url):
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     async def publish_vm_list(
@@ -269,6 +271,14 @@
         async with self._session.get(url) as response:
             return dict(await response.json())
 
+    async def has_status(self, url: str, status: int = 200) -> bool:
+        """Whether a request for a URL is answered with a status."""
+        try:
+            async with self._session.get(url) as response:
+                return response.status == status
+        except aiohttp.ClientError:
+            return False
+
     def render_team_settings(self, team: str) -> str:
         """Returns the settings document of a team."""
         lines = []
@@ -372,6 +382,7 @@
                 'signing_keys = ["stand-in-signing-key-1"]',
                 "[stop]",
                 f'balancer_delay = "{self._plan.balancer_delay_ms}ms"',
+                f'grace = "{self._plan.stop_grace_ms}ms"',
                 "[traces]",
                 f"sample = {self._plan.trace_sample_ratio}",
                 f'file = "{trace_path}"',
@@ -387,16 +398,9 @@
     async def _wait_for_platform(self) -> None:
         async with asyncio.timeout(READY_TIMEOUT_SECONDS):
             for url in (self.configuration_url, self.vm_list_url):
-                while not await self._has_status_200(f"{url}/control/calls"):
+                while not await self.has_status(f"{url}/control/calls"):
                     await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    async def _has_status_200(self, url: str) -> bool:
-        try:
-            async with self._session.get(url) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
-
     async def _post(self, url: str, body: Mapping[str, Any]) -> None:
         async with self._session.post(url, json=body) as response:
             response.raise_for_status()
--- a/packages/standins/src/hyssopwind/standins/server.py
+++ b/packages/standins/src/hyssopwind/standins/server.py
@@ -15,6 +15,10 @@
 START_HEADER = "Server-Start"
 SHED_HEADER = "Server-Shed"
 NOT_AFTER_HEADER = "X-Request-Not-After"
+# Work time of a request in seconds, instead of a random one.
+WORK_SECONDS_HEADER = "X-Work-Seconds"
+# Bytes that are added to the body of the answer.
+PADDING_HEADER = "X-Answer-Padding"
 KEY_HEADERS = ("Idempotency-Key", "Hyssopwind-Ticket")
 # A load report is cached for this time, so that daemons also get aged reports.
 LOAD_REPORT_REFRESH_SECONDS = 0.25
@@ -136,17 +140,23 @@
                 self._write_journal(key)
         work_seconds = self._random.expovariate(1 / self._options.mean_work)
         factor = self._options.cold_factor if self.is_cold else 1.0
-        await asyncio.sleep(work_seconds * factor * self._slow_factor)
+        work_seconds *= factor * self._slow_factor
+        if WORK_SECONDS_HEADER in request.headers:
+            work_seconds = float(request.headers[WORK_SECONDS_HEADER])
+        await asyncio.sleep(work_seconds)
         self._completed_count += 1
         request_text = (
             f"{request.method} {request.path_qs} {len(body)} ".encode()
         )
         echo = request.headers.get("X-Echo", "").encode()
+        padding = b"p" * int(request.headers.get(PADDING_HEADER, "0"))
         headers = {
             **self._make_headers(),
             "X-Served-By": str(self._options.port),
         }
-        return web.Response(body=request_text + echo + body, headers=headers)
+        return web.Response(
+            body=request_text + echo + body + padding, headers=headers
+        )
 
     def _write_journal(self, key: str) -> None:
         if not self._options.journal:
