Do not become ready when stopped while starting

Callers of a daemon that got SIGTERM before it had read its settings got 404 for existing routes until its listener closed. The wait for readiness ended with the stop and the daemon then declared itself ready without settings.

--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -159,7 +159,8 @@
         """Waits for settings, the list of VMs and the right to back leases.
 
         A daemon that has just started backs no lease for one lease term,
-        because it has lost its record of the leases that it backed before.
+        because it has lost its record of the leases that it backed before. A
+        daemon that is stopped before then does not become ready.
         """
         cluster = self._settings.cluster
         earliest_ready = self._started_at + cluster.lease + cluster.heartbeat
@@ -169,8 +170,12 @@
             if is_loaded and self._has_vm_list and may_serve:
                 break
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        if self._stop.is_set():
+            return
         self._serving.set_phase(messages.Phase.SERVING)
         await self._wait_for_key_ownership()
+        if self._stop.is_set():
+            return
         self._frontend.set_ready(True)
         self._is_ready = True
         _log.info("ready", extra={"daemon": self._settings.name})
