Close the callers' connections before the links to the peers

Callers got a 500 with an unknown outcome for requests that waited for a slot when the daemon closed: the close ended the background tasks and the links to the peers first, and a waiting request then sent a message on a closed link (ZMQError, Socket operation on non-socket).

test_daemon_stops.ColdServerStopTest failed before in 2 of 3 runs and passes in 5 of 5.

--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -225,11 +225,15 @@
         _log.warn("key partitions were left without a successor")
 
     async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Closes the connections of callers first.
+
+        Requests that are still running need the tasks and the links.
+        """
+        await self._frontend.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._links.close()
-        await self._frontend.close()
         await self._admin.close()
         await self._upstream.close()
         await self._forwarder.close()
