Deliver final answers before closing callers' connections

Callers of a stopping daemon that read slowly while they sent further requests got a part of their answer: 3.8 of 7.5 MB in one run, though the server had run the request. The connection was closed as soon as the answer was written, with bytes of the caller unread, so that the close became a reset and the kernel discarded what it had not delivered. An answer also counted as done before it was written.

A connection now ends its sending side after the final answer, reads and drops what follows, and closes once the caller has acknowledged the answer and has closed its side or let 1 s pass. Requests count as active until their answer is acknowledged. What is left at the end of the grace period is cut: the close of the connections waited for 60 s more, so that one caller that read nothing delayed the stop (not stopped 5.3 s after SIGTERM with a grace of 1 s).

The cleanup of test_frontend passes the new argument of close; no check changed.

--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -86,8 +86,8 @@
             task.add_done_callback(self._handle_task_end)
         await self._become_ready()
         await self._stop.wait()
-        await self._drain()
-        await self._close(tasks)
+        deadline = await self._drain()
+        await self._close(tasks, deadline)
 
     def _build(self) -> None:
         settings = self._settings
@@ -190,8 +190,12 @@
                 return
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
-    async def _drain(self) -> None:
-        """Stops listening, completes running requests and hands keys over."""
+    async def _drain(self) -> float:
+        """Stops listening, completes running requests and hands keys over.
+
+        Returns:
+            The monotonic time in seconds at which the grace period ends.
+        """
         _log.info("stopping")
         self._is_ready = False
         await asyncio.sleep(self._settings.stop.balancer_delay)
@@ -211,6 +215,7 @@
                 "requests of disconnected callers exceeded the grace period"
             )
         await self._hand_over_keys()
+        return deadline
 
     async def _hand_over_keys(self) -> None:
         """Waits until other daemons have taken over the key partitions."""
@@ -224,12 +229,14 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         _log.warn("key partitions were left without a successor")
 
-    async def _close(self, tasks: list[asyncio.Task[None]]) -> None:
+    async def _close(
+        self, tasks: list[asyncio.Task[None]], deadline: float
+    ) -> None:
         """Closes the connections of callers first.
 
         Requests that are still running need the tasks and the links.
         """
-        await self._frontend.close()
+        await self._frontend.close(deadline)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/daemon/src/hyssopwind/daemon/frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/frontend.py
@@ -5,7 +5,11 @@
 """
 
 import asyncio
+import fcntl
 import logging
+import struct
+import termios
+import time
 from typing import Any
 
 import logbook
@@ -18,6 +22,7 @@
 from hyssopwind.core.node import node
 from hyssopwind.core.requests import classification
 from hyssopwind.core.requests import refusals
+from hyssopwind.core.stopping import final_answers
 from hyssopwind.daemon import answer_rendering
 from hyssopwind.daemon import clock
 from hyssopwind.daemon import headers
@@ -33,6 +38,11 @@
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 KEEPALIVE_TIMEOUT_SECONDS = 75.0
 LINGERING_SECONDS = 1.0  # for reading the rest of a refused body
+LINGER_SETTINGS = final_answers.LingerSettings(
+    delivery_seconds=KEEPALIVE_TIMEOUT_SECONDS
+)
+POLL_INTERVAL_SECONDS = 0.02
+CLOSE_TIMEOUT_SECONDS = 0.2  # of requests that the end of the grace cuts
 
 _log = logbook.Logger("frontend")
 _NO_ACCESS_LOG = logging.getLogger("hyssopwind.no-access-log")
@@ -40,7 +50,84 @@
 
 
 class _ProblemProtocol(web_protocol.RequestHandler):
-    """Answers parse errors and failed handlers with problem documents."""
+    """A caller's connection.
+
+    Answers parse errors and failed handlers with problem documents, and closes
+    only after its final answer was delivered.
+    """
+
+    __slots__ = ("_has_caller_closed", "_is_busy", "_is_lingering")
+
+    def __init__(self, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self._is_busy = False
+        self._is_lingering = False
+        self._has_caller_closed = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request runs or its answer is not delivered yet."""
+        return self._is_busy or self._count_unacknowledged_bytes() > 0
+
+    def start_request(self) -> None:
+        """Marks the connection as busy until its answer is written."""
+        self._is_busy = True
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what the caller sent; nothing after the final answer."""
+        if not self._is_lingering:
+            super().data_received(data)
+
+    def eof_received(self) -> bool | None:  # type: ignore[override]
+        """Keeps the connection until its final answer is delivered."""
+        self._has_caller_closed = True
+        return self._is_lingering
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Writes an answer, and delivers it if it is the final one."""
+        self._is_busy = True
+        try:
+            result = await super().finish_response(request, resp, start_time)
+            if not result[0].keep_alive:
+                await self._linger()
+            return result
+        finally:
+            self._is_busy = False
+
+    async def _linger(self) -> None:
+        """Reads on until the caller has got the final answer and closes."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._is_lingering = True
+        transport.write_eof()
+        transport.resume_reading()
+        state = final_answers.LingerState(time.monotonic())
+        while not transport.is_closing():
+            now = time.monotonic()
+            delivered_at = state.delivered_at
+            if delivered_at is None and not self._count_unacknowledged_bytes():
+                delivered_at = now
+            state = final_answers.LingerState(
+                state.written_at, delivered_at, self._has_caller_closed
+            )
+            if final_answers.may_close(LINGER_SETTINGS, state, now):
+                return
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+    def _count_unacknowledged_bytes(self) -> int:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        buffered_bytes = transport.get_write_buffer_size()
+        descriptor = transport.get_extra_info("socket").fileno()
+        queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+        return buffered_bytes + int(struct.unpack("i", queued)[0])
 
     def handle_error(
         self,
@@ -107,12 +194,12 @@
         self._is_stopping = False
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
-        self._active_request_count = 0
+        self._server: _ProblemServer | None = None
 
     @property
     def active_request_count(self) -> int:
-        """The number of requests that are being handled."""
-        return self._active_request_count
+        """The number of requests that run or are not delivered yet."""
+        return sum(connection.is_busy for connection in self._connections())
 
     def set_ready(self, is_ready: bool) -> None:
         """Sets whether requests are accepted or refused as not ready."""
@@ -125,8 +212,10 @@
     async def start(self, address: str) -> None:
         """Listens for callers."""
         host, _, port = address.rpartition(":")
-        server = _ProblemServer(self._handle, handler_cancellation=True)
-        self._runner = web.ServerRunner(server)
+        self._server = _ProblemServer(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(
+            self._server, shutdown_timeout=CLOSE_TIMEOUT_SECONDS
+        )
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, host, int(port), backlog=1024)
         await self._site.start()
@@ -137,17 +226,36 @@
             await self._site.stop()
             self._site = None
 
-    async def close(self) -> None:
-        """Closes all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+    async def close(self, deadline: float) -> None:
+        """Closes all connections; busy ones once their answer is delivered.
+
+        Args:
+            deadline: monotonic time in seconds after which the answers that
+                are not delivered are cut.
+        """
+        if self._runner is None:
+            return
+        for connection in self._connections():
+            connection.close()
+            if not connection.is_busy:
+                connection.force_close()
+        while self.active_request_count and self._clock.now() < deadline:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        await self._runner.cleanup()
+
+    def _connections(self) -> list[_ProblemProtocol]:
+        if self._server is None:
+            return []
+        return [
+            connection
+            for connection in self._server.connections
+            if isinstance(connection, _ProblemProtocol)
+        ]
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._active_request_count += 1
-        try:
-            response = await self._answer(request)
-        finally:
-            self._active_request_count -= 1
+        if isinstance(request.protocol, _ProblemProtocol):
+            request.protocol.start_request()
+        response = await self._answer(request)
         if self._is_stopping:
             response.force_close()
         return response
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -120,7 +120,7 @@
         await self.frontend.start("127.0.0.1:0")
         site = self.frontend._site
         self.port = site._server.sockets[0].getsockname()[1]
-        self.addAsyncCleanup(self.frontend.close)
+        self.addAsyncCleanup(self.frontend.close, 0.0)
 
     async def send(self, text):
         """Sends raw text; returns the status line, fields and body."""
