--- a/packages/standins/src/hyssopwind/standins/tests/test_daemon_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_daemon_stops.py
@@ -340,7 +340,7 @@
                     },
                 )
             )
-            for name in (stopping, other) * 10
+            for name in (stopping, other) * 15
         ]
         await asyncio.sleep(0.5)
         self.group.terminate(stopping)
