Let both daemons share what decides about lingering connections

The gateway and the product's daemon had each got a rule of its own for when a connection may be dropped after its last answer, and a call of its own for the kernel's send queue. core/stopping/lingering.py and transport/socket_queues.py now serve both.

--- a/packages/daemon/src/hyssopwind/daemon/frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/frontend.py
@@ -5,10 +5,7 @@
 """
 
 import asyncio
-import fcntl
 import logging
-import struct
-import termios
 import time
 from typing import Any
 
@@ -22,7 +19,7 @@
 from hyssopwind.core.node import node
 from hyssopwind.core.requests import classification
 from hyssopwind.core.requests import refusals
-from hyssopwind.core.stopping import final_answers
+from hyssopwind.core.stopping import lingering
 from hyssopwind.daemon import answer_rendering
 from hyssopwind.daemon import clock
 from hyssopwind.daemon import headers
@@ -30,6 +27,7 @@
 from hyssopwind.daemon import pipeline
 from hyssopwind.daemon import request_context
 from hyssopwind.daemon import tracing
+from hyssopwind.transport import socket_queues
 
 TICKETS_PATH = "/.hyssopwind/tickets"
 BODY_READ_TIMEOUT_SECONDS = 10.0
@@ -38,9 +36,6 @@
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 KEEPALIVE_TIMEOUT_SECONDS = 75.0
 LINGERING_SECONDS = 1.0  # for reading the rest of a refused body
-LINGER_SETTINGS = final_answers.LingerSettings(
-    delivery_seconds=KEEPALIVE_TIMEOUT_SECONDS
-)
 POLL_INTERVAL_SECONDS = 0.02
 CLOSE_TIMEOUT_SECONDS = 0.2  # of requests that the end of the grace cuts
 
@@ -107,16 +102,19 @@
         self._is_lingering = True
         transport.write_eof()
         transport.resume_reading()
-        state = final_answers.LingerState(time.monotonic())
+        linger = lingering.Linger(
+            outstanding_bytes=self._count_unacknowledged_bytes(),
+            now=time.monotonic(),
+        )
         while not transport.is_closing():
-            now = time.monotonic()
-            delivered_at = state.delivered_at
-            if delivered_at is None and not self._count_unacknowledged_bytes():
-                delivered_at = now
-            state = final_answers.LingerState(
-                state.written_at, delivered_at, self._has_caller_closed
-            )
-            if final_answers.may_close(LINGER_SETTINGS, state, now):
+            outstanding = self._count_unacknowledged_bytes()
+            if self._has_caller_closed and not outstanding:
+                return
+            if linger.may_drop(
+                outstanding_bytes=outstanding,
+                stall_seconds=KEEPALIVE_TIMEOUT_SECONDS,
+                now=time.monotonic(),
+            ):
                 return
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
@@ -124,10 +122,9 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return 0
-        buffered_bytes = transport.get_write_buffer_size()
-        descriptor = transport.get_extra_info("socket").fileno()
-        queued = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
-        return buffered_bytes + int(struct.unpack("i", queued)[0])
+        raw_socket = transport.get_extra_info("socket")
+        queued_bytes = socket_queues.unacknowledged_bytes(raw_socket)
+        return transport.get_write_buffer_size() + queued_bytes
 
     def handle_error(
         self,
