Stop gateways that share one core with busy processes in the rig

Two busy processes on many cores hardly compete with a gateway, so the scenario busy-cores says little of a busy core. In shared-core two gateways and one to three processes that never sleep run on one core, beside callers that pipeline without a pause and open connections to the end.

--- a/packages/standins/src/hyssopwind/standins/stops/plans.py
+++ b/packages/standins/src/hyssopwind/standins/stops/plans.py
@@ -158,6 +158,7 @@
         starts_ready: whether all gateways serve before the traffic; otherwise
             they are started by actions.
         busy_processes: processes that compete for the processor.
+        shares_core: whether gateways and busy processes run on one core.
         grace_seconds: time between SIGTERM and SIGKILL.
     """
 
@@ -168,6 +169,7 @@
     actions: tuple[Action, ...]
     starts_ready: bool = True
     busy_processes: int = 0
+    shares_core: bool = False
     grace_seconds: float = 6.0
 
     def describe(self) -> str:
@@ -176,6 +178,7 @@
             f"scenario {self.scenario} seed {self.seed}:"
             f" {self.gateway_count} gateways,"
             f" {self.busy_processes} busy processes"
+            f"{', all on one core' if self.shares_core else ''}"
         ]
         for action in self.actions:
             lines.append(
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -115,6 +115,7 @@
         root: pathlib.Path,
         log_path: pathlib.Path,
         grace_seconds: float,
+        cores: frozenset[int],
     ):
         self.timeline = records.GatewayTimeline()
         self.log_path = log_path
@@ -122,6 +123,7 @@
         self._settings_path = settings_path
         self._root = root
         self._grace_seconds = grace_seconds
+        self._cores = cores
         self._settings = tomllib.loads(settings_path.read_text())
         self._process: asyncio.subprocess.Process | None = None
         self._is_stopping = False
@@ -157,6 +159,7 @@
                 stdout=stream,
                 stderr=stream,
             )
+        os.sched_setaffinity(self._process.pid, self._cores)
         self._is_stopping = False
         self.timeline.started_at.append(time.monotonic())
         self._start_task(self._watch(self._process))
@@ -365,6 +368,14 @@
             )
             self._stack.push_async_callback(process.wait)
             self._stack.callback(process.kill)
+            os.sched_setaffinity(process.pid, self._cores())
+
+    def _cores(self) -> frozenset[int]:
+        """Returns the cores that gateways and busy processes may use."""
+        cores = sorted(os.sched_getaffinity(0))
+        if self._plan.shares_core:
+            return frozenset({cores[self._number % len(cores)]})
+        return frozenset(cores)
 
     def _create_gateway(
         self, number: int, listen_ports: list[int], store_address: str
@@ -391,6 +402,7 @@
             self._root,
             self._log_directory / f"gateway-{number}.log",
             self._plan.grace_seconds,
+            self._cores(),
         )
 
     def _select_gateway(self, caller_plan: plans.CallerPlan) -> int | None:
--- a/packages/standins/src/hyssopwind/standins/stops/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/stops/scenarios.py
@@ -239,6 +239,33 @@
     )
 
 
+@SCENARIOS.register("shared-core")
+def draw_shared_core(seed: int, source: random.Random) -> plans.Plan:
+    """Two gateways and processes that never sleep share one core."""
+    callers = list(_steady_callers(source, 2))
+    for _ in range(4):
+        callers.append(
+            plans.CallerPlan(
+                source.choice((plans.Habit.CONTINUOUS, plans.Habit.NEW)),
+                plans.BROWSE,
+                gateway=source.randrange(2),
+                starts_at=source.uniform(0.0, 0.8),
+                depth=source.randint(2, 4),
+                heeds_rotation=False,
+            )
+        )
+    at = source.uniform(1.0, 1.5)
+    return _make_plan(
+        "shared-core",
+        seed,
+        2,
+        tuple(callers),
+        [_terminate(at), _terminate(at + source.uniform(0.0, 2.0), 1)],
+        busy_processes=source.choice((1, 2, 3)),
+        shares_core=True,
+    )
+
+
 @SCENARIOS.register("repeated-signals")
 def draw_repeated_signals(seed: int, source: random.Random) -> plans.Plan:
     """SIGHUP before and after SIGTERM, which comes twice."""
@@ -379,6 +406,7 @@
     callers: tuple[plans.CallerPlan, ...],
     actions: list[plans.Action],
     busy_processes: int = 0,
+    shares_core: bool = False,
 ) -> plans.Plan:
     actions.sort(key=lambda action: action.at)
     return plans.Plan(
@@ -388,6 +416,7 @@
         callers,
         tuple(actions),
         busy_processes=busy_processes,
+        shares_core=shares_core,
     )
 
 
