Spare the first attempt when the server of its hedge has left

What callers saw: 502 for a request that its server would have answered.

Cause: between the selection of a server for a hedge and its use the event loop runs once. If the server left in that moment, an assertion failed and cancelled the attempt in progress.

Evidence: test_site_gateway, HedgeTest.test_removal_of_the_selected_server_ spares_the_first_attempt failed before and passes now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -295,10 +295,15 @@
             search.cancel()
             return None
         selected = search.result()
-        if selected is None or not self._try_acquire_retry(context):
+        if selected is None or not self._is_listed(selected):
+            return None
+        if not self._try_acquire_retry(context):
             return None
         return self._start_attempt(context, selected)
 
+    def _is_listed(self, selected: server_selection.Send) -> bool:
+        return self._platform_state.catalogue.find(selected.server) is not None
+
     async def _first_success(
         self, running: "set[asyncio.Task[attempt_results.AttemptResult]]"
     ) -> attempt_results.AttemptResult:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -7,6 +7,8 @@
 
 import logbook
 
+from hyssopwind.core import ids
+from hyssopwind.core.dispatch import server_selection
 from hyssopwind.standins.site import documents
 from hyssopwind.standins.site import store
 from hyssopwind.standins.tests import site_gateway_case
@@ -282,6 +284,22 @@
         self.assertEqual(self.count_executions(), before)
 
 
+class HedgeTest(site_gateway_case.GatewayTestCase):
+    async def test_removal_of_the_selected_server_spares_the_first_attempt(
+        self,
+    ):
+        """The server of a hedge may leave between its selection and its use."""
+
+        async def find_server_that_left(_):
+            return server_selection.Send(ids.ServerId("i-9"), 0.1)
+
+        self.daemon._picker.find_good_server = find_server_that_left
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.6
+        status, _, _ = await self.call("/safe/a")
+        self.assertEqual(status, 200)
+
+
 class PlatformChangeTest(site_gateway_case.GatewayTestCase):
     async def test_changed_routes_are_in_force_within_a_second(self):
         new_routes = [documents.make_route_resource("new", "/new/")]
