--- a/packages/core/src/hyssopwind/core/pools/clients.py
+++ b/packages/core/src/hyssopwind/core/pools/clients.py
@@ -302,14 +302,6 @@
             self.clear_owner()
         return self._request_times.pop(refusal.admission_id, None) is not None
 
-    def is_admission_pending(self, admission_id: int) -> bool:
-        """Whether the present owner may still answer an admission request.
-
-        A change of the owner drops the requests that the former one had
-        queued.
-        """
-        return admission_id in self._request_times
-
     def check_owner_timeout(self, now: float) -> bool:
         """Checks whether the owner answers while a request waits for it.
 
--- a/packages/core/src/hyssopwind/core/pools/tests/test_clients.py
+++ b/packages/core/src/hyssopwind/core/pools/tests/test_clients.py
@@ -117,14 +117,6 @@
         self.assertGreater(sent_count, 0)
         self.assertIsInstance(self.plan(now=5.2), clients.NoCapacity)
 
-    def test_change_of_owner_drops_pending_admission(self):
-        # Failure: a request waits until its deadline for an owner that stopped.
-        plan = self.plan(now=5.0)
-        admission_id = plan.admission_request.admission_id
-        self.assertTrue(self.client.is_admission_pending(admission_id))
-        self.client.set_owner(OTHER_DAEMON)
-        self.assertFalse(self.client.is_admission_pending(admission_id))
-
     def test_cold_server_has_no_share(self):
         self.receive_summary(
             make_entry(S1, may_send_direct=False), is_open=False
--- a/packages/daemon/src/hyssopwind/daemon/slots.py
+++ b/packages/daemon/src/hyssopwind/daemon/slots.py
@@ -203,9 +203,7 @@
             )
             self._run_node()
             if not future.done():
-                await self._wait_for_answer(
-                    future, client, admission_id, deadline
-                )
+                await self._wait_for_answer(future, client, deadline)
             answer = future.result() if future.done() else None
             is_answered = answer is not None
             return answer
@@ -218,15 +216,10 @@
         self,
         future: "asyncio.Future[_AdmissionAnswer]",
         client: clients.PoolClient,
-        admission_id: int,
         deadline: float,
     ) -> None:
-        """Waits for the answer of the owner.
-
-        The wait ends early at a time-out or change of the owner, and at the
-        deadline.
-        """
-        while not future.done() and client.is_admission_pending(admission_id):
+        """Waits for the owner's answer, its time-out or the deadline."""
+        while not future.done():
             now = self._clock.now()
             timeout_seconds = min(clients.OWNER_TIMEOUT_SECONDS, deadline - now)
             if timeout_seconds < MIN_WAIT_SECONDS or client.check_owner_timeout(
