--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -111,7 +111,8 @@
         self._has_expired = True
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now)
+            if not timeout.expired():
+                timeout.reschedule(now)
 
     def find_route(
         self, request: caller_requests.CallerRequest
@@ -294,10 +295,15 @@
             search.cancel()
             return None
         selected = search.result()
-        if selected is None or not self._try_acquire_retry(context):
+        if selected is None or not self._is_listed(selected):
+            return None
+        if not self._try_acquire_retry(context):
             return None
         return self._start_attempt(context, selected)
 
+    def _is_listed(self, selected: server_selection.Send) -> bool:
+        return self._platform_state.catalogue.find(selected.server) is not None
+
     async def _first_success(
         self, running: "set[asyncio.Task[attempt_results.AttemptResult]]"
     ) -> attempt_results.AttemptResult:
