Log and count what servers state as their limits

The logs of the incident could not tell whether machines never read `Server-Limit`, read it in one kind of answer only, or kept it each for itself. Each change of a server's limit is logged with the kind of answer that stated it, each attempt with the limit known when it ended, and attempts at limited servers are counted. Nothing is decided by it yet.

One test reaches the picker through the dispatcher now; it checks the same.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -115,6 +115,13 @@
         """Returns the ids of all listed servers."""
         return set(self._servers)
 
+    def instances(self) -> set[ids.InstanceId]:
+        """Returns the identifiers of the starts of all listed servers."""
+        return {
+            listed_server.entry.instance
+            for listed_server in self._servers.values()
+        }
+
     def service_settings(
         self, service: ids.ServiceId
     ) -> tables.ServiceConfiguration | None:
--- a/packages/core/src/hyssopwind/core/discovery/entries.py
+++ b/packages/core/src/hyssopwind/core/discovery/entries.py
@@ -30,3 +30,8 @@
     is_draining: bool
     warmup_left_seconds: float
     started_at_ms: int
+
+    @property
+    def instance(self) -> ids.InstanceId:
+        """Identifies this start of the server."""
+        return ids.InstanceId(f"{self.id}@{self.started_at_ms}")
--- a/packages/core/src/hyssopwind/core/ids.py
+++ b/packages/core/src/hyssopwind/core/ids.py
@@ -10,6 +10,8 @@
 ServiceId = NewType("ServiceId", str)
 DataCentreId = NewType("DataCentreId", str)
 ServerId = NewType("ServerId", str)
+# Identifies one start of a server: its identifier and its start time.
+InstanceId = NewType("InstanceId", str)
 DaemonId = NewType("DaemonId", str)
 # Identifies one start of a daemon or server, so a restart is recognised.
 StartId = NewType("StartId", str)
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that servers state in their answers, and permits to send to them."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -11,9 +11,6 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
-from hyssopwind.core.dispatch import fleet_retry_budgets
-from hyssopwind.core.dispatch import probe_budgets
-from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import reader_selection
@@ -24,18 +21,13 @@
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
-from hyssopwind.daemon.gateway import crash_detection
-from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gateway_metrics
 from hyssopwind.daemon.gateway import gossip
-from hyssopwind.daemon.gateway import health_client
 from hyssopwind.daemon.gateway import internal_listeners
 from hyssopwind.daemon.gateway import listening
-from hyssopwind.daemon.gateway import load_probes
-from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import reloading
 from hyssopwind.daemon.gateway import replicated_state
-from hyssopwind.daemon.gateway import sending
+from hyssopwind.daemon.gateway import request_path
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.platform import store
 from hyssopwind.transport import boot_clock
@@ -78,11 +70,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._metrics = gateway_metrics.GatewayMetrics()
         self._platform_state = replicated_state.PlatformState()
-        self._passive_health = server_health.PassiveHealth()
         self._pool = connection_pools.ConnectionPool()
-        self._probe_client = health_client.ProbeClient(
-            self._pool, gateway_tuning.choosing
-        )
         self._member_list = fleet_members.MemberList(
             initial_settings.name,
             initial_settings.ip,
@@ -98,9 +86,17 @@
             gateway_tuning.reading,
             self._live_settings,
         )
-        self._crash_detector = crash_detection.CrashDetector(
-            self._probe_client, self._announce_crash
+        self._request_path = request_path.RequestPath(
+            initial_settings,
+            gateway_tuning,
+            self._platform_state,
+            self._member_list,
+            self._pool,
+            self._metrics,
+            self._announce_crash,
         )
+        self._crash_detector = self._request_path.crash_detector
+        self._dispatcher = self._request_path.dispatcher
         self._gossip = gossip.Gossip(
             self._live_settings,
             self._member_list,
@@ -109,49 +105,13 @@
             lambda: self._store_reader.is_reading,
             self._crash_detector.handle_notice,
         )
-        self._prober = load_probes.LoadProber(
-            self._platform_state.catalogue,
-            self._passive_health,
-            self._probe_client,
-            self._member_list,
-            probe_budgets.ProbeBudget(
-                initial_settings.probe_rate, boot_clock.now()
-            ),
-        )
-        self._picker = picker.Picker(
-            initial_settings,
-            self._platform_state.catalogue,
-            self._passive_health,
-            self._prober,
-            self._member_list,
-            gateway_tuning.choosing,
-        )
-        self._retry_budget = fleet_retry_budgets.FleetRetryBudget(
-            fleet_retry_budgets.fleet_retry_settings(
-                initial_settings, gateway_tuning.repeating
-            )
-        )
-        self._dispatcher = dispatcher.Dispatcher(
-            self._platform_state,
-            self._picker,
-            sending.Sender(
-                self._pool,
-                self._passive_health,
-                self._crash_detector,
-                self._metrics,
-                self._prober.health_path,
-            ),
-            self._retry_budget,
-            self._member_list.fleet_size,
-            gateway_tuning.repeating,
-        )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
         )
         self._reloader = reloading.Reloader(
             self._live_settings,
             self._store_client,
-            self._retry_budget,
+            self._request_path.retry_budget,
             gateway_tuning.repeating,
         )
         self._metrics.attach(self._gauge_sources(log_stream))
@@ -340,9 +300,7 @@
             self._platform_state.expire()
             server_catalogue = self._platform_state.catalogue
             self._pool.retain(server_catalogue.addresses())
-            server_ids = server_catalogue.server_ids()
-            self._passive_health.retain(server_ids)
-            self._prober.retain(server_ids)
+            self._request_path.drop_removed_servers()
 
     def _caller_limits(self) -> tables.CallerLimits:
         configuration = self._platform_state.catalogue.configuration
@@ -398,9 +356,12 @@
             revision=lambda: platform_state.replica.revision,
             version=lambda: platform_state.catalogue.configuration_version,
             servers=lambda: platform_state.catalogue.server_count,
+            limited_servers=lambda: self._request_path.limits.in_force_count(
+                boot_clock.now()
+            ),
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
-            checks=lambda: self._probe_client.probe_count,
+            checks=lambda: self._request_path.probe_client.probe_count,
             store_calls=lambda: self._store_client.call_count,
             lines_dropped=lambda: log_stream.dropped_count,
             ready=lambda: float(self._is_ready()),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -39,6 +39,7 @@
         revision: revision of that replica.
         version: version of the configuration in force.
         servers: listed servers.
+        limited_servers: servers whose stated limits hold.
         daemons: daemons that were live recently, this one included.
         connections: connections opened to servers.
         checks: probes sent to servers.
@@ -51,6 +52,7 @@
     revision: Callable[[], float]
     version: Callable[[], float]
     servers: Callable[[], float]
+    limited_servers: Callable[[], float]
     daemons: Callable[[], float]
     connections: Callable[[], float]
     checks: Callable[[], float]
@@ -65,6 +67,7 @@
     "revision": "Revision of the copy of the platform's items",
     "version": "Version of the configuration in force",
     "servers": "Listed servers",
+    "limited_servers": "Servers whose stated limits hold",
     "daemons": "Daemons that lived lately, this one included",
     "connections": "Connections opened to servers so far",
     "checks": "Health checks sent to servers so far",
@@ -84,6 +87,7 @@
         self._attempts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._limited_attempts: collections.Counter[str] = collections.Counter()
         self._undelivered: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -110,8 +114,12 @@
         counts[bisect.bisect_left(_BUCKET_BOUNDS_SECONDS, seconds)] += 1
         self._latency_sums[route] = self._latency_sums.get(route, 0.0) + seconds
 
-    def count_attempt(self, service: str, result: str) -> None:
-        """Counts an attempt at a server."""
+    def count_attempt(
+        self, service: str, result: str, *, is_limited: bool
+    ) -> None:
+        """Counts an attempt at a server, which may have stated a limit."""
+        if is_limited:
+            self._limited_attempts[service] += 1
         if len(self._attempts) < MAX_SERIES:
             self._attempts[service, result] += 1
 
@@ -149,6 +157,14 @@
         for attempt_labels, count in self._attempts.items():
             attempts.add_metric(attempt_labels, count)
         yield attempts
+        limited = metrics_core.CounterMetricFamily(
+            "hyssopwind_limited_attempts",
+            "Attempts at servers that had stated a limit when they ended",
+            labels=["service"],
+        )
+        for service, count in self._limited_attempts.items():
+            limited.add_metric([service], count)
+        yield limited
         undelivered = metrics_core.CounterMetricFamily(
             "hyssopwind_undelivered_answers",
             "Answers that callers did not get whole",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
@@ -3,7 +3,9 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import probe_results
+from hyssopwind.core.limits import server_notices
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import notice_recorder
 from hyssopwind.platform import probe_answers
 from hyssopwind.transport import connection
 from hyssopwind.transport import connection_pools
@@ -16,8 +18,10 @@
         self,
         connection_pool: connection_pools.ConnectionPool,
         selection_settings: tuning.SelectionSettings,
+        recorder: notice_recorder.NoticeRecorder,
     ):
         self._selection_settings = selection_settings
+        self._recorder = recorder
         self._pool = connection_pool
         self._probe_count = 0
 
@@ -46,4 +50,10 @@
         result = probe_answers.decode_probe_result(answer.status, answer.fields)
         if result.server not in (entry.id, ids.ServerId("")):
             return None
+        self._recorder.record_answer(
+            entry,
+            server_notices.AnswerKind.PROBE,
+            answer.status,
+            answer.fields,
+        )
         return result
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -0,0 +1,102 @@
+"""Composes what serves the requests of callers, apart from all listeners."""
+
+from collections.abc import Callable
+
+from hyssopwind.core import ids
+from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import probe_budgets
+from hyssopwind.core.dispatch import server_health
+from hyssopwind.core.dispatch import settings
+from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import stated_limits
+from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import crash_detection
+from hyssopwind.daemon.gateway import dispatcher
+from hyssopwind.daemon.gateway import gateway_metrics
+from hyssopwind.daemon.gateway import health_client
+from hyssopwind.daemon.gateway import load_probes
+from hyssopwind.daemon.gateway import notice_recorder
+from hyssopwind.daemon.gateway import picker
+from hyssopwind.daemon.gateway import replicated_state
+from hyssopwind.daemon.gateway import sending
+from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection_pools
+
+
+class RequestPath:
+    """The parts through which each request of a caller passes.
+
+    Attributes:
+        limits: the limits that servers have stated.
+        probe_client: client of the health endpoints of servers.
+        crash_detector: detector of requests that crash servers.
+        retry_budget: budget of retries and hedges.
+        dispatcher: serves the requests.
+    """
+
+    def __init__(
+        self,
+        gateway_settings: settings.GatewaySettings,
+        gateway_tuning: tuning.GatewayTuning,
+        platform_state: replicated_state.PlatformState,
+        member_list: fleet_members.MemberList,
+        pool: connection_pools.ConnectionPool,
+        metrics: gateway_metrics.GatewayMetrics,
+        announce_crash: Callable[[ids.Fingerprint, int], None],
+    ):
+        self._platform_state = platform_state
+        self._passive_health = server_health.PassiveHealth()
+        self.limits = stated_limits.StatedLimits()
+        recorder = notice_recorder.NoticeRecorder(self.limits)
+        self.probe_client = health_client.ProbeClient(
+            pool, gateway_tuning.choosing, recorder
+        )
+        self.crash_detector = crash_detection.CrashDetector(
+            self.probe_client, announce_crash
+        )
+        self._prober = load_probes.LoadProber(
+            platform_state.catalogue,
+            self._passive_health,
+            self.probe_client,
+            member_list,
+            probe_budgets.ProbeBudget(
+                gateway_settings.probe_rate, boot_clock.now()
+            ),
+        )
+        server_picker = picker.Picker(
+            gateway_settings,
+            platform_state.catalogue,
+            self._passive_health,
+            self._prober,
+            member_list,
+            gateway_tuning.choosing,
+        )
+        self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
+            fleet_retry_budgets.fleet_retry_settings(
+                gateway_settings, gateway_tuning.repeating
+            )
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            platform_state,
+            server_picker,
+            sending.Sender(
+                pool,
+                self._passive_health,
+                self.crash_detector,
+                metrics,
+                recorder,
+                self.limits,
+                self._prober.health_path,
+            ),
+            self.retry_budget,
+            member_list.fleet_size,
+            gateway_tuning.repeating,
+        )
+
+    def drop_removed_servers(self) -> None:
+        """Drops the state of servers that are not listed any more."""
+        server_catalogue = self._platform_state.catalogue
+        server_ids = server_catalogue.server_ids()
+        self._passive_health.retain(server_ids)
+        self._prober.retain(server_ids)
+        self.limits.retain(server_catalogue.instances())
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -12,11 +12,14 @@
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
+from hyssopwind.core.limits import server_notices
+from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import gateway_metrics
+from hyssopwind.daemon.gateway import notice_recorder
 from hyssopwind.platform import field_names
 from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
@@ -57,12 +60,16 @@
         passive_health: server_health.PassiveHealth,
         crash_detector: crash_detection.CrashDetector,
         metrics: gateway_metrics.GatewayMetrics,
+        recorder: notice_recorder.NoticeRecorder,
+        limits: stated_limits.StatedLimits,
         health_path: Callable[[ids.ServiceId], str],
     ):
         self._pool = connection_pool
         self._passive_health = passive_health
         self._crash_detector = crash_detector
         self._metrics = metrics
+        self._recorder = recorder
+        self._limits = limits
         self._health_path = health_path
 
     async def send(
@@ -125,6 +132,13 @@
         except TimeoutError:
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
         self._pool.release(server_connection)
+        if _is_from_server(answer):
+            self._recorder.record_answer(
+                attempt_request.entry,
+                server_notices.AnswerKind.REQUEST,
+                answer.status,
+                answer.fields,
+            )
         return _judge_answer(
             answer,
             attempt_request.request.method,
@@ -173,7 +187,12 @@
                 self._passive_health.record_failure(server, now)
         else:
             self._passive_health.record_failure(server, now)
-        self._metrics.count_attempt(attempt_request.entry.service, result_label)
+        limit = self._limits.rate(attempt_request.entry.instance, now)
+        self._metrics.count_attempt(
+            attempt_request.entry.service,
+            result_label,
+            is_limited=limit is not None,
+        )
         _log.info(
             "attempt",
             extra={
@@ -183,6 +202,7 @@
                 "server": server,
                 "ms": round((now - started_at) * 1000),
                 "result": result_label,
+                "limit": limit,
                 **answer_fields,
                 **_selection_log_fields(attempt_request.selection),
             },
@@ -223,6 +243,15 @@
     return log_fields
 
 
+def _is_from_server(answer: answers.Answer) -> bool:
+    """Whether the expected server sent an answer."""
+    return (
+        field_names.SERVER_STAMP in answer.fields
+        or field_names.NOT_RUN in answer.fields
+        or (answer.status == 421 and field_names.SERVER_ID in answer.fields)
+    )
+
+
 def _judge_answer(
     answer: answers.Answer, method: str, latency_seconds: float
 ) -> attempt_results.AttemptResult:
--- a/packages/standins/src/hyssopwind/standins/site/server.py
+++ b/packages/standins/src/hyssopwind/standins/site/server.py
@@ -29,6 +29,9 @@
             empty.
         omits_load: whether it omits its load report.
         health_delay_seconds: seconds before it answers a probe.
+        limit: requests per second that it states as its limit; none if empty.
+        states_limit_to_probes: whether its answers to probes state its limit.
+        states_limit_to_requests: whether its answers to requests state it.
     """
 
     server_id: str
@@ -42,6 +45,9 @@
     crash_path_prefix: str = ""
     omits_load: bool = False
     health_delay_seconds: float = 0.0
+    limit: str = ""
+    states_limit_to_probes: bool = True
+    states_limit_to_requests: bool = True
 
 
 class StandInServer:
@@ -189,6 +195,8 @@
             field_names.REQUEST_ID: request_id,
             field_names.SERVER_STAMP: "s",
         }
+        if self.options.limit and self.options.states_limit_to_requests:
+            answer_fields[field_names.SERVER_LIMIT] = self.options.limit
         writer.write(_encode_answer(200, b"ran " + body, answer_fields))
         return True
 
@@ -201,6 +209,8 @@
             )
         if options.warmup_left_ms:
             header_fields[field_names.WARMUP_LEFT] = str(options.warmup_left_ms)
+        if options.limit and options.states_limit_to_probes:
+            header_fields[field_names.SERVER_LIMIT] = options.limit
         return _encode_answer(200, b"", header_fields)
 
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -293,7 +293,7 @@
         async def find_server_that_left(_):
             return server_selection.Send(ids.ServerId("i-9"), 0.1)
 
-        self.daemon._picker.find_good_server = find_server_that_left
+        self.daemon._dispatcher._picker.find_good_server = find_server_that_left
         for stand_in in self.servers:
             stand_in.options.work_seconds = 0.6
         status, _, _ = await self.call("/safe/a")
