Reproduce servers that get more requests than the limit they state

Servers of the stand-ins state `Server-Limit`: in all answers, to probes or requests only, or in refusals. A judge looks only at arrivals at servers and answers passed on: the users' rule, that the mean rate is never over the limit, and that limits are used to 0.8 while there is demand.

--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Servers that state limits: scenarios, judging, and fleets that serve them."""
--- a/packages/standins/src/hyssopwind/standins/site/server.py
+++ b/packages/standins/src/hyssopwind/standins/site/server.py
@@ -57,6 +57,7 @@
         options: its behaviour.
         executions: number of executions by request id.
         execution_times: start of each execution on the monotonic clock.
+        arrivals: monotonic time and id of each request for this server.
         received_requests: head and body of each request.
         connection_count: number of connections so far.
         disconnect_count: number of connections that the client closed.
@@ -68,6 +69,7 @@
         self.options = options
         self.executions: collections.Counter[str] = collections.Counter()
         self.execution_times: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.received_requests: list[bytes] = []
         self.connection_count = 0
         self.disconnect_count = 0
@@ -149,6 +151,7 @@
             writer.write(_encode_answer(421, b"", {}))
             return True
         request_id = header_fields.get(field_names.REQUEST_ID.lower(), "")
+        self.arrivals.append((time.monotonic(), request_id))
         self.executions[request_id] += 1
         self.execution_times.append(time.monotonic())
         target = head.split(b" ")[1].decode()
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -106,7 +106,7 @@
         return await _Run(plan, root, log_directory, stack).run()
 
 
-class _Gateway:
+class GatewayProcess:
     """A gateway process, and its successors, on one VM."""
 
     def __init__(
@@ -281,7 +281,7 @@
         self._log_directory = log_directory
         self._stack = stack
         self._random = random.Random(plan.seed)
-        self._gateways: list[_Gateway] = []
+        self._gateways: list[GatewayProcess] = []
         self._servers: list[servers.RecordingServer] = []
         self._caller_records: list[records.CallerRecord] = []
 
@@ -379,7 +379,7 @@
 
     def _create_gateway(
         self, number: int, listen_ports: list[int], store_address: str
-    ) -> _Gateway:
+    ) -> GatewayProcess:
         # Each gateway has its own address, because all use the same ports.
         ips = [
             f"127.0.{self._number % 250 + 1}.{each + 1}"
@@ -397,7 +397,7 @@
                 grace_seconds=self._plan.grace_seconds,
             )
         )
-        return _Gateway(
+        return GatewayProcess(
             settings_path,
             self._root,
             self._log_directory / f"gateway-{number}.log",
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -0,0 +1,144 @@
+"""Fleets whose servers state limits: in virtual time and as real processes."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from hyssopwind.standins.limits import judging
+from hyssopwind.standins.limits import rig
+from hyssopwind.standins.limits import scenarios
+from hyssopwind.standins.stops import rig as stop_rig
+from hyssopwind.standins.tests import site_fleet_case
+from hyssopwind.standins.virtual import limited_fleet
+
+# Scenarios in which the demand for the limited servers lasts throughout.
+DEMAND_SCENARIOS = (
+    "fraction",
+    "under one a second",
+    "falling and rising",
+    "one server",
+    "all but one",
+    "whole service",
+    "whole service, one busy daemon",
+    "one busy daemon",
+    "stated to probes",
+    "stated to requests",
+    "unsafe requests",
+)
+MIN_USE_RATIO = 0.8
+
+
+def run_scenario(name, size=limited_fleet.SMALL, seed=1):
+    scenario = scenarios.SCENARIOS.find(name)()
+
+    async def main():
+        fleet = limited_fleet.LimitedFleet(scenario, size, seed)
+        await fleet.run()
+        return fleet
+
+    return site_fleet_case.run_in_virtual_time(main)
+
+
+class LimitCase(unittest.TestCase):
+    def check_limits(self, evidence):
+        self.assertEqual(judging.find_breaches(evidence), [])
+        for use in judging.measure_use(evidence):
+            self.assertLessEqual(
+                use.count, use.allowed + judging.ALLOWED_SLACK, use
+            )
+
+    def check_use(self, evidence):
+        uses = judging.measure_use(evidence)
+        self.assertGreaterEqual(judging.total_use_ratio(uses), MIN_USE_RATIO)
+
+
+class JudgingTest(unittest.TestCase):
+    """An oracle that reports nothing, or everything, would prove nothing."""
+
+    def make_evidence(self, interval, told_at=0.0):
+        evidence = judging.Evidence(ended_at=20.0)
+        evidence.limits["i-0"] = [judging.LimitStep(0.0, 1.0)]
+        evidence.told["i-0", "d"] = [told_at]
+        evidence.arrivals = [
+            judging.Arrival(number * interval, "d", "i-0")
+            for number in range(int(20.0 / interval))
+        ]
+        return evidence
+
+    def test_rate_at_the_limit_is_no_breach(self):
+        self.assertEqual(judging.find_breaches(self.make_evidence(1.0)), [])
+
+    def test_rate_of_three_times_the_limit_is_a_breach(self):
+        self.assertEqual(len(judging.find_breaches(self.make_evidence(0.3))), 1)
+
+    def test_daemon_that_was_not_told_breaks_nothing(self):
+        evidence = self.make_evidence(0.3, told_at=30.0)
+        self.assertEqual(judging.find_breaches(evidence), [])
+
+    def test_frozen_daemon_is_excused(self):
+        evidence = self.make_evidence(0.3)
+        evidence.excused["d"] = [(0.0, 20.0)]
+        self.assertEqual(judging.find_breaches(evidence), [])
+
+    def test_arrivals_of_all_daemons_count(self):
+        evidence = self.make_evidence(0.6)
+        evidence.told["i-0", "e"] = [0.0]
+        evidence.arrivals += [
+            judging.Arrival(each.at + 0.1, "e", "i-0")
+            for each in evidence.arrivals
+        ]
+        self.assertEqual(len(judging.find_breaches(evidence)), 1)
+
+
+class VirtualFleetLimitTest(LimitCase):
+    """A server in need gets more requests than it takes from all daemons."""
+
+    def test_no_server_gets_more_than_its_limit_in_any_scenario(self):
+        for name in scenarios.SCENARIOS:
+            with self.subTest(name):
+                self.check_limits(run_scenario(name).evidence)
+
+    def test_servers_are_used_up_to_their_limits_while_there_is_demand(self):
+        for name in DEMAND_SCENARIOS:
+            with self.subTest(name):
+                self.check_use(run_scenario(name).evidence)
+
+    def test_limits_hold_and_are_used_by_a_hundred_daemons(self):
+        for name in ("whole service", "under one a second"):
+            with self.subTest(name):
+                evidence = run_scenario(name, limited_fleet.LARGE).evidence
+                self.check_limits(evidence)
+                self.check_use(evidence)
+
+
+class ProcessLimitTest(LimitCase):
+    """A server in need gets more requests than it takes from real daemons."""
+
+    @classmethod
+    def setUpClass(cls):
+        directory = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(directory.cleanup)
+        cls.directory = pathlib.Path(directory.name)
+        asyncio.run(stop_rig.build(cls.directory / "build"))
+
+    def run_processes(self, name, count):
+        logs = self.directory / f"{count}-{name}"
+        logs.mkdir()
+        scenario = scenarios.PROCESS_SCENARIOS.find(name)()
+        return asyncio.run(
+            rig.run(scenario, count, 1, self.directory / "build", logs)
+        )
+
+    def test_limits_hold_while_six_daemons_are_killed_and_frozen(self):
+        self.check_limits(self.run_processes("faults", 6))
+
+    def test_limits_of_a_whole_service_hold_and_are_used_by_fifteen(self):
+        evidence = self.run_processes("whole service", 15)
+        self.check_limits(evidence)
+        self.check_use(evidence)
+
+    def test_limits_hold_and_are_used_by_one_busy_daemon_of_six(self):
+        evidence = self.run_processes("one busy daemon", 6)
+        self.check_limits(evidence)
+        self.check_use(evidence)
