Keep the limits that servers state, over all daemons

What callers and servers saw: two servers of lookbook stated 1.1 and 2.7 requests/s and went on to get 5 a second (23 in 4 s, 12 allowed). Cause: no code read the limit. The class is a bound on a sum over all daemons that is learnt from answers and kept without shared state: a limit that each daemon keeps for itself is exceeded by the size of the fleet, and equal shares leave the server unused where one daemon has the load.

Each daemon holds an equal share of a limit and lends it, for 1.5 s at a time, to the owner of the service's permits: the first live daemon by rendezvous hashing that answers. The owner issues permits at the rate of the shares lent to it, to whichever daemon has a request, also for some tenths of a second ahead. A share is lent to one daemon at a time, so permits of several owners together stay within the limit when daemons disagree; a daemon without an owner uses its own share. When all servers of a service are at their limits, a request is refused at once with the time of the next free permit, one caller each.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Collection
 from collections.abc import Iterator
 
 from hyssopwind.core import ids
@@ -122,6 +123,24 @@
             for listed_server in self._servers.values()
         }
 
+    def instances_of(self, service: ids.ServiceId) -> list[ids.InstanceId]:
+        """Returns the starts of the listed servers of a service."""
+        listed_servers = self._by_service.get(service, {}).values()
+        return [listed.entry.instance for listed in listed_servers]
+
+    def services_of(
+        self, instances: Collection[ids.InstanceId]
+    ) -> set[ids.ServiceId]:
+        """Returns the services of some starts of servers."""
+        if not instances:
+            return set()
+        wanted = frozenset(instances)
+        return {
+            listed.entry.service
+            for listed in self._servers.values()
+            if listed.entry.instance in wanted
+        }
+
     def service_settings(
         self, service: ids.ServiceId
     ) -> tables.ServiceConfiguration | None:
--- a/packages/core/src/hyssopwind/core/discovery/entries.py
+++ b/packages/core/src/hyssopwind/core/discovery/entries.py
@@ -20,6 +20,7 @@
         warmup_left_seconds: seconds for which it stays cold, counted from the
             report.
         started_at_ms: Unix time of its start in milliseconds; 0 where unknown.
+        instance: identifies this start of the server.
     """
 
     id: ids.ServerId
@@ -30,8 +31,8 @@
     is_draining: bool
     warmup_left_seconds: float
     started_at_ms: int
+    instance: ids.InstanceId = dataclasses.field(init=False)
 
-    @property
-    def instance(self) -> ids.InstanceId:
-        """Identifies this start of the server."""
-        return ids.InstanceId(f"{self.id}@{self.started_at_ms}")
+    def __post_init__(self) -> None:
+        instance = ids.InstanceId(f"{self.id}@{self.started_at_ms}")
+        object.__setattr__(self, "instance", instance)
--- a/packages/core/src/hyssopwind/core/dispatch/server_selection.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_selection.py
@@ -37,6 +37,8 @@
 # Ratio of the latency target for which a request may wait when all servers are
 # full, so that the caller still has time to retry after a refusal.
 MAX_WAIT_WHEN_FULL_RATIO = 0.12
+# Ratio of the latency target for which a request may wait for a permit.
+MAX_PERMIT_WAIT_RATIO = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,11 +151,14 @@
         answered_count: number of servers that answered a load probe.
         best_estimate_seconds: expected seconds until the best of them answers,
             if any.
+        retry_after_seconds: seconds after which the caller may come back, if
+            they are known.
     """
 
     reason: str
     answered_count: int = 0
     best_estimate_seconds: float | None = None
+    retry_after_seconds: float | None = None
 
 
 Decision: TypeAlias = Send | ProbeRemote | Wait | Refuse
@@ -185,6 +190,24 @@
     return duration_seconds * (1.0 + queued_count / slots)
 
 
+def max_permit_wait_seconds(
+    timing: RequestTiming, settings: tuning.SelectionSettings
+) -> float:
+    """Returns for how long a request waits for a permit at most.
+
+    The wait leaves enough time for the work, within the latency target if
+    that is still possible.
+    """
+    work_seconds = settings.good_factor * timing.work_seconds
+    longest = MAX_PERMIT_WAIT_RATIO * timing.latency_target_seconds
+    in_target_seconds = (
+        timing.latency_target_seconds - timing.waited_seconds - work_seconds
+    )
+    if in_target_seconds > 0.0:
+        return min(longest, in_target_seconds)
+    return max(0.0, min(longest, timing.remaining_seconds - work_seconds))
+
+
 def has_queue_capacity(candidate: Candidate) -> bool:
     """Returns whether a server is likely to accept one more request."""
     load = candidate.load
--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -149,6 +149,15 @@
         """Returns the number of daemons that were alive in the last minute."""
         return len(self._last_alive_by_name)
 
+    def find(self, name: ids.DaemonId) -> Peer | None:
+        """Returns another daemon, or `None` if it is not in the list."""
+        return self._peers.get(name)
+
+    def live_daemons(self) -> list[ids.DaemonId]:
+        """Returns the names of the daemons that are not about to stop."""
+        members = [self._own, *self._peers.values()]
+        return [member.name for member in members if not member.is_leaving]
+
     def peers(self) -> Iterable[Peer]:
         """Returns the other daemons."""
         return self._peers.values()
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -83,6 +83,98 @@
     notice_number: int
 
 
+class LimitStatement(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of the limit that a server states.
+
+    Attributes:
+        instance: identifier of the start of the server.
+        requests_per_second: the limit stated last.
+        stated_age_ms: time since an answer stated it.
+        omitted_age_ms: time since an answer omitted it; -1 if none has.
+        kinds: kinds of answers that have stated it.
+    """
+
+    instance: str
+    requests_per_second: float
+    stated_age_ms: int
+    omitted_age_ms: int
+    kinds: list[str]
+
+
+class LimitNotice(msgspec.Struct, array_like=True, tag="n", frozen=True):
+    """A notice of the owner of a service's permits.
+
+    Attributes:
+        sender: name of the daemon that owns the permits.
+        service: the service.
+        statements: what it knows of the limits of the service's servers.
+        returns_loans: whether it will issue no more permits, so that the
+            shares that it holds may be lent again.
+    """
+
+    sender: str
+    service: str
+    statements: list[LimitStatement]
+    returns_loans: bool = False
+
+
+class ShareLoan(msgspec.Struct, array_like=True, tag="l", frozen=True):
+    """A loan of the sender's share, or a question whether a daemon answers.
+
+    Attributes:
+        sender: name of the daemon that lends.
+        service: the service whose limits are shared.
+        is_lent: whether the share is lent; otherwise only a notice is wanted.
+        statements: what it knows of the limits beyond the owner's last notice.
+    """
+
+    sender: str
+    service: str
+    is_lent: bool
+    statements: list[LimitStatement]
+
+
+class PermitRequest(msgspec.Struct, array_like=True, tag="p", frozen=True):
+    """A request for a permit to send to one of several servers.
+
+    Attributes:
+        sender: name of the daemon that sends it.
+        request_number: number by which a repeated request is recognised.
+        service: the service of the servers.
+        candidates: instance and limit of each server, the best one first.
+        max_wait_ms: longest wait for the permit that is of use.
+        remaining_ms: time until the caller gives up.
+    """
+
+    sender: str
+    request_number: int
+    service: str
+    candidates: list[tuple[str, float]]
+    max_wait_ms: int
+    remaining_ms: int
+
+
+class PermitReply(msgspec.Struct, array_like=True, tag="g", frozen=True):
+    """The answer to a request for a permit.
+
+    Attributes:
+        sender: name of the daemon that owns the permits.
+        request_number: number of the request.
+        instance: the server that may be sent to; empty if none may.
+        delay_ms: time after which the request may be sent.
+        wait_ms: time until the next permit of each candidate, and of other
+            servers of the service that have none now.
+        return_after_ms: time after which the caller may come back.
+    """
+
+    sender: str
+    request_number: int
+    instance: str
+    delay_ms: int
+    wait_ms: dict[str, int]
+    return_after_ms: int
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True):
     """Items of the platform that a replica at an earlier revision lacks.
 
@@ -102,10 +194,17 @@
     age_ms: int
 
 
-Datagram: TypeAlias = Heartbeat | MemberListPage | CrashNotice
+PermitMessage: TypeAlias = LimitNotice | ShareLoan | PermitRequest | PermitReply
+Datagram: TypeAlias = Heartbeat | MemberListPage | CrashNotice | PermitMessage
 
 _DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(
-    Heartbeat | MemberListPage | CrashNotice
+    Heartbeat
+    | MemberListPage
+    | CrashNotice
+    | LimitNotice
+    | ShareLoan
+    | PermitRequest
+    | PermitReply
 )
 _CHANGES_DECODER: msgspec.msgpack.Decoder[Changes] = msgspec.msgpack.Decoder(
     Changes
--- a/packages/core/src/hyssopwind/core/limits/server_notices.py
+++ b/packages/core/src/hyssopwind/core/limits/server_notices.py
@@ -12,10 +12,12 @@
     Attributes:
         PROBE: a load probe of this daemon.
         REQUEST: a request of a caller.
+        REFUSAL: a request of a caller, which the server did not run.
     """
 
     PROBE = "probe"
     REQUEST = "request"
+    REFUSAL = "refusal"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/hyssopwind/core/limits/stated_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/stated_limits.py
@@ -2,9 +2,8 @@
 
 A server states its limit in answers to probes, in answers to requests, or in
 both, for as long as the limit holds. An answer without a limit ends the limit
-only if answers of its kind have stated it. As some servers state their limit
-only in some answers of a kind, such as refusals, a limit also holds for a
-short time after the last answer that stated it.
+only if answers of its kind have stated it; a server that states its limit only
+when it refuses a request has ended it after some time without such a refusal.
 """
 
 import dataclasses
@@ -15,6 +14,10 @@
 # Time for which a limit holds after the last answer that stated it, even if
 # later answers of the same kind do not state it.
 HOLD_SECONDS = 1.0
+REFUSAL_HOLD_SECONDS = 10.0  # if only refusals have stated it
+# Lowest rate for servers that state limits only in answers to requests. One
+# that states 0 would otherwise never get the request that shows its end.
+TRIAL_REQUESTS_PER_SECOND = 1.0 / 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +47,21 @@
         """
         if self.omitted_at <= self.stated_at:
             return True
-        return now < self.stated_at + HOLD_SECONDS
+        only_refusals = frozenset({server_notices.AnswerKind.REFUSAL})
+        is_stated_by_refusals = self.kinds == only_refusals
+        hold_seconds = (
+            REFUSAL_HOLD_SECONDS if is_stated_by_refusals else HOLD_SECONDS
+        )
+        return now < self.stated_at + hold_seconds
+
+    def may_end_with(self, kind: server_notices.AnswerKind) -> bool:
+        """Whether an answer of a kind should state the limit while it holds."""
+        if kind in self.kinds:
+            return True
+        is_to_request = kind is not server_notices.AnswerKind.PROBE
+        return is_to_request and self.kinds != frozenset(
+            {server_notices.AnswerKind.PROBE}
+        )
 
 
 def merge_records(first: LimitRecord, second: LimitRecord) -> LimitRecord:
@@ -105,19 +122,21 @@
         record = self._records.get(instance)
         if record is None or not record.is_in_force(now):
             return None
-        return record.requests_per_second
+        if server_notices.AnswerKind.PROBE in record.kinds:
+            return record.requests_per_second
+        return max(record.requests_per_second, TRIAL_REQUESTS_PER_SECOND)
 
     def find(self, instance: ids.InstanceId) -> LimitRecord | None:
         """Returns the record of a server, also of a limit that has ended."""
         return self._records.get(instance)
 
-    def instances(self) -> list[ids.InstanceId]:
-        """Returns the servers that have stated a limit."""
-        return list(self._records)
-
-    def in_force_count(self, now: float) -> int:
-        """Returns the number of servers whose limits hold."""
-        return sum(each.is_in_force(now) for each in self._records.values())
+    def in_force(self, now: float) -> list[ids.InstanceId]:
+        """Returns the servers whose limits hold."""
+        return [
+            instance
+            for instance, record in self._records.items()
+            if record.is_in_force(now)
+        ]
 
     def record_answer(
         self,
@@ -144,7 +163,7 @@
             self._records[instance] = LimitRecord(
                 requests_per_second, now, kinds, min(omitted_at, now)
             )
-        elif record is not None and kind in record.kinds:
+        elif record is not None and record.may_end_with(kind):
             self._records[instance] = dataclasses.replace(
                 record, omitted_at=max(record.omitted_at, now)
             )
--- a/packages/core/src/hyssopwind/core/limits/tests/test_stated_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/tests/test_stated_limits.py
@@ -8,6 +8,7 @@
 
 PROBE = server_notices.AnswerKind.PROBE
 REQUEST = server_notices.AnswerKind.REQUEST
+REFUSAL = server_notices.AnswerKind.REFUSAL
 INSTANCE = ids.InstanceId("i-1@1")
 
 
@@ -65,13 +66,20 @@
         self.record(PROBE, None, 5.0)
         self.assertIsNone(self.limits.rate(INSTANCE, 5.0))
 
-    # Refusals state the limit and the answers between them do not.
+    # Answers may overtake each other.
     def test_limit_holds_shortly_after_each_answer_that_states_it(self):
         self.record(REQUEST, 2.0, 0.0)
         self.record(REQUEST, None, 0.1)
         self.assertEqual(self.limits.rate(INSTANCE, 0.5), 2.0)
         self.assertIsNone(self.limits.rate(INSTANCE, 1.5))
 
+    # Refusals state the limit and the answers between them do not.
+    def test_limit_of_refusals_holds_between_refusals(self):
+        self.record(REFUSAL, 2.0, 0.0)
+        self.record(REQUEST, None, 1.0)
+        self.assertEqual(self.limits.rate(INSTANCE, 5.0), 2.0)
+        self.assertIsNone(self.limits.rate(INSTANCE, 11.0))
+
     def test_changes_are_reported(self):
         self.assertTrue(self.record(PROBE, 2.0, 0.0))
         self.assertFalse(self.record(PROBE, 2.0, 1.0))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -81,6 +81,7 @@
         retry_budget: fleet_retry_budgets.FleetRetryBudget,
         daemon_count: Callable[[], int],
         retry_settings: tuning.RetryHedgeSettings,
+        random_source: random.Random,
     ):
         self._platform_state = platform_state
         self._picker = server_picker
@@ -88,7 +89,7 @@
         self._retry_budget = retry_budget
         self._daemon_count = daemon_count
         self._retry_settings = retry_settings
-        self._random = random.Random()
+        self._random = random_source
         self._deadline_tracker = retry_policy.DeadlineTracker()
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
@@ -370,6 +371,8 @@
                 "answered": refusal.answered_count,
                 "best_ms": refusal.best_estimate_seconds
                 and round(refusal.best_estimate_seconds * 1000),
+                "retry_after_ms": refusal.retry_after_seconds
+                and round(refusal.retry_after_seconds * 1000),
             },
         )
         if context.last_result is not None:
@@ -377,7 +380,9 @@
         return outcomes.NotRun(
             outcomes.Reason.OVERLOADED,
             refusal.reason,
-            self._retry_after(context),
+            self._retry_after(context)
+            if refusal.retry_after_seconds is None
+            else refusal.retry_after_seconds,
         )
 
     def _final_outcome(self, context: _RequestContext) -> outcomes.Outcome:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -13,6 +13,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.fleet import reader_selection
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
@@ -94,6 +95,8 @@
             self._pool,
             self._metrics,
             self._announce_crash,
+            self._send_permit_message,
+            self._random,
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -104,6 +107,7 @@
             lambda: not self._store_reader.is_failing,
             lambda: self._store_reader.is_reading,
             self._crash_detector.handle_notice,
+            self._request_path.permits.handle,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
@@ -128,6 +132,7 @@
         await self._gossip.start()
         self._start_task(self._announce_changes())
         self._start_task(self._gossip.run())
+        self._start_task(self._request_path.permits.run())
         self._start_task(self._store_reader.run())
         self._start_task(self._reloader.run())
         self._start_task(self._run_housekeeping())
@@ -207,6 +212,7 @@
         """Waits until all answers are delivered, at most until the deadline."""
         plan = self._stop_plan
         assert plan is not None
+        self._request_path.permits.announce_stop()
         self._gossip.announce_stop()
         _log.info(
             "stopping",
@@ -341,6 +347,11 @@
     ) -> None:
         self._gossip.announce_crash(fingerprint, crash_count)
 
+    def _send_permit_message(
+        self, message: gossip_messages.PermitMessage, ip: str
+    ) -> None:
+        self._gossip.send_permit_message(message, ip)
+
     def _log_rejection(self, failure: outcomes.Failure) -> None:
         _log.info(
             "rejected",
@@ -356,8 +367,8 @@
             revision=lambda: platform_state.replica.revision,
             version=lambda: platform_state.catalogue.configuration_version,
             servers=lambda: platform_state.catalogue.server_count,
-            limited_servers=lambda: self._request_path.limits.in_force_count(
-                boot_clock.now()
+            limited_servers=lambda: len(
+                self._request_path.limits.in_force(boot_clock.now())
             ),
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -65,6 +65,7 @@
         can_read_store: Callable[[], bool],
         is_reading_store: Callable[[], bool],
         on_crash_notice: Callable[[ids.Fingerprint, int], None],
+        on_permit_message: Callable[[gossip_messages.PermitMessage], None],
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -74,6 +75,7 @@
         self._can_read_store = can_read_store
         self._is_reading_store = is_reading_store
         self._on_crash_notice = on_crash_notice
+        self._on_permit_message = on_permit_message
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._pool = connection_pools.ConnectionPool()
@@ -139,6 +141,12 @@
                 delay, self._send_all, notice, list(self._member_list.peers())
             )
 
+    def send_permit_message(
+        self, message: gossip_messages.PermitMessage, ip: str
+    ) -> None:
+        """Sends a message about permits to a peer."""
+        self._send(gossip_messages.encode(message), ip)
+
     def changes_after(self, revision: int) -> bytes:
         """Returns the changes after `revision`, encoded for a peer."""
         delta = self._platform_state.replica.delta_since(revision)
@@ -164,8 +172,10 @@
             self._handle_heartbeat(message)
         elif isinstance(message, gossip_messages.MemberListPage):
             self._member_list.handle_member_list_page(message, boot_clock.now())
-        else:
+        elif isinstance(message, gossip_messages.CrashNotice):
             self._handle_crash_notice(message)
+        else:
+            self._on_permit_message(message)
 
     def error_received(self, exc: Exception) -> None:
         """Logs that the port of a peer is closed; the peer will expire."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
@@ -1,9 +1,11 @@
 """Records and logs what servers state about themselves in their answers."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 
 import logbook
 
+from hyssopwind.core import ids
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.limits import server_notices
 from hyssopwind.core.limits import stated_limits
@@ -17,8 +19,13 @@
 class NoticeRecorder:
     """Passes the statements in the answers of servers on to their records."""
 
-    def __init__(self, limits: stated_limits.StatedLimits):
+    def __init__(
+        self,
+        limits: stated_limits.StatedLimits,
+        on_limit_change: Callable[[ids.ServiceId], None],
+    ):
         self._limits = limits
+        self._on_limit_change = on_limit_change
 
     def record_answer(
         self,
@@ -59,3 +66,4 @@
                     "status": status,
                 },
             )
+            self._on_limit_change(entry.service)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -12,11 +12,17 @@
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import permit_issuer
+from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import load_probes
+from hyssopwind.daemon.gateway import permits
 from hyssopwind.transport import boot_clock
 
+# Longest time for which the denial of a permit is relied on.
+MAX_DENIAL_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SelectionRequest:
@@ -49,18 +55,25 @@
         passive_health: server_health.PassiveHealth,
         prober: load_probes.LoadProber,
         member_list: fleet_members.MemberList,
+        limits: stated_limits.StatedLimits,
+        server_permits: permits.Permits,
         selection_settings: tuning.SelectionSettings,
+        random_source: random.Random,
     ):
         self._initial_settings = initial_settings
         self._catalogue = server_catalogue
         self._passive_health = passive_health
         self._prober = prober
         self._member_list = member_list
+        self._limits = limits
+        self._permits = server_permits
         self._selection_settings = selection_settings
+        # Times until which servers with limits have no permits.
+        self._no_permit_until: dict[ids.InstanceId, float] = {}
         self._cold_start_limiter = cold_start.ColdStartLimiter(
             initial_settings.name
         )
-        self._random = random.Random()
+        self._random = random_source
 
     async def pick(
         self, request: SelectionRequest
@@ -73,6 +86,11 @@
         include_remote = False
         is_first = True
         while True:
+            if self._needs_permit(request, boot_clock.now()):
+                selected = await self._wait_for_permit(request)
+                if selected is None:
+                    continue
+                return selected
             candidates = await self._probe(
                 request, include_remote=include_remote, is_first=is_first
             )
@@ -93,7 +111,7 @@
                 continue
             if isinstance(decision, server_selection.Refuse):
                 return decision
-            if not self._try_reserve(decision.server, now):
+            if not await self._try_reserve(decision.server, request):
                 continue
             return decision
 
@@ -117,7 +135,7 @@
             )
             if not isinstance(decision, server_selection.Send):
                 continue
-            if self._try_reserve(decision.server, now):
+            if await self._try_reserve(decision.server, request):
                 return decision
         return None
 
@@ -134,17 +152,136 @@
             is_caller_retry=request.is_caller_retry,
         )
 
-    def _try_reserve(self, server: ids.ServerId, now: float) -> bool:
+    def _needs_permit(self, request: SelectionRequest, now: float) -> bool:
+        """Whether only servers without permits are left for a request."""
+        if self._eligible_servers(request, now):
+            return False
+        return bool(self._limited_servers(request, now))
+
+    async def _wait_for_permit(
+        self, request: SelectionRequest
+    ) -> server_selection.Send | server_selection.Refuse | None:
+        """Waits for the next permit of any server with a limit.
+
+        Returns `None` if the server has been removed meanwhile.
+        """
+        now = boot_clock.now()
+        timing = self._request_timing(request, now)
+        listed_servers = self._limited_servers(request, now)
+        result = await self._permits.acquire(
+            permit_issuer.PermitDemand(
+                request.service,
+                [self._make_permit_candidate(s, now) for s in listed_servers],
+                server_selection.max_permit_wait_seconds(
+                    timing, self._selection_settings
+                ),
+                timing.remaining_seconds,
+            )
+        )
+        if isinstance(result, permit_issuer.Denial):
+            self._record_denial(result)
+            return server_selection.Refuse(
+                "all servers are at their stated limits",
+                retry_after_seconds=result.return_after_seconds,
+            )
+        await asyncio.sleep(result.delay_seconds)
+        for listed_server in listed_servers:
+            if listed_server.entry.instance != result.instance:
+                continue
+            server = listed_server.entry.id
+            if not self._record_sent(server):
+                return None
+            timing = self._request_timing(request, boot_clock.now())
+            return server_selection.Send(
+                server,
+                timing.work_seconds,
+                is_local=self._is_local(listed_server),
+                waited_seconds=timing.waited_seconds,
+            )
+        return None
+
+    async def _try_reserve(
+        self, server: ids.ServerId, request: SelectionRequest
+    ) -> bool:
         """Records a request to a server, if the server still accepts it."""
+        now = boot_clock.now()
+        listed_server = self._catalogue.find(server)
+        if listed_server is None:
+            return False
+        if self._limits.rate(listed_server.entry.instance, now) is not None:
+            result = await self._permits.acquire(
+                permit_issuer.PermitDemand(
+                    request.service,
+                    [self._make_permit_candidate(listed_server, now)],
+                    0.0,
+                    0.0,
+                )
+            )
+            if isinstance(result, permit_issuer.Denial):
+                self._record_denial(result)
+                return False
+        return self._record_sent(server)
+
+    def _record_sent(self, server: ids.ServerId) -> bool:
+        """Records a request to a server, if the server may receive it now."""
+        now = boot_clock.now()
         listed_server = self._catalogue.find(server)
         if listed_server is None or not self._catalogue.may_send(server, now):
             return False
-        if not self._may_send_to(listed_server, now):
+        if not self._is_warm_enough(listed_server, now):
             return False
         self._cold_start_limiter.record_sent(server, now)
         self._prober.record_sent(server, now)
         return True
 
+    def _make_permit_candidate(
+        self, listed_server: catalogue.ListedServer, now: float
+    ) -> permit_issuer.Candidate:
+        instance = listed_server.entry.instance
+        rate = self._limits.rate(instance, now)
+        return permit_issuer.Candidate(instance, 0.0 if rate is None else rate)
+
+    def _record_denial(self, denial: permit_issuer.Denial) -> None:
+        """Records until when servers have no permits."""
+        now = boot_clock.now()
+        for instance, wait_seconds in denial.wait_seconds.items():
+            self._no_permit_until[instance] = now + min(
+                wait_seconds, MAX_DENIAL_SECONDS
+            )
+        if len(self._no_permit_until) > 10_000:  # servers; twice the most
+            self._no_permit_until.clear()
+
+    def _limited_servers(
+        self, request: SelectionRequest, now: float
+    ) -> list[catalogue.ListedServer]:
+        """Returns the usable servers with limits, the preferred ones first."""
+        limited = []
+        for listed_server in self._catalogue.usable_servers(
+            request.service, now
+        ):
+            entry = listed_server.entry
+            if entry.id in request.tried_servers:
+                continue
+            if not self._is_in_allowed_region(request.route, listed_server):
+                continue
+            if self._limits.rate(entry.instance, now) is None:
+                continue
+            if not self._is_warm_enough(listed_server, now):
+                continue
+            limited.append(listed_server)
+        self._random.shuffle(limited)
+        limited.sort(
+            key=lambda each: (
+                self._passive_health.is_ejected(each.entry.id, now),
+                not self._is_local(each),
+            )
+        )
+        return limited[: permits.MAX_CANDIDATES]
+
+    def _is_local(self, listed_server: catalogue.ListedServer) -> bool:
+        own_data_centre = self._initial_settings.data_centre
+        return listed_server.entry.data_centre == own_data_centre
+
     def _eligible_servers(
         self, request: SelectionRequest, now: float
     ) -> list[catalogue.ListedServer]:
@@ -179,6 +316,19 @@
 
     def _may_send_to(
         self, listed_server: catalogue.ListedServer, now: float
+    ) -> bool:
+        """Whether a server may have a permit and its warm-up allows it."""
+        instance = listed_server.entry.instance
+        no_permit_until = self._no_permit_until.get(instance, now)
+        if (
+            now < no_permit_until
+            and self._limits.rate(instance, now) is not None
+        ):
+            return False
+        return self._is_warm_enough(listed_server, now)
+
+    def _is_warm_enough(
+        self, listed_server: catalogue.ListedServer, now: float
     ) -> bool:
         """Whether a server is warm, or its warm-up allows a request now."""
         if not self._prober.is_cold(listed_server, now):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -1,5 +1,6 @@
 """Composes what serves the requests of callers, apart from all listeners."""
 
+import random
 from collections.abc import Callable
 
 from hyssopwind.core import ids
@@ -16,6 +17,7 @@
 from hyssopwind.daemon.gateway import health_client
 from hyssopwind.daemon.gateway import load_probes
 from hyssopwind.daemon.gateway import notice_recorder
+from hyssopwind.daemon.gateway import permits
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import sending
@@ -28,6 +30,7 @@
 
     Attributes:
         limits: the limits that servers have stated.
+        permits: permits to send to servers with limits.
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
@@ -43,11 +46,23 @@
         pool: connection_pools.ConnectionPool,
         metrics: gateway_metrics.GatewayMetrics,
         announce_crash: Callable[[ids.Fingerprint, int], None],
+        send_permit_message: permits.SendMessage,
+        random_source: random.Random,
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
         self.limits = stated_limits.StatedLimits()
-        recorder = notice_recorder.NoticeRecorder(self.limits)
+        self.permits = permits.Permits(
+            gateway_settings.name,
+            member_list,
+            platform_state.catalogue,
+            self.limits,
+            send_permit_message,
+            random_source,
+        )
+        recorder = notice_recorder.NoticeRecorder(
+            self.limits, self.permits.announce_change
+        )
         self.probe_client = health_client.ProbeClient(
             pool, gateway_tuning.choosing, recorder
         )
@@ -69,7 +84,10 @@
             self._passive_health,
             self._prober,
             member_list,
+            self.limits,
+            self.permits,
             gateway_tuning.choosing,
+            random_source,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
@@ -91,6 +109,7 @@
             self.retry_budget,
             member_list.fleet_size,
             gateway_tuning.repeating,
+            random_source,
         )
 
     def drop_removed_servers(self) -> None:
@@ -100,3 +119,4 @@
         self._passive_health.retain(server_ids)
         self._prober.retain(server_ids)
         self.limits.retain(server_catalogue.instances())
+        self.permits.drop_removed_servers()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -133,9 +133,12 @@
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
         self._pool.release(server_connection)
         if _is_from_server(answer):
+            kind = server_notices.AnswerKind.REQUEST
+            if answer.status == 421 or field_names.NOT_RUN in answer.fields:
+                kind = server_notices.AnswerKind.REFUSAL
             self._recorder.record_answer(
                 attempt_request.entry,
-                server_notices.AnswerKind.REQUEST,
+                kind,
                 answer.status,
                 answer.fields,
             )
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -143,6 +143,7 @@
             lambda: not daemon.reader.is_failing,
             lambda: daemon.reader.is_reading,
             daemon.handle_crash_notice,
+            daemon.handle_permit_message,
         )
         self._virtual_fleet = fleet
         self._daemon = daemon
@@ -222,6 +223,11 @@
         """Records a crash notice."""
         self.crash_notices.append((fingerprint, crashes))
 
+    def handle_permit_message(
+        self, message: gossip_messages.PermitMessage
+    ) -> None:
+        """Ignores a message about permits, of which this model has none."""
+
     def kill(self) -> None:
         """Cancels all tasks of the daemon."""
         for task in self._tasks:
--- a/packages/standins/src/hyssopwind/standins/virtual/site_load.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_load.py
@@ -24,9 +24,11 @@
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import load_probes
+from hyssopwind.daemon.gateway import permits
 from hyssopwind.daemon.gateway import picker
 from hyssopwind.platform import boot
 from hyssopwind.standins.site import documents
@@ -212,13 +214,24 @@
             self._member_list,
             probe_budgets.ProbeBudget(60.0, boot_clock.now()),
         )
+        limits = stated_limits.StatedLimits()
         return picker.Picker(
             self._options,
             self.catalogue,
             self.passive_health,
             load_prober,
             self._member_list,
+            limits,
+            permits.Permits(
+                self._options.name,
+                self._member_list,
+                self.catalogue,
+                limits,
+                lambda _message, _ip: None,
+                random.Random(),
+            ),
             selection_settings,
+            random.Random(),
         )
 
 
