Send nothing to servers that say they leave or want quiet

Cause: neither field was read. Both are statements in answers, of the same kind as limits, so the same recorder keeps them by the start of the server: an address that is used again is not affected. If all servers of a service want quiet, callers are refused at once with the end of the first quiet, spread over half of the latency target.

Tests: WithdrawalTest (new).

--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -175,6 +175,18 @@
     return_after_ms: int
 
 
+class LeavingNotice(msgspec.Struct, array_like=True, tag="w", frozen=True):
+    """A notice that a server said that it is about to stop.
+
+    Attributes:
+        sender: name of the daemon that the server answered.
+        instance: identifier of the start of the server.
+    """
+
+    sender: str
+    instance: str
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True):
     """Items of the platform that a replica at an earlier revision lacks.
 
@@ -195,12 +207,15 @@
 
 
 PermitMessage: TypeAlias = LimitNotice | ShareLoan | PermitRequest | PermitReply
-Datagram: TypeAlias = Heartbeat | MemberListPage | CrashNotice | PermitMessage
+Datagram: TypeAlias = (
+    Heartbeat | MemberListPage | CrashNotice | LeavingNotice | PermitMessage
+)
 
 _DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(
     Heartbeat
     | MemberListPage
     | CrashNotice
+    | LeavingNotice
     | LimitNotice
     | ShareLoan
     | PermitRequest
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -95,6 +95,7 @@
             self._pool,
             self._metrics,
             self._announce_crash,
+            self._announce_leaving,
             self._send_permit_message,
             self._random,
         )
@@ -108,6 +109,7 @@
             lambda: self._store_reader.is_reading,
             self._crash_detector.handle_notice,
             self._request_path.permits.handle,
+            self._request_path.handle_leaving_notice,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
@@ -347,6 +349,9 @@
     ) -> None:
         self._gossip.announce_crash(fingerprint, crash_count)
 
+    def _announce_leaving(self, instance: ids.InstanceId) -> None:
+        self._gossip.announce_leaving(instance)
+
     def _send_permit_message(
         self, message: gossip_messages.PermitMessage, ip: str
     ) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -66,6 +66,7 @@
         is_reading_store: Callable[[], bool],
         on_crash_notice: Callable[[ids.Fingerprint, int], None],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
+        on_leaving_notice: Callable[[ids.InstanceId], None],
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -76,6 +77,7 @@
         self._is_reading_store = is_reading_store
         self._on_crash_notice = on_crash_notice
         self._on_permit_message = on_permit_message
+        self._on_leaving_notice = on_leaving_notice
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._pool = connection_pools.ConnectionPool()
@@ -136,10 +138,13 @@
             crash_count,
             self._notice_count,
         )
-        for delay in NOTICE_SEND_DELAYS_SECONDS:
-            self._loop.call_later(
-                delay, self._send_all, notice, list(self._member_list.peers())
-            )
+        self._send_repeatedly(notice)
+
+    def announce_leaving(self, instance: ids.InstanceId) -> None:
+        """Announces to all peers that a server is about to stop."""
+        self._send_repeatedly(
+            gossip_messages.LeavingNotice(self._initial_settings.name, instance)
+        )
 
     def send_permit_message(
         self, message: gossip_messages.PermitMessage, ip: str
@@ -174,6 +179,8 @@
             self._member_list.handle_member_list_page(message, boot_clock.now())
         elif isinstance(message, gossip_messages.CrashNotice):
             self._handle_crash_notice(message)
+        elif isinstance(message, gossip_messages.LeavingNotice):
+            self._on_leaving_notice(ids.InstanceId(message.instance))
         else:
             self._on_permit_message(message)
 
@@ -284,6 +291,13 @@
                 MEMBER_LIST_BATCH_INTERVAL_SECONDS, self._send_queued_datagrams
             )
 
+    def _send_repeatedly(self, message: gossip_messages.Datagram) -> None:
+        """Sends a message to all peers several times, as some may be lost."""
+        for delay in NOTICE_SEND_DELAYS_SECONDS:
+            self._loop.call_later(
+                delay, self._send_all, message, list(self._member_list.peers())
+            )
+
     def _send_all(
         self,
         message: gossip_messages.Datagram,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
@@ -8,6 +8,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.limits import server_notices
+from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.platform import answer_notices
 from hyssopwind.platform import field_names
@@ -22,9 +23,13 @@
     def __init__(
         self,
         limits: stated_limits.StatedLimits,
+        withdrawals: server_withdrawals.ServerWithdrawals,
         on_limit_change: Callable[[ids.ServiceId], None],
+        announce_leaving: Callable[[ids.InstanceId], None],
     ):
         self._limits = limits
+        self._withdrawals = withdrawals
+        self._announce_leaving = announce_leaving
         self._on_limit_change = on_limit_change
 
     def record_answer(
@@ -33,8 +38,8 @@
         kind: server_notices.AnswerKind,
         status: int,
         fields: Mapping[str, str],
-    ) -> None:
-        """Records an answer of a server.
+    ) -> server_notices.ServerNotices:
+        """Records an answer of a server and returns what it states.
 
         Args:
             entry: the server to which the request was sent.
@@ -44,7 +49,7 @@
         """
         if fields.get(field_names.SERVER_ID, entry.id) != entry.id:
             # The address belongs to another server now.
-            return
+            return server_notices.ServerNotices()
         notices = answer_notices.decode_notices(status, fields)
         if notices.findings:
             _log.warn(
@@ -52,6 +57,7 @@
                 extra={"server": entry.id, "findings": list(notices.findings)},
             )
         now = boot_clock.now()
+        self._record_withdrawal(entry, kind, notices, now)
         has_changed = self._limits.record_answer(
             entry.instance, kind, notices.requests_per_second, now
         )
@@ -67,3 +73,37 @@
                 },
             )
             self._on_limit_change(entry.service)
+        return notices
+
+    def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
+        """Records what a peer was told by a server that is about to stop."""
+        if self._withdrawals.record_leaving(instance):
+            _log.info(
+                "server leaving", extra={"server": instance, "source": "peer"}
+            )
+
+    def _record_withdrawal(
+        self,
+        entry: entries.ServerEntry,
+        kind: server_notices.AnswerKind,
+        notices: server_notices.ServerNotices,
+        now: float,
+    ) -> None:
+        log_fields = {"server": entry.id, "source": kind.value}
+        if notices.is_leaving and self._withdrawals.record_leaving(
+            entry.instance
+        ):
+            _log.info("server leaving", extra=log_fields)
+            self._announce_leaving(entry.instance)
+        # A refused probe says nothing of requests.
+        if (
+            notices.quiet_seconds > 0.0
+            and kind is not server_notices.AnswerKind.PROBE
+            and self._withdrawals.record_quiet(
+                entry.instance, notices.quiet_seconds, now
+            )
+        ):
+            _log.info(
+                "server wants no requests for some time",
+                extra={**log_fields, "seconds": notices.quiet_seconds},
+            )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -13,6 +13,7 @@
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.limits import permit_issuer
+from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
@@ -22,6 +23,8 @@
 
 # Longest time for which the denial of a permit is relied on.
 MAX_DENIAL_SECONDS = 1.0
+# Ratio of the latency target over which the ends of a quiet are spread.
+QUIET_END_SPREAD_RATIO = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +60,7 @@
         member_list: fleet_members.MemberList,
         limits: stated_limits.StatedLimits,
         server_permits: permits.Permits,
+        withdrawals: server_withdrawals.ServerWithdrawals,
         selection_settings: tuning.SelectionSettings,
         random_source: random.Random,
     ):
@@ -67,6 +71,7 @@
         self._member_list = member_list
         self._limits = limits
         self._permits = server_permits
+        self._withdrawals = withdrawals
         self._selection_settings = selection_settings
         # Times until which servers with limits have no permits.
         self._no_permit_until: dict[ids.InstanceId, float] = {}
@@ -86,7 +91,11 @@
         include_remote = False
         is_first = True
         while True:
-            if self._needs_permit(request, boot_clock.now()):
+            now = boot_clock.now()
+            quiet_ends_at = self._quiet_end(request, now)
+            if quiet_ends_at is not None:
+                return self._refuse_until(quiet_ends_at, request, now)
+            if self._needs_permit(request, now):
                 selected = await self._wait_for_permit(request)
                 if selected is None:
                     continue
@@ -152,6 +161,38 @@
             is_caller_retry=request.is_caller_retry,
         )
 
+    def _quiet_end(self, request: SelectionRequest, now: float) -> float | None:
+        """Returns when a server may get requests if none may until then."""
+        ends_at = None
+        for listed_server in self._catalogue.usable_servers(
+            request.service, now
+        ):
+            if not self._is_in_allowed_region(request.route, listed_server):
+                continue
+            instance = listed_server.entry.instance
+            if self._withdrawals.is_leaving(instance):
+                continue
+            quiet_until = self._withdrawals.quiet_until(instance)
+            if quiet_until <= now:
+                return None
+            ends_at = min(quiet_until, ends_at or quiet_until)
+        return ends_at
+
+    def _refuse_until(
+        self, ends_at: float, request: SelectionRequest, now: float
+    ) -> server_selection.Refuse:
+        # Spreads the callers of all daemons, whose servers' quiet may end at
+        # the same time.
+        spread_seconds = QUIET_END_SPREAD_RATIO * (
+            request.route.latency_target_seconds
+        )
+        return server_selection.Refuse(
+            "all servers want no requests for some time",
+            retry_after_seconds=ends_at
+            - now
+            + self._random.uniform(0.0, spread_seconds),
+        )
+
     def _needs_permit(self, request: SelectionRequest, now: float) -> bool:
         """Whether only servers without permits are left for a request."""
         if self._eligible_servers(request, now):
@@ -228,6 +269,8 @@
         listed_server = self._catalogue.find(server)
         if listed_server is None or not self._catalogue.may_send(server, now):
             return False
+        if not self._withdrawals.may_send(listed_server.entry.instance, now):
+            return False
         if not self._is_warm_enough(listed_server, now):
             return False
         self._cold_start_limiter.record_sent(server, now)
@@ -266,6 +309,8 @@
                 continue
             if self._limits.rate(entry.instance, now) is None:
                 continue
+            if not self._withdrawals.may_send(entry.instance, now):
+                continue
             if not self._is_warm_enough(listed_server, now):
                 continue
             limited.append(listed_server)
@@ -319,6 +364,8 @@
     ) -> bool:
         """Whether a server may have a permit and its warm-up allows it."""
         instance = listed_server.entry.instance
+        if not self._withdrawals.may_send(instance, now):
+            return False
         no_permit_until = self._no_permit_until.get(instance, now)
         if (
             now < no_permit_until
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -9,6 +9,7 @@
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import crash_detection
@@ -31,6 +32,7 @@
     Attributes:
         limits: the limits that servers have stated.
         permits: permits to send to servers with limits.
+        handle_leaving_notice: records what a peer heard of a leaving server.
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
@@ -46,12 +48,14 @@
         pool: connection_pools.ConnectionPool,
         metrics: gateway_metrics.GatewayMetrics,
         announce_crash: Callable[[ids.Fingerprint, int], None],
+        announce_leaving: Callable[[ids.InstanceId], None],
         send_permit_message: permits.SendMessage,
         random_source: random.Random,
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
         self.limits = stated_limits.StatedLimits()
+        self._withdrawals = server_withdrawals.ServerWithdrawals()
         self.permits = permits.Permits(
             gateway_settings.name,
             member_list,
@@ -61,8 +65,12 @@
             random_source,
         )
         recorder = notice_recorder.NoticeRecorder(
-            self.limits, self.permits.announce_change
+            self.limits,
+            self._withdrawals,
+            self.permits.announce_change,
+            announce_leaving,
         )
+        self.handle_leaving_notice = recorder.handle_leaving_notice
         self.probe_client = health_client.ProbeClient(
             pool, gateway_tuning.choosing, recorder
         )
@@ -86,6 +94,7 @@
             member_list,
             self.limits,
             self.permits,
+            self._withdrawals,
             gateway_tuning.choosing,
             random_source,
         )
@@ -118,5 +127,7 @@
         server_ids = server_catalogue.server_ids()
         self._passive_health.retain(server_ids)
         self._prober.retain(server_ids)
-        self.limits.retain(server_catalogue.instances())
+        instances = server_catalogue.instances()
+        self.limits.retain(instances)
+        self._withdrawals.retain(instances)
         self.permits.drop_removed_servers()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -132,20 +132,23 @@
         except TimeoutError:
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
         self._pool.release(server_connection)
+        quiet_seconds = 0.0
         if _is_from_server(answer):
             kind = server_notices.AnswerKind.REQUEST
             if answer.status == 421 or field_names.NOT_RUN in answer.fields:
                 kind = server_notices.AnswerKind.REFUSAL
-            self._recorder.record_answer(
+            notices = self._recorder.record_answer(
                 attempt_request.entry,
                 kind,
                 answer.status,
                 answer.fields,
             )
+            quiet_seconds = notices.quiet_seconds
         return _judge_answer(
             answer,
             attempt_request.request.method,
             boot_clock.now() - started_at,
+            quiet_seconds,
         )
 
     def _record_result(
@@ -256,13 +259,16 @@
 
 
 def _judge_answer(
-    answer: answers.Answer, method: str, latency_seconds: float
+    answer: answers.Answer,
+    method: str,
+    latency_seconds: float,
+    quiet_seconds: float,
 ) -> attempt_results.AttemptResult:
     """Returns the result of an attempt that got an answer."""
     is_stamped = field_names.SERVER_STAMP in answer.fields
     # 421 comes from a server that is not the expected one and ran nothing.
     if answer.status == 421 or field_names.NOT_RUN in answer.fields:
-        return attempt_results.Shed("", 0.0)
+        return attempt_results.Shed("", quiet_seconds)
     if not is_stamped:
         # Servers stamp all of their answers, so something else sent this one.
         return attempt_results.Failed(attempt_results.FailureKind.GARBLED)
--- a/packages/standins/src/hyssopwind/standins/limits/judging.py
+++ b/packages/standins/src/hyssopwind/standins/limits/judging.py
@@ -14,6 +14,7 @@
 WINDOW_SECONDS = 4.0
 ALLOWED_RATIO = 1.5
 ALLOWED_SLACK = 5
+ALLOWED_IN_QUIET = 2  # requests of one daemon
 # Time after the first statement from which the rule holds.
 FIRST_STATEMENT_GRACE_SECONDS = 3.0
 # Time after which a daemon that has passed on a statement must know of it.
@@ -31,11 +32,13 @@
         at: monotonic time.
         daemon: the daemon that sent it.
         server: the server.
+        sent_at: time at which its caller sent it.
     """
 
     at: float
     daemon: str
     server: str
+    sent_at: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +63,10 @@
         limits: changes of the stated limit by server, in order of time.
         told: times at which a daemon passed on an answer that stated a limit,
             by server and daemon, in order.
+        told_leaving: time at which a daemon first passed on that a server is
+            about to stop, by server and daemon.
+        quiet: start and end of the times for which a server wanted nothing of
+            a daemon, by server and daemon.
         excused: start and end of the impairments of each daemon.
         ended_at: end of the traffic.
     """
@@ -69,6 +76,12 @@
     told: dict[tuple[str, str], list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
+    told_leaving: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    quiet: dict[tuple[str, str], list[tuple[float, float]]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
     excused: dict[str, list[tuple[float, float]]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
@@ -167,6 +180,38 @@
     return breaches
 
 
+def find_requests_after_leaving(
+    evidence: Evidence, drain_seconds: float
+) -> list[Arrival]:
+    """Returns requests sent too late to servers that said they would stop."""
+    return [
+        arrival
+        for arrival in evidence.arrivals
+        if arrival.sent_at
+        > drain_seconds
+        + evidence.told_leaving.get(
+            (arrival.server, arrival.daemon), float("inf")
+        )
+    ]
+
+
+def find_broken_quiets(evidence: Evidence) -> list[tuple[str, str, float]]:
+    """Returns server, daemon and start of each quiet that was not kept."""
+    broken = []
+    for (server, daemon), spans in evidence.quiet.items():
+        times = [
+            arrival.at
+            for arrival in evidence.arrivals
+            if (arrival.server, arrival.daemon) == (server, daemon)
+        ]
+        for start, end in spans:
+            begin = start + KNOWN_AFTER_SECONDS
+            count = sum(begin <= at < end for at in times)
+            if count > ALLOWED_IN_QUIET:
+                broken.append((server, daemon, start))
+    return broken
+
+
 def measure_use(evidence: Evidence) -> list[Use]:
     """Returns the use of each limit while it did not change."""
     uses = []
--- a/packages/standins/src/hyssopwind/standins/limits/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/limits/scenarios.py
@@ -56,6 +56,9 @@
             (infinity for none).
         limited_ratio: ratio of the servers that state the limit.
         naming: answers in which they state it.
+        quiet_seconds: time for which refusals say that the server wants no
+            requests; 0 if they do not say so.
+        leaves_at: time from which limited servers say that they will stop.
         refusal_ratio: ratio of the requests that limited servers refuse.
         reports_load: whether servers report their load.
         busiest_share: share of the requests that one daemon gets; 0 for an
@@ -77,6 +80,8 @@
     limits: tuple[tuple[float, float], ...] = ((2.0, 1.1),)
     limited_ratio: float = 0.25
     naming: Naming = Naming.ALL
+    quiet_seconds: float = 0.0
+    leaves_at: float = math.inf
     refusal_ratio: float = 0.0
     reports_load: bool = True
     busiest_share: float = 0.0
@@ -215,6 +220,58 @@
     return Scenario(limited_ratio=0.5, faults=tuple(faults), seconds=50.0)
 
 
+WITHDRAWALS: "registry.Registry[str, MakeScenario]" = registry.Registry(
+    "scenario of servers that want no requests"
+)
+
+
+@WITHDRAWALS.register("some leave")
+def make_some_leave() -> Scenario:
+    """Half of the servers say that they will stop, the store does not."""
+    return Scenario(
+        limits=((2.0, math.inf),),
+        limited_ratio=0.5,
+        leaves_at=5.0,
+        seconds=20.0,
+    )
+
+
+@WITHDRAWALS.register("some want quiet")
+def make_some_quiet() -> Scenario:
+    """Half of the servers refuse requests and want quiet."""
+    return Scenario(
+        limits=((2.0, math.inf),),
+        limited_ratio=0.5,
+        refusal_ratio=0.5,
+        quiet_seconds=3.0,
+        seconds=30.0,
+    )
+
+
+@WITHDRAWALS.register("all want quiet")
+def make_all_quiet() -> Scenario:
+    """All servers refuse many requests and want quiet."""
+    return Scenario(
+        limits=((2.0, math.inf),),
+        limited_ratio=1.0,
+        refusal_ratio=0.7,
+        quiet_seconds=2.5,
+        seconds=30.0,
+    )
+
+
+@WITHDRAWALS.register("limited and quiet")
+def make_limited_and_quiet() -> Scenario:
+    """Servers state limits and want quiet after refusals."""
+    return Scenario(
+        limited_ratio=0.6,
+        refusal_ratio=0.3,
+        quiet_seconds=1.5,
+        failing_ratio=0.05,
+        seconds=30.0,
+    )
+
+
 PROCESS_SCENARIOS: "registry.Registry[str, MakeScenario]" = registry.Registry(
     "scenario of real processes"
 )
--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -33,8 +33,14 @@
 LARGE_SCENARIOS = {"whole service": 14.0, "under one a second": 26.0}
 
 
-def run_scenario(name, size=limited_fleet.SMALL, seed=1, seconds=None):
-    scenario = scenarios.SCENARIOS.find(name)()
+def run_scenario(
+    name,
+    size=limited_fleet.SMALL,
+    seed=1,
+    seconds=None,
+    registry=scenarios.SCENARIOS,
+):
+    scenario = registry.find(name)()
     if seconds is not None:
         scenario = dataclasses.replace(scenario, seconds=seconds)
 
@@ -120,6 +126,31 @@
                 self.check_use(evidence)
 
 
+class WithdrawalTest(unittest.TestCase):
+    """Servers that leave or want quiet go on getting requests."""
+
+    def test_no_server_gets_requests_after_it_asked_for_none(self):
+        for name in scenarios.WITHDRAWALS:
+            with self.subTest(name):
+                fleet = run_scenario(name, registry=scenarios.WITHDRAWALS)
+                late = judging.find_requests_after_leaving(fleet.evidence, 0.5)
+                self.assertEqual(late, [])
+                broken = judging.find_broken_quiets(fleet.evidence)
+                self.assertEqual(broken, [])
+
+    # Callers that are refused because of quiet come back when it ends.
+    def test_callers_are_refused_at_once_with_the_end_of_the_quiet(self):
+        fleet = run_scenario("all want quiet", registry=scenarios.WITHDRAWALS)
+        refusals = [
+            answer
+            for answer in fleet.caller_answers
+            if answer.retry_after_seconds is not None
+        ]
+        self.assertGreater(len(refusals), 100)
+        prompt = [each for each in refusals if each.latency_seconds < 0.1]
+        self.assertGreaterEqual(len(prompt), 0.9 * len(refusals))
+
+
 class ProcessLimitTest(LimitCase):
     """A server in need gets more requests than it takes from real daemons."""
 
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -14,6 +14,7 @@
 
 import multidict
 
+from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import settings
@@ -126,6 +127,7 @@
             scenarios.Naming.PROBES,
         ):
             self._state_limit(fields)
+        self._state_leaving(fields)
         return _make_answer(200, fields)
 
     async def answer_request(
@@ -138,20 +140,29 @@
         if expected not in ("", self.id):
             return _make_answer(421, {**fields, field_names.SERVER_ID: self.id})
         self._fleet.evidence.arrivals.append(
-            judging.Arrival(boot_clock.now(), daemon.options.name, self.id)
+            judging.Arrival(
+                boot_clock.now(),
+                daemon.options.name,
+                self.id,
+                self._fleet.sent_at[request_id],
+            )
         )
+        self._state_leaving(fields)
         names_limit = scenario.naming in (
             scenarios.Naming.ALL,
             scenarios.Naming.REQUESTS,
         )
         is_refused = (
-            not math.isinf(self.limit())
+            self.is_limited
+            and boot_clock.now() >= self._fleet.traffic_started_at
             and random_source.random() < scenario.refusal_ratio
         )
         if is_refused or self._running >= 3 * SLOTS:
             if names_limit or scenario.naming is scenarios.Naming.REFUSALS:
                 self._state_limit(fields)
             fields[field_names.NOT_RUN] = "1"
+            if scenario.quiet_seconds:
+                fields[field_names.RETRY_AFTER] = f"{scenario.quiet_seconds:g}"
             return _make_answer(503, fields)
         self._running += 1
         work_seconds = MEDIAN_WORK_SECONDS * random_source.lognormvariate(
@@ -170,6 +181,13 @@
         is_failing = random_source.random() < scenario.failing_ratio
         return _make_answer(500 if is_failing else 200, fields)
 
+    def _state_leaving(self, fields: dict[str, str]) -> None:
+        leaves_at = (
+            self._fleet.traffic_started_at + self._fleet.scenario.leaves_at
+        )
+        if self.is_limited and boot_clock.now() >= leaves_at:
+            fields[field_names.SERVER_LEAVING] = "1"
+
     def _state_limit(self, fields: dict[str, str]) -> None:
         limit = self.limit()
         if not math.isinf(limit):
@@ -210,12 +228,21 @@
             fields.get(field_names.EXPECTED_SERVER, ""),
         )
         await asyncio.sleep(ROUND_TRIP_SECONDS / 2)
-        if field_names.SERVER_LIMIT in answer.fields:
-            self._daemon.fleet.evidence.told[
-                self._server.id, self._daemon.options.name
-            ].append(boot_clock.now())
+        self._record_statements(answer)
         return answer
 
+    def _record_statements(self, answer: answers.Answer) -> None:
+        evidence = self._daemon.fleet.evidence
+        key = self._server.id, self._daemon.options.name
+        now = boot_clock.now()
+        if field_names.SERVER_LIMIT in answer.fields:
+            evidence.told[key].append(now)
+        if field_names.SERVER_LEAVING in answer.fields:
+            evidence.told_leaving.setdefault(key, now)
+        if field_names.RETRY_AFTER in answer.fields:
+            seconds = float(answer.fields[field_names.RETRY_AFTER])
+            evidence.quiet[key].append((now, now + seconds))
+
 
 class _VirtualPool(connection_pools.ConnectionPool):
     """Connections of one daemon to the servers of the fleet."""
@@ -276,6 +303,7 @@
             _VirtualPool(self),
             gateway_metrics.GatewayMetrics(),
             lambda _fingerprint, _count: None,
+            self.gossip.announce_leaving,
             self.gossip.send_permit_message,
             random.Random(fleet.random_source.random()),
         )
@@ -290,6 +318,10 @@
         """Handles a message about permits."""
         self.request_path.permits.handle(message)
 
+    def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
+        """Handles a notice that a server is leaving."""
+        self.request_path.handle_leaving_notice(instance)
+
     async def _run_housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
@@ -305,6 +337,7 @@
         traffic_started_at: monotonic time at which callers start.
         evidence: what servers saw.
         caller_answers: the answers to callers.
+        sent_at: monotonic time at which a caller sent a request, by its id.
     """
 
     def __init__(
@@ -340,6 +373,7 @@
                 retry_slack=58.0,
             )
         self._request_count = 0
+        self.sent_at: dict[str, float] = {}
 
     def find_server(self, address: str) -> LimitedServer | None:
         """Returns the server that listens at an address, if any."""
@@ -437,6 +471,7 @@
             }
         )
         sent_at = boot_clock.now()
+        self.sent_at[f"r{self._request_count}"] = sent_at
         request = caller_requests.CallerRequest(
             "GET", "/a", fields, b"", sent_at, (1, 1), False
         )
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -144,6 +144,7 @@
             lambda: daemon.reader.is_reading,
             daemon.handle_crash_notice,
             daemon.handle_permit_message,
+            daemon.handle_leaving_notice,
         )
         self._virtual_fleet = fleet
         self._daemon = daemon
@@ -228,6 +229,9 @@
     ) -> None:
         """Ignores a message about permits, of which this model has none."""
 
+    def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
+        """Ignores that a server is leaving; this model sends no requests."""
+
     def kill(self) -> None:
         """Cancels all tasks of the daemon."""
         for task in self._tasks:
--- a/packages/standins/src/hyssopwind/standins/virtual/site_load.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_load.py
@@ -24,6 +24,7 @@
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
@@ -230,6 +231,7 @@
                 lambda _message, _ip: None,
                 random.Random(),
             ),
+            server_withdrawals.ServerWithdrawals(),
             selection_settings,
             random.Random(),
         )
