Limit requests to cold servers with the same permits

A cold server takes few requests a second from all daemons together: the same class of bound as a stated limit. The fleet kept it by letting as many daemons as the rate, by rendezvous hashing in the server's data centre, send one request a second each. A daemon that was not among them never used the server, so with an uneven load the warm-up went unused, and a daemon that had just started, alone in its member list, permitted itself. Cold servers are now a source of limits beside stated ones, and permits cover both.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from hyssopwind.core import ids
@@ -128,18 +128,16 @@
         listed_servers = self._by_service.get(service, {}).values()
         return [listed.entry.instance for listed in listed_servers]
 
-    def services_of(
-        self, instances: Collection[ids.InstanceId]
-    ) -> set[ids.ServiceId]:
-        """Returns the services of some starts of servers."""
-        if not instances:
-            return set()
-        wanted = frozenset(instances)
-        return {
-            listed.entry.service
-            for listed in self._servers.values()
-            if listed.entry.instance in wanted
-        }
+    def listed_servers(self) -> Iterable[ListedServer]:
+        """Returns all listed servers."""
+        return self._servers.values()
+
+    def find_instance(self, instance: ids.InstanceId) -> ListedServer | None:
+        """Returns a listed server by its start; `None` if it is not listed."""
+        listed_server = self._servers.get(ids.server_of(instance))
+        if listed_server is None or listed_server.entry.instance != instance:
+            return None
+        return listed_server
 
     def service_settings(
         self, service: ids.ServiceId
--- a/packages/core/src/hyssopwind/core/discovery/entries.py
+++ b/packages/core/src/hyssopwind/core/discovery/entries.py
@@ -34,5 +34,5 @@
     instance: ids.InstanceId = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
-        instance = ids.InstanceId(f"{self.id}@{self.started_at_ms}")
+        instance = ids.instance_id(self.id, self.started_at_ms)
         object.__setattr__(self, "instance", instance)
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_budgets.py
@@ -2,7 +2,6 @@
 import unittest
 
 from hyssopwind.core import ids
-from hyssopwind.core.dispatch import cold_start
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import probe_budgets
 from hyssopwind.core.dispatch import retry_policy
@@ -63,44 +62,6 @@
         self.assertLessEqual(probe_count / 29 / seconds, 60.0)
 
 
-class ColdStartLimiterTest(unittest.TestCase):
-    """A server restarts cold while all daemons have requests for it."""
-
-    def setUp(self):
-        self.daemons = [ids.DaemonId(f"d{number}") for number in range(15)]
-        self.server = ids.ServerId("i-1")
-
-    def max_requests_per_second(self, views, requests_per_second):
-        limiters = {d: cold_start.ColdStartLimiter(d) for d in self.daemons}
-        sent_times = []
-        for step in range(3_000):
-            now = step * 0.001
-            for daemon in self.daemons:
-                view = views[daemon]
-                limiter = limiters[daemon]
-                if limiter.may_send(
-                    self.server, view, requests_per_second, now
-                ):
-                    limiter.record_sent(self.server, now)
-                    sent_times.append(now)
-        return max(
-            sum(t <= s < t + 1.0 for s in sent_times) for t in sent_times
-        )
-
-    def test_daemons_with_same_view_stay_within_tolerated_rate(self):
-        views = dict.fromkeys(self.daemons, self.daemons)
-        self.assertLessEqual(self.max_requests_per_second(views, 3.4), 3.4)
-
-    def test_partitioned_fleet_stays_within_overshoot(self):
-        """The allowed overshoot ratio is 1.5, the slack 5 requests."""
-        views = {}
-        for number, daemon in enumerate(self.daemons):
-            partition = self.daemons[:7] if number < 7 else self.daemons[7:]
-            views[daemon] = partition
-        bound = 3.4 * 1.5 + 5
-        self.assertLessEqual(self.max_requests_per_second(views, 3.4), bound)
-
-
 class RetryAfterTest(unittest.TestCase):
     def test_retry_times_are_spread_and_within_latency_target(self):
         random_source = random.Random(5)
--- a/packages/core/src/hyssopwind/core/ids.py
+++ b/packages/core/src/hyssopwind/core/ids.py
@@ -30,6 +30,26 @@
     return ServiceId(f"{team}/{name}")
 
 
+def instance_id(server: ServerId, started_at_ms: int) -> InstanceId:
+    """Returns the identifier of a start of a server.
+
+    Examples:
+        >>> instance_id(ServerId("i-1"), 1700000000000)
+        'i-1@1700000000000'
+    """
+    return InstanceId(f"{server}@{started_at_ms}")
+
+
+def server_of(instance: InstanceId) -> ServerId:
+    """Returns the server of a start.
+
+    Examples:
+        >>> server_of(InstanceId("i-1@1700000000000"))
+        'i-1'
+    """
+    return ServerId(instance.rpartition("@")[0])
+
+
 def pool_id(service: ServiceId, data_centre: DataCentreId) -> PoolId:
     """Returns the identifier of a pool.
 
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/limits/rate_limits.py
@@ -0,0 +1,110 @@
+"""The limits on the request rate of servers, from all sources.
+
+A limit is a bound on the requests of all daemons together. Sources are
+registered; the lowest of their limits holds.
+"""
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+from hyssopwind.core import ids
+from hyssopwind.core import registry
+from hyssopwind.core.discovery import catalogue
+from hyssopwind.core.limits import stated_limits
+
+# Limit of cold servers of a service whose configuration is unknown.
+DEFAULT_WARMUP_REQUESTS_PER_SECOND = 1.0
+
+
+class RateLimits:
+    """The limits of the servers in a catalogue.
+
+    Attributes:
+        stated: the limits that servers stated.
+    """
+
+    def __init__(
+        self,
+        server_catalogue: catalogue.Catalogue,
+        stated: stated_limits.StatedLimits,
+    ):
+        self.stated = stated
+        self._catalogue = server_catalogue
+        self._cold_until: dict[ids.InstanceId, float] = {}
+
+    def rate(
+        self, listed_server: catalogue.ListedServer, now: float
+    ) -> float | None:
+        """Returns the limit of a server in requests per second, if any."""
+        lowest = None
+        for name in SOURCES:
+            rate = SOURCES.find(name)(self, listed_server, now)
+            if rate is not None and (lowest is None or rate < lowest):
+                lowest = rate
+        return lowest
+
+    def limited_services(self, now: float) -> set[ids.ServiceId]:
+        """Returns the services with servers that have limits."""
+        return {
+            listed_server.entry.service
+            for listed_server in self._catalogue.listed_servers()
+            if self.rate(listed_server, now) is not None
+        }
+
+    def record_warmup(
+        self, instance: ids.InstanceId, seconds: float, now: float
+    ) -> bool:
+        """Records how long a server stays cold, by its answer to a probe.
+
+        Returns whether it was warm until then.
+        """
+        previous = self._cold_until.get(instance, now)
+        self._cold_until[instance] = max(previous, now + seconds)
+        return previous <= now
+
+    def warmup_rate(
+        self, listed_server: catalogue.ListedServer, now: float
+    ) -> float | None:
+        """Returns the limit of a cold server; `None` if it is warm."""
+        cold_until = max(
+            listed_server.cold_until,
+            self._cold_until.get(listed_server.entry.instance, now),
+        )
+        if cold_until <= now:
+            return None
+        service_settings = self._catalogue.service_settings(
+            listed_server.entry.service
+        )
+        if service_settings is None:
+            return DEFAULT_WARMUP_REQUESTS_PER_SECOND
+        return service_settings.warmup_requests_per_second
+
+    def retain(self, instances: set[ids.InstanceId]) -> None:
+        """Drops what is known of all other servers."""
+        self.stated.retain(instances)
+        for instance in list(self._cold_until):
+            if instance not in instances:
+                del self._cold_until[instance]
+
+
+Source: TypeAlias = Callable[
+    [RateLimits, catalogue.ListedServer, float], float | None
+]
+
+SOURCES: "registry.Registry[str, Source]" = registry.Registry("limit source")
+
+
+@SOURCES.register("stated")
+def find_stated_limit(
+    limits: RateLimits, listed_server: catalogue.ListedServer, now: float
+) -> float | None:
+    """Returns the limit that a server states in its answers, if any."""
+    return limits.stated.rate(listed_server.entry.instance, now)
+
+
+@SOURCES.register("warm-up")
+def find_warmup_limit(
+    limits: RateLimits, listed_server: catalogue.ListedServer, now: float
+) -> float | None:
+    """Returns the limit of a cold server; `None` if it is warm."""
+    return limits.warmup_rate(listed_server, now)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -373,7 +373,7 @@
             version=lambda: platform_state.catalogue.configuration_version,
             servers=lambda: platform_state.catalogue.server_count,
             limited_servers=lambda: len(
-                self._request_path.limits.in_force(boot_clock.now())
+                self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
@@ -56,4 +56,6 @@
             answer.status,
             answer.fields,
         )
+        if result.warmup_left_seconds > 0.0:
+            self._recorder.record_warmup(entry, result.warmup_left_seconds)
         return result
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -77,7 +77,6 @@
         self._running_probes: dict[
             ids.ServerId, asyncio.Task[probe_results.ProbeResult | None]
         ] = {}
-        self._cold_until: dict[ids.ServerId, float] = {}
         self._sent_at: dict[ids.ServerId, list[float]] = {}
 
     async def probe_servers(
@@ -139,22 +138,13 @@
             else DEFAULT_HEALTH_PATH
         )
 
-    def is_cold(
-        self, listed_server: catalogue.ListedServer, now: float
-    ) -> bool:
-        """Whether a server is cold, by its entry or by its probe results."""
-        cold_until = self._cold_until.get(
-            listed_server.entry.id, listed_server.cold_until
-        )
-        return now < max(cold_until, listed_server.cold_until)
-
     def record_sent(self, server: ids.ServerId, now: float) -> None:
         """Records a request that the next probe result may not include."""
         self._sent_at.setdefault(server, []).append(now)
 
     def retain(self, servers: set[ids.ServerId]) -> None:
         """Drops the state of all servers but the given ones."""
-        for table in (self._recent_results, self._cold_until, self._sent_at):
+        for table in (self._recent_results, self._sent_at):
             for server in list(table):
                 if server not in servers:
                     del table[server]
@@ -210,10 +200,6 @@
         now = boot_clock.now()
         if result is None:
             self._passive_health.record_unanswered_probe(server, now)
-        elif result.warmup_left_seconds > 0.0:
-            cold_until = now + result.warmup_left_seconds
-            previous = self._cold_until.get(server, cold_until)
-            self._cold_until[server] = max(cold_until, previous)
         # The result includes requests sent before the probe, not later ones.
         sent_later = [t for t in self._sent_at.pop(server, ()) if t >= sent_at]
         if sent_later:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
@@ -7,9 +7,9 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_notices
 from hyssopwind.core.limits import server_withdrawals
-from hyssopwind.core.limits import stated_limits
 from hyssopwind.platform import answer_notices
 from hyssopwind.platform import field_names
 from hyssopwind.transport import boot_clock
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        limits: stated_limits.StatedLimits,
+        limits: rate_limits.RateLimits,
         withdrawals: server_withdrawals.ServerWithdrawals,
         on_limit_change: Callable[[ids.ServiceId], None],
         announce_leaving: Callable[[ids.InstanceId], None],
@@ -58,7 +58,7 @@
             )
         now = boot_clock.now()
         self._record_withdrawal(entry, kind, notices, now)
-        has_changed = self._limits.record_answer(
+        has_changed = self._limits.stated.record_answer(
             entry.instance, kind, notices.requests_per_second, now
         )
         if has_changed:
@@ -67,7 +67,7 @@
                 extra={
                     "server": entry.id,
                     "service": entry.service,
-                    "limit": self._limits.rate(entry.instance, now),
+                    "limit": self._limits.stated.rate(entry.instance, now),
                     "source": kind.value,
                     "status": status,
                 },
@@ -75,6 +75,15 @@
             self._on_limit_change(entry.service)
         return notices
 
+    def record_warmup(self, entry: entries.ServerEntry, seconds: float) -> None:
+        """Records that a server stays cold for some seconds."""
+        now = boot_clock.now()
+        if self._limits.record_warmup(entry.instance, seconds, now):
+            _log.info(
+                "server cold", extra={"server": entry.id, "seconds": seconds}
+            )
+            self._on_limit_change(entry.service)
+
     def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
         """Records what a peer was told by a server that is about to stop."""
         if self._withdrawals.record_leaving(instance):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -19,8 +19,8 @@
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.limits import limit_statements
 from hyssopwind.core.limits import permit_issuer
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import share_lending
-from hyssopwind.core.limits import stated_limits
 from hyssopwind.transport import boot_clock
 
 ROUND_SECONDS = 0.5
@@ -58,7 +58,7 @@
         own_name: ids.DaemonId,
         member_list: fleet_members.MemberList,
         server_catalogue: catalogue.Catalogue,
-        limits: stated_limits.StatedLimits,
+        limits: rate_limits.RateLimits,
         send: SendMessage,
         random_source: random.Random,
     ):
@@ -128,6 +128,9 @@
         peer = None
         if plan.owner is not None and plan.owner != self._own_name:
             peer = self._member_list.find(plan.owner)
+        if plan.contacts:
+            # The limit may be new, so that no daemon has been contacted.
+            self.announce_change(demand.service)
         result: permit_issuer.PermitResult
         if plan.owner == self._own_name:
             result = self._issue(demand, now)
@@ -160,7 +163,7 @@
 
     def _limited_services(self, now: float) -> set[ids.ServiceId]:
         """Returns the services with servers whose limits hold."""
-        return self._catalogue.services_of(self._limits.in_force(now))
+        return self._limits.limited_services(now)
 
     def _plan(
         self, service: ids.ServiceId, now: float
@@ -223,7 +226,7 @@
         unknown = []
         for statement in self._statements(service, now):
             instance = ids.InstanceId(statement.instance)
-            rate = self._limits.rate(instance, now)
+            rate = self._limits.stated.rate(instance, now)
             if self._known_to_owner.get(instance) != rate:
                 unknown.append(statement)
         loan = gossip_messages.ShareLoan(
@@ -246,7 +249,7 @@
     ) -> list[gossip_messages.LimitStatement]:
         statements = []
         for instance in self._catalogue.instances_of(service):
-            record = self._limits.find(instance)
+            record = self._limits.stated.find(instance)
             if record is not None:
                 statements.append(
                     limit_statements.make_statement(instance, record, now)
@@ -270,14 +273,14 @@
                 )
                 continue
             instance, record = read
-            if not self._limits.merge(instance, record, now):
+            if not self._limits.stated.merge(instance, record, now):
                 continue
             has_changed = True
             _log.info(
                 "server limit changed",
                 extra={
                     "server": instance,
-                    "limit": self._limits.rate(instance, now),
+                    "limit": self._limits.stated.rate(instance, now),
                     "source": sender,
                     "age_ms": statement.stated_age_ms,
                 },
@@ -387,10 +390,13 @@
         candidates = []
         for name, stated_rate in request.candidates[:MAX_CANDIDATES]:
             instance = ids.InstanceId(name)
-            own_rate = self._limits.rate(instance, now)
-            rate = stated_rate if own_rate is None else own_rate
+            rate = stated_rate
             if not math.isfinite(rate) or rate < 0.0:
                 rate = 0.0
+            listed_server = self._catalogue.find_instance(instance)
+            if listed_server is not None:
+                own_rate = self._limits.rate(listed_server, now)
+                rate = rate if own_rate is None else min(rate, own_rate)
             candidates.append(permit_issuer.Candidate(instance, rate))
         demand = permit_issuer.PermitDemand(
             ids.ServiceId(request.service),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -6,15 +6,13 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
-from hyssopwind.core.dispatch import cold_start
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
-from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.limits import permit_issuer
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_withdrawals
-from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import load_probes
@@ -57,8 +55,7 @@
         server_catalogue: catalogue.Catalogue,
         passive_health: server_health.PassiveHealth,
         prober: load_probes.LoadProber,
-        member_list: fleet_members.MemberList,
-        limits: stated_limits.StatedLimits,
+        limits: rate_limits.RateLimits,
         server_permits: permits.Permits,
         withdrawals: server_withdrawals.ServerWithdrawals,
         selection_settings: tuning.SelectionSettings,
@@ -68,16 +65,12 @@
         self._catalogue = server_catalogue
         self._passive_health = passive_health
         self._prober = prober
-        self._member_list = member_list
         self._limits = limits
         self._permits = server_permits
         self._withdrawals = withdrawals
         self._selection_settings = selection_settings
         # Times until which servers with limits have no permits.
         self._no_permit_until: dict[ids.InstanceId, float] = {}
-        self._cold_start_limiter = cold_start.ColdStartLimiter(
-            initial_settings.name
-        )
         self._random = random_source
 
     async def pick(
@@ -249,7 +242,7 @@
         listed_server = self._catalogue.find(server)
         if listed_server is None:
             return False
-        if self._limits.rate(listed_server.entry.instance, now) is not None:
+        if self._limits.rate(listed_server, now) is not None:
             result = await self._permits.acquire(
                 permit_issuer.PermitDemand(
                     request.service,
@@ -271,9 +264,6 @@
             return False
         if not self._withdrawals.may_send(listed_server.entry.instance, now):
             return False
-        if not self._is_warm_enough(listed_server, now):
-            return False
-        self._cold_start_limiter.record_sent(server, now)
         self._prober.record_sent(server, now)
         return True
 
@@ -281,7 +271,7 @@
         self, listed_server: catalogue.ListedServer, now: float
     ) -> permit_issuer.Candidate:
         instance = listed_server.entry.instance
-        rate = self._limits.rate(instance, now)
+        rate = self._limits.rate(listed_server, now)
         return permit_issuer.Candidate(instance, 0.0 if rate is None else rate)
 
     def _record_denial(self, denial: permit_issuer.Denial) -> None:
@@ -307,12 +297,10 @@
                 continue
             if not self._is_in_allowed_region(request.route, listed_server):
                 continue
-            if self._limits.rate(entry.instance, now) is None:
+            if self._limits.rate(listed_server, now) is None:
                 continue
             if not self._withdrawals.may_send(entry.instance, now):
                 continue
-            if not self._is_warm_enough(listed_server, now):
-                continue
             limited.append(listed_server)
         self._random.shuffle(limited)
         limited.sort(
@@ -362,38 +350,14 @@
     def _may_send_to(
         self, listed_server: catalogue.ListedServer, now: float
     ) -> bool:
-        """Whether a server may have a permit and its warm-up allows it."""
+        """Whether a server accepts requests and may have a permit for one."""
         instance = listed_server.entry.instance
         if not self._withdrawals.may_send(instance, now):
             return False
         no_permit_until = self._no_permit_until.get(instance, now)
-        if (
-            now < no_permit_until
-            and self._limits.rate(instance, now) is not None
-        ):
-            return False
-        return self._is_warm_enough(listed_server, now)
-
-    def _is_warm_enough(
-        self, listed_server: catalogue.ListedServer, now: float
-    ) -> bool:
-        """Whether a server is warm, or its warm-up allows a request now."""
-        if not self._prober.is_cold(listed_server, now):
+        if now >= no_permit_until:
             return True
-        service_settings = self._catalogue.service_settings(
-            listed_server.entry.service
-        )
-        rate = (
-            service_settings.warmup_requests_per_second
-            if service_settings
-            else 1.0
-        )
-        return self._cold_start_limiter.may_send(
-            listed_server.entry.id,
-            self._member_list.daemon_ids(listed_server.entry.data_centre),
-            rate,
-            now,
-        )
+        return self._limits.rate(listed_server, now) is None
 
     def _sample_servers(
         self,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -9,6 +9,7 @@
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.settings import tuning
@@ -30,7 +31,7 @@
     """The parts through which each request of a caller passes.
 
     Attributes:
-        limits: the limits that servers have stated.
+        limits: the limits of servers.
         permits: permits to send to servers with limits.
         handle_leaving_notice: records what a peer heard of a leaving server.
         probe_client: client of the health endpoints of servers.
@@ -54,7 +55,9 @@
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
-        self.limits = stated_limits.StatedLimits()
+        self.limits = rate_limits.RateLimits(
+            platform_state.catalogue, stated_limits.StatedLimits()
+        )
         self._withdrawals = server_withdrawals.ServerWithdrawals()
         self.permits = permits.Permits(
             gateway_settings.name,
@@ -91,7 +94,6 @@
             platform_state.catalogue,
             self._passive_health,
             self._prober,
-            member_list,
             self.limits,
             self.permits,
             self._withdrawals,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -12,8 +12,8 @@
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_notices
-from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_requests
@@ -61,7 +61,7 @@
         crash_detector: crash_detection.CrashDetector,
         metrics: gateway_metrics.GatewayMetrics,
         recorder: notice_recorder.NoticeRecorder,
-        limits: stated_limits.StatedLimits,
+        limits: rate_limits.RateLimits,
         health_path: Callable[[ids.ServiceId], str],
     ):
         self._pool = connection_pool
@@ -193,7 +193,7 @@
                 self._passive_health.record_failure(server, now)
         else:
             self._passive_health.record_failure(server, now)
-        limit = self._limits.rate(attempt_request.entry.instance, now)
+        limit = self._limits.stated.rate(attempt_request.entry.instance, now)
         self._metrics.count_attempt(
             attempt_request.entry.service,
             result_label,
--- a/packages/standins/src/hyssopwind/standins/virtual/site_load.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_load.py
@@ -24,6 +24,7 @@
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.routing import tables
@@ -215,13 +216,14 @@
             self._member_list,
             probe_budgets.ProbeBudget(60.0, boot_clock.now()),
         )
-        limits = stated_limits.StatedLimits()
+        limits = rate_limits.RateLimits(
+            self.catalogue, stated_limits.StatedLimits()
+        )
         return picker.Picker(
             self._options,
             self.catalogue,
             self.passive_health,
             load_prober,
-            self._member_list,
             limits,
             permits.Permits(
                 self._options.name,
