Bound the memory and time of answers without end

What callers would see: a server in trouble that sends bytes without end as chunk extensions, trailers, interim heads or a body held the request to its deadline, up to 64 MB for each answer: a few at once exceed the memory of the process, which is then killed. Interim heads and long heads also took the event loop's time. Cause: the size of one body was bounded, but not the bytes of its framing, the interim heads, nor the sum over all answers.

A pool has a budget for the bytes of all incomplete answers beyond their first 64 KB (0.12 of the memory that the platform's settings state), interim heads and the overhead of chunks are bounded, and the end of a head is searched in new bytes only.

--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -34,6 +34,7 @@
         retry_window: seconds over which retries are counted.
         retry_slack: retries allowed in a window beyond the ratio.
         probe_rate: probes of one server per second, over all daemons.
+        memory_bytes: memory above which the process is killed.
     """
 
     name: ids.DaemonId
@@ -57,6 +58,7 @@
     retry_window: float
     retry_slack: float
     probe_rate: float
+    memory_bytes: int
 
     @property
     def change_bound_seconds(self) -> float:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -36,6 +36,9 @@
 
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 DRAIN_CHECK_SECONDS = 0.05
+# Ratio of the memory of the process for answers that are being received. A
+# complete answer is copied twice before it is sent to the caller.
+ANSWERS_MEMORY_RATIO = 0.12
 # Delay of the import of reactivex after the first configuration. The import
 # takes a sixth of the time of a start; callers who waited for the start are
 # served before it.
@@ -71,7 +74,9 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._metrics = gateway_metrics.GatewayMetrics()
         self._platform_state = replicated_state.PlatformState()
-        self._pool = connection_pools.ConnectionPool()
+        self._pool = connection_pools.ConnectionPool(
+            int(ANSWERS_MEMORY_RATIO * initial_settings.memory_bytes)
+        )
         self._member_list = fleet_members.MemberList(
             initial_settings.name,
             initial_settings.ip,
--- a/packages/transport/src/hyssopwind/transport/answers.py
+++ b/packages/transport/src/hyssopwind/transport/answers.py
@@ -9,6 +9,11 @@
 
 MAX_HEAD_BYTES = 65_536  # heads of servers have a few hundred bytes
 MAX_ANSWER_BYTES = 67_108_864  # the most that one daemon may hold
+# Bytes of chunk sizes, extensions and trailers: at least this many, and up to
+# this ratio of the body, as a chunk of one byte takes six.
+MAX_CHUNK_OVERHEAD_BYTES = 65_536
+MAX_CHUNK_OVERHEAD_RATIO = 8
+MAX_INTERIM_ANSWERS = 16  # heads with a status of 100 to 199
 _HEAD_END = b"\r\n\r\n"
 
 
@@ -17,7 +22,7 @@
 
 
 class AnswerTooLargeError(Exception):
-    """The body is larger than `MAX_ANSWER_BYTES`."""
+    """The answer is larger than it may be."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +63,14 @@
         self._head: _Head | None = None
         # The end of the chunks that the parser has got.
         self._last_bytes = b""
+        self._searched_bytes = 0
+        self._interim_count = 0
+        self._chunked_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that the reader holds."""
+        return len(self.remaining) + len(self._body)
 
     def feed(self, data: bytes) -> None:
         """Parses further bytes of the stream.
@@ -70,6 +83,8 @@
         while self._head is None:
             if not self._read_head():
                 return
+            if self._interim_count > MAX_INTERIM_ANSWERS:
+                raise BadAnswerError("too many interim answers")
         if self.answer is None:
             self._read_body(self._head)
 
@@ -88,17 +103,23 @@
         self._finish(head, may_reuse=False)
 
     def _read_head(self) -> bool:
-        end = self.remaining.find(_HEAD_END)
+        # The end of the head may have begun in the bytes searched before.
+        start = max(0, self._searched_bytes - len(_HEAD_END) + 1)
+        end = self.remaining.find(_HEAD_END, start)
         if end < 0:
             if len(self.remaining) > MAX_HEAD_BYTES:
                 raise BadAnswerError("the head is too long")
+            self._searched_bytes = len(self.remaining)
             return False
+        self._searched_bytes = 0
         head = _Head(self._method)
         head.feed(bytes(self.remaining[: end + len(_HEAD_END)]))
         del self.remaining[: end + len(_HEAD_END)]
         if not head.is_complete:
             raise BadAnswerError("the head is not complete")
-        if not 100 <= head.status < 200:
+        if 100 <= head.status < 200:
+            self._interim_count += 1
+        else:
             self._head = head
         return True
 
@@ -122,11 +143,17 @@
         while self.remaining and not head.is_body_complete:
             piece = bytes(self.remaining[: self._possible_end()])
             del self.remaining[: len(piece)]
+            self._chunked_bytes += len(piece)
             self._last_bytes = (self._last_bytes + piece)[-len(_HEAD_END) :]
             head.feed(piece)
         self._body = head.body
         if len(self._body) > MAX_ANSWER_BYTES:
             raise AnswerTooLargeError
+        overhead = self._chunked_bytes - len(self._body)
+        if overhead > MAX_CHUNK_OVERHEAD_BYTES + (
+            MAX_CHUNK_OVERHEAD_RATIO * len(self._body)
+        ):
+            raise BadAnswerError("the chunks have too much overhead")
         if head.is_body_complete:
             self._finish(head, may_reuse=head.may_reuse)
 
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -13,7 +13,11 @@
 
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.transport import answers
+from hyssopwind.transport import byte_budgets
 
+# Bytes of each answer that the budget does not count, so that small answers
+# are read while large ones take up all of it.
+SMALL_ANSWER_BYTES = 65_536
 MAX_SKIPPED_ANSWERS = 4  # late or extra answers on one connection
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
@@ -40,8 +44,14 @@
 class ClientConnection(asyncio.Protocol):
     """Sends requests and reads whole answers."""
 
-    def __init__(self, address: str):
+    def __init__(
+        self, address: str, byte_budget: byte_budgets.ByteBudget | None = None
+    ):
         self.address = address
+        self._byte_budget = byte_budget or byte_budgets.ByteBudget(
+            answers.MAX_ANSWER_BYTES
+        )
+        self._held_bytes = 0
         self.keep_alive_seconds: float | None = None
         self._loop = asyncio.get_running_loop()
         self._last_used_at = self._loop.time()
@@ -101,6 +111,7 @@
             raise
         finally:
             self._pending = None
+            self._account_bytes(0)
             self._last_used_at = self._loop.time()
 
     def abort(self) -> None:
@@ -123,6 +134,7 @@
             return
         try:
             self._reader.feed(data)
+            self._account_bytes(self._reader.held_bytes)
             self._process_answers()
         except answers.BadAnswerError as error:
             self._fail(attempt_results.FailureKind.GARBLED, str(error))
@@ -143,6 +155,20 @@
         """Fails the pending request, if there is one."""
         self._fail(attempt_results.FailureKind.BROKEN, repr(exc))
 
+    def _account_bytes(self, held_bytes: int) -> None:
+        """Acquires or releases the bytes that the answer takes up.
+
+        Raises:
+            AnswerTooLargeError: there is no room for the bytes.
+        """
+        held_bytes = max(0, held_bytes - SMALL_ANSWER_BYTES)
+        added_bytes = held_bytes - self._held_bytes
+        if added_bytes > 0 and not self._byte_budget.try_acquire(added_bytes):
+            raise answers.AnswerTooLargeError
+        if added_bytes < 0:
+            self._byte_budget.release(-added_bytes)
+        self._held_bytes = held_bytes
+
     def _process_answers(self) -> None:
         """Delivers the expected answer and skips late or extra ones."""
         while self._reader is not None and self._pending is not None:
@@ -175,6 +201,7 @@
 
     def _fail(self, kind: attempt_results.FailureKind, detail: str) -> None:
         pending, self._pending = self._pending, None
+        self._reader = None
         if pending is not None and not pending.future.done():
             pending.future.set_exception(ExchangeError(kind, detail))
         self.abort()
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -5,6 +5,7 @@
 
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.transport import answers
+from hyssopwind.transport import byte_budgets
 from hyssopwind.transport import connection
 
 CONNECT_TIMEOUT_SECONDS = 0.4  # far above the longest round trip
@@ -15,10 +16,16 @@
 
 
 class ConnectionPool:
-    """The connections of one daemon, by address."""
+    """The connections of one daemon, by address.
 
-    def __init__(self) -> None:
+    Args:
+        max_held_bytes: bytes of all answers that may be in memory before they
+            are complete; an answer that does not fit fails.
+    """
+
+    def __init__(self, max_held_bytes: int = answers.MAX_ANSWER_BYTES) -> None:
         self._loop = asyncio.get_running_loop()
+        self._byte_budget = byte_budgets.ByteBudget(max_held_bytes)
         self._idle: dict[str, list[connection.ClientConnection]] = {}
         self._opened_count = 0
 
@@ -121,7 +128,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 transport, opened = await self._loop.create_connection(
-                    lambda: connection.ClientConnection(address),
+                    lambda: connection.ClientConnection(
+                        address, self._byte_budget
+                    ),
                     host,
                     int(port),
                 )
