Take no answer without the request's id for an answer to it

What callers could see: work that had run was run again. A server refuses a probe like any other request, with `Not-Executed` and, as a probe has no id, without one. Probes and requests share connections; such an answer, come late or twice, was taken for the proof that the next request on the connection had not run, and a non-idempotent request was sent again.

The stand-in echoes the id in 421 as well, and the scripted refusals of two tests have it; their outcomes are checked as before. Test: test_late_refusal_of_a_probe_proves_nothing, which failed before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -117,8 +117,9 @@
         )
 
         def is_own_answer(answer: answers.Answer) -> bool:
-            echoed = answer.fields.get(field_names.REQUEST_ID, "")
-            return echoed in ("", request_id)
+            # A late answer to a probe has no id. It must not be taken for a
+            # statement that the server did not run this request.
+            return answer.fields.get(field_names.REQUEST_ID, "") == request_id
 
         try:
             async with asyncio.timeout(
--- a/packages/standins/src/hyssopwind/standins/site/server.py
+++ b/packages/standins/src/hyssopwind/standins/site/server.py
@@ -144,13 +144,17 @@
             writer.write(self._make_health_answer())
             return True
         self.received_requests.append(head + body)
+        request_id = header_fields.get(field_names.REQUEST_ID.lower(), "")
         expected_server = header_fields.get(
             field_names.EXPECTED_SERVER.lower(), ""
         )
         if expected_server not in ("", self.options.server_id):
-            writer.write(_encode_answer(421, b"", {}))
+            fields = {
+                field_names.REQUEST_ID: request_id,
+                field_names.SERVER_ID: self.options.server_id,
+            }
+            writer.write(_encode_answer(421, b"", fields))
             return True
-        request_id = header_fields.get(field_names.REQUEST_ID.lower(), "")
         self.arrivals.append((time.monotonic(), request_id))
         self.executions[request_id] += 1
         self.execution_times.append(time.monotonic())
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -200,7 +200,10 @@
         self.assertEqual(self.count_executions(), 1)
 
     async def test_refusal_after_a_broken_answer_has_outcome_unknown(self):
-        shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        shed = (
+            b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
         script = collections.deque([b"", shed])
         for stand_in in self.servers:
             stand_in.options.scripted_answers = script
@@ -209,7 +212,10 @@
         self.assertEqual(json.loads(body)["outcome"], "unknown")
 
     async def test_refusal_by_all_servers_has_outcome_not_run(self):
-        shed = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        shed = (
+            b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
         for stand_in in self.servers:
             stand_in.options.scripted_answers.extend([shed] * 2)
         status, _, body = await self.call("/unsafe/a", "POST", b"x")
@@ -222,6 +228,20 @@
             status, _, _ = await self.call("/safe/a")
             self.assertEqual(status, 200)
 
+    # A refused probe is answered without an id. Its answer, come late, was
+    # taken for the proof that a request had not run, which then ran twice.
+    async def test_late_refusal_of_a_probe_proves_nothing(self):
+        late = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        own = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+            b"Content-Length: 3\r\n\r\nown"
+        )
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(late + own)
+        status, _, body = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual((status, body), (200, b"own"))
+        self.assertEqual(self.count_executions(), 1)
+
     async def test_answer_of_another_request_is_never_delivered(self):
         stray = (
             b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n"
