Hear the crash notices of daemons that have restarted

What callers could see: a request that crashes servers goes on crashing them after a restart of the daemon that notices it. Peers remember the numbers of a sender's notices to ignore repeated ones, and a restarted daemon counted from one again, so its notices were ignored. Found by looking for the cause of permits that were granted by replies to an earlier start of a daemon. Numbers start at random now. An unexpected error in the handling of one message is logged.

Test: test_crash_notice_after_a_restart_reaches_every_daemon, which failed with numbers that start at the same value.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -115,6 +115,7 @@
             self._crash_detector.handle_notice,
             self._request_path.permits.handle,
             self._request_path.handle_leaving_notice,
+            self._random,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready, self._gossip.changes_after, self._metrics.render
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import random
 import typing
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -50,6 +51,7 @@
 NOTICE_SEND_DELAYS_SECONDS = (0.0, 0.2, 0.8)
 # Notices that are remembered, so that a repeated one is handled once.
 MAX_REMEMBERED_NOTICES = 1_000
+NOTICE_NUMBER_BITS = 48
 
 _log = logbook.Logger("fleet")
 
@@ -67,6 +69,7 @@
         on_crash_notice: Callable[[ids.Fingerprint, int], None],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
         on_leaving_notice: Callable[[ids.InstanceId], None],
+        random_source: random.Random,
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -92,7 +95,9 @@
         self._handled_notices: collections.OrderedDict[
             tuple[str, int], None
         ] = collections.OrderedDict()
-        self._notice_count = 0
+        # Starts at random, since peers remember the numbers that this daemon
+        # used before a restart.
+        self._notice_number = random_source.getrandbits(NOTICE_NUMBER_BITS)
 
     async def start(self) -> None:
         """Opens the UDP socket."""
@@ -131,12 +136,12 @@
         self, fingerprint: ids.Fingerprint, crash_count: int
     ) -> None:
         """Announces to all peers that servers crashed on a request."""
-        self._notice_count += 1
+        self._notice_number += 1
         notice = gossip_messages.CrashNotice(
             self._initial_settings.name,
             fingerprint,
             crash_count,
-            self._notice_count,
+            self._notice_number,
         )
         self._send_repeatedly(notice)
 
@@ -173,6 +178,18 @@
                 "undecodable datagram ignored", extra={"error": str(error)}
             )
             return
+        try:
+            self._handle_message(message)
+        except Exception as error:  # One message must not end the process.
+            _log.error(
+                "message could not be handled",
+                extra={
+                    "message_type": type(message).__name__,
+                    "error": repr(error),
+                },
+            )
+
+    def _handle_message(self, message: gossip_messages.Datagram) -> None:
         if isinstance(message, gossip_messages.Heartbeat):
             self._handle_heartbeat(message)
         elif isinstance(message, gossip_messages.MemberListPage):
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_fleet.py
@@ -56,6 +56,30 @@
             1 + len(d.member_list.local_peers()) for d in fleet.daemons.values()
         }
 
+    # Peers remembered the numbers of notices by the name of the sender, and a
+    # daemon that restarted counted from one again.
+    def test_crash_notice_after_a_restart_reaches_every_daemon(self):
+        async def main():
+            fleet = self.start_fleet()
+            await asyncio.sleep(5.0)
+            sender = fleet.daemons["10.0.0.1"]
+            sender.gossip.announce_crash(ids.Fingerprint("first"), 1)
+            await asyncio.sleep(2.0)
+            fleet.kill("10.0.0.1")
+            fleet.start("10.0.0.1")
+            await asyncio.sleep(5.0)
+            sender = fleet.daemons["10.0.0.1"]
+            sender.gossip.announce_crash(ids.Fingerprint("second"), 1)
+            await asyncio.sleep(2.0)
+            return [
+                ("second", 1) in daemon.crash_notices
+                for daemon in fleet.daemons.values()
+                if daemon is not sender
+            ]
+
+        heard = site_fleet_case.run_in_virtual_time(main)
+        self.assertEqual(heard, [True] * 14)
+
     def test_crash_notice_reaches_every_daemon_once(self):
         async def main():
             fleet = self.start_fleet()
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -145,6 +145,7 @@
             daemon.handle_crash_notice,
             daemon.handle_permit_message,
             daemon.handle_leaving_notice,
+            random.Random(fleet.random_source.random()),
         )
         self._virtual_fleet = fleet
         self._daemon = daemon
