Survive malformed messages and failures of background tasks

What callers could see: one message or error stopped a whole daemon. Any exception in a background task (messages, store, reload, housekeeping) started a planned stop of the process; a member list that names something else than an IP address made each send to it resolve a host name, or fail. Background tasks are started again half a second after a failure, with a log line, and members without a valid address are ignored.

--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import ipaddress
 from collections.abc import Iterable
 
 import xxhash
@@ -92,7 +93,7 @@
     ) -> bool:
         """Handles a heartbeat; returns whether its sender is new."""
         name = ids.DaemonId(heartbeat.name)
-        if name == self._own.name:
+        if name == self._own.name or not _is_ip_address(heartbeat.ip):
             return False
         is_new = name not in self._peers
         peer = self._put_peer(name, heartbeat.ip, heartbeat.data_centre, now)
@@ -116,7 +117,7 @@
         found_new = False
         for member in page.members:
             name = ids.DaemonId(member.name)
-            if name == self._own.name:
+            if name == self._own.name or not _is_ip_address(member.ip):
                 continue
             last_alive_at = now - member.age_ms / 1000
             if now - last_alive_at > self._expiry_seconds(member.data_centre):
@@ -295,6 +296,15 @@
         return REMOTE_EXPIRY_SECONDS
 
 
+def _is_ip_address(text: str) -> bool:
+    """Whether a message names an address, to which messages may be sent."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _make_member(
     peer: Peer, last_alive_at: float, now: float
 ) -> gossip_messages.Member:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import socket
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
@@ -36,6 +37,7 @@
 
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 DRAIN_CHECK_SECONDS = 0.05
+TASK_RESTART_SECONDS = 0.5  # after the failure of a background task
 # Ratio of the memory of the process for answers that are being received. A
 # complete answer is copied twice before it is sent to the caller.
 ANSWERS_MEMORY_RATIO = 0.12
@@ -139,11 +141,14 @@
         server = await self._listen()
         await self._gossip.start()
         self._start_task(self._announce_changes())
-        self._start_task(self._gossip.run())
-        self._start_task(self._request_path.permits.run())
-        self._start_task(self._store_reader.run())
-        self._start_task(self._reloader.run())
-        self._start_task(self._run_housekeeping())
+        for name, run in (
+            ("gossip", self._gossip.run),
+            ("permits", self._request_path.permits.run),
+            ("store reader", self._store_reader.run),
+            ("reloader", self._reloader.run),
+            ("housekeeping", self._run_housekeeping),
+        ):
+            self._start_task(self._supervise(name, run))
         _log.info(
             "started",
             extra={
@@ -389,6 +394,21 @@
             ready=lambda: float(self._is_ready()),
         )
 
+    async def _supervise(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Runs a background task, and again each time it fails."""
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:  # Requests do not need each task.
+                _log.error(
+                    "background task failed; starting it again",
+                    extra={"task": name, "error": repr(error)},
+                )
+            await asyncio.sleep(TASK_RESTART_SECONDS)
+
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
