Tell the owner of permits of each later refusal that states a limit

A limit that only refusals state holds for ten seconds after the last of them.

Results of permit requests are counted in the metrics.

--- a/packages/core/src/hyssopwind/core/limits/stated_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/stated_limits.py
@@ -37,6 +37,11 @@
     kinds: frozenset[server_notices.AnswerKind]
     omitted_at: float = float("-inf")
 
+    @property
+    def _is_of_refusals(self) -> bool:
+        """Whether only refusals have stated the limit."""
+        return self.kinds == frozenset({server_notices.AnswerKind.REFUSAL})
+
     def is_in_force(self, now: float) -> bool:
         """Whether the limit holds.
 
@@ -47,13 +52,23 @@
         """
         if self.omitted_at <= self.stated_at:
             return True
-        only_refusals = frozenset({server_notices.AnswerKind.REFUSAL})
-        is_stated_by_refusals = self.kinds == only_refusals
         hold_seconds = (
-            REFUSAL_HOLD_SECONDS if is_stated_by_refusals else HOLD_SECONDS
+            REFUSAL_HOLD_SECONDS if self._is_of_refusals else HOLD_SECONDS
         )
         return now < self.stated_at + hold_seconds
 
+    def adds_to(self, known: "LimitRecord", now: float) -> bool:
+        """Whether a daemon with another record should hear of this one."""
+        if self.is_in_force(now) != known.is_in_force(now):
+            return True
+        if self.requests_per_second != known.requests_per_second:
+            return True
+        # The time of the last refusal decides when the limit ends.
+        return (
+            self._is_of_refusals
+            and self.stated_at > known.stated_at + HOLD_SECONDS
+        )
+
     def may_end_with(self, kind: server_notices.AnswerKind) -> bool:
         """Whether an answer of a kind should state the limit while it holds."""
         if kind in self.kinds:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -386,6 +386,7 @@
             limited_servers=lambda: len(
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
+            permit_counts=lambda: self._request_path.permits.result_counts,
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
             checks=lambda: self._request_path.probe_client.probe_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -9,6 +9,7 @@
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Any
 
 from hyssopwind.core.stopping import deliveries
@@ -40,6 +41,7 @@
         version: version of the configuration in force.
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
+        permit_counts: requests for permits by result.
         daemons: daemons that were live recently, this one included.
         connections: connections opened to servers.
         checks: probes sent to servers.
@@ -53,6 +55,7 @@
     version: Callable[[], float]
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
+    permit_counts: Callable[[], Mapping[str, int]]
     daemons: Callable[[], float]
     connections: Callable[[], float]
     checks: Callable[[], float]
@@ -165,6 +168,15 @@
         for service, count in self._limited_attempts.items():
             limited.add_metric([service], count)
         yield limited
+        permits = metrics_core.CounterMetricFamily(
+            "hyssopwind_permits",
+            "Requests for permits to send to servers with limits",
+            labels=["result"],
+        )
+        permit_counts = self._sources.permit_counts() if self._sources else {}
+        for result, count in permit_counts.items():
+            permits.add_metric([result], count)
+        yield permits
         undelivered = metrics_core.CounterMetricFamily(
             "hyssopwind_undelivered_answers",
             "Answers that callers did not get whole",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -21,6 +21,7 @@
 from hyssopwind.core.limits import permit_issuer
 from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import share_lending
+from hyssopwind.core.limits import stated_limits
 from hyssopwind.transport import boot_clock
 
 ROUND_SECONDS = 0.5
@@ -73,7 +74,9 @@
         self._rankings: dict[ids.ServiceId, tuple[int, list[ids.DaemonId]]] = {}
         self._owners: dict[ids.ServiceId, ids.DaemonId | None] = {}
         # What the owner of a service's permits knows, by its last notice.
-        self._known_to_owner: dict[ids.InstanceId, float | None] = {}
+        self._known_to_owner: dict[
+            ids.InstanceId, stated_limits.LimitRecord
+        ] = {}
         self._announced_at: dict[ids.ServiceId, float] = {}
         # Starts at random, since owners remember the numbers that this daemon
         # used before a restart.
@@ -226,8 +229,11 @@
         unknown = []
         for statement in self._statements(service, now):
             instance = ids.InstanceId(statement.instance)
-            rate = self._limits.stated.rate(instance, now)
-            if self._known_to_owner.get(instance) != rate:
+            record = self._limits.stated.find(instance)
+            known = self._known_to_owner.get(instance)
+            if record is not None and (
+                known is None or record.adds_to(known, now)
+            ):
                 unknown.append(statement)
         loan = gossip_messages.ShareLoan(
             self._own_name, service, is_lent, unknown[:STATEMENTS_PER_DATAGRAM]
@@ -458,10 +464,7 @@
             if read is None:
                 continue
             instance, record = read
-            rate = None
-            if record.is_in_force(now):
-                rate = record.requests_per_second
-            self._known_to_owner[instance] = rate
+            self._known_to_owner[instance] = record
 
 
 def _make_denial(
--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import pathlib
 import tempfile
 import unittest
@@ -32,7 +33,11 @@
 # a second takes several to simulate.
 LARGE_SCENARIOS = {"whole service": 14.0, "under one a second": 26.0}
 
+# Scenario and number of daemons of each run with real processes.
+PROCESS_RUNS = (("faults", 6), ("whole service", 15), ("one busy daemon", 6))
 
+
+@functools.cache
 def run_scenario(
     name,
     size=limited_fleet.SMALL,
@@ -159,25 +164,32 @@
         directory = tempfile.TemporaryDirectory()
         cls.addClassCleanup(directory.cleanup)
         cls.directory = pathlib.Path(directory.name)
-        asyncio.run(stop_rig.build(cls.directory / "build"))
+        cls.evidence = asyncio.run(cls.run_all())
+
+    @classmethod
+    async def run_all(cls):
+        await stop_rig.build(cls.directory / "build")
+        results = await asyncio.gather(
+            *(cls.run_one(name, count) for name, count in PROCESS_RUNS)
+        )
+        return dict(zip(PROCESS_RUNS, results, strict=True))
 
-    def run_processes(self, name, count):
-        logs = self.directory / f"{count}-{name}"
+    @classmethod
+    async def run_one(cls, name, count):
+        logs = cls.directory / f"{count}-{name}"
         logs.mkdir()
         scenario = scenarios.PROCESS_SCENARIOS.find(name)()
-        return asyncio.run(
-            rig.run(scenario, count, 1, self.directory / "build", logs)
-        )
+        return await rig.run(scenario, count, 1, cls.directory / "build", logs)
 
     def test_limits_hold_while_six_daemons_are_killed_and_frozen(self):
-        self.check_limits(self.run_processes("faults", 6))
+        self.check_limits(self.evidence["faults", 6])
 
     def test_limits_of_a_whole_service_hold_and_are_used_by_fifteen(self):
-        evidence = self.run_processes("whole service", 15)
+        evidence = self.evidence["whole service", 15]
         self.check_limits(evidence)
         self.check_use(evidence)
 
     def test_limits_hold_and_are_used_by_one_busy_daemon_of_six(self):
-        evidence = self.run_processes("one busy daemon", 6)
+        evidence = self.evidence["one busy daemon", 6]
         self.check_limits(evidence)
         self.check_use(evidence)
