Keep the messages about permits small

With all 46 servers of a service limited, the owner of its permits sent up to 520 KB/s in a fleet of 102 daemons, near the 625 KB/s of the narrowest links: each loan was answered with all limits, and each denial listed the waits of 48 servers. Loans and notices carry a digest of the limits that their sender knows, and limits are stated only where digests differ; a denial gives the wait of the servers asked for and that of the whole service, and a daemon asks for eight servers at a time.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -132,13 +132,6 @@
         """Returns all listed servers."""
         return self._servers.values()
 
-    def find_instance(self, instance: ids.InstanceId) -> ListedServer | None:
-        """Returns a listed server by its start; `None` if it is not listed."""
-        listed_server = self._servers.get(ids.server_of(instance))
-        if listed_server is None or listed_server.entry.instance != instance:
-            return None
-        return listed_server
-
     def service_settings(
         self, service: ids.ServiceId
     ) -> tables.ServiceConfiguration | None:
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -110,12 +110,14 @@
         statements: what it knows of the limits of the service's servers.
         returns_loans: whether it will issue no more permits, so that the
             shares that it holds may be lent again.
+        digest: digest of all limits of the service that the daemon knows.
     """
 
     sender: str
     service: str
     statements: list[LimitStatement]
     returns_loans: bool = False
+    digest: int = 0
 
 
 class ShareLoan(msgspec.Struct, array_like=True, tag="l", frozen=True):
@@ -126,12 +128,15 @@
         service: the service whose limits are shared.
         is_lent: whether the share is lent; otherwise only a notice is wanted.
         statements: what it knows of the limits beyond the owner's last notice.
+        digest: digest of all limits of the service that the daemon knows; an
+            owner that knows the same need not state them.
     """
 
     sender: str
     service: str
     is_lent: bool
     statements: list[LimitStatement]
+    digest: int = 0
 
 
 class PermitRequest(msgspec.Struct, array_like=True, tag="p", frozen=True):
@@ -162,8 +167,9 @@
         request_number: number of the request.
         instance: the server that may be sent to; empty if none may.
         delay_ms: time after which the request may be sent.
-        wait_ms: time until the next permit of each candidate, and of other
-            servers of the service that have none now.
+        wait_ms: time until the next permit of each candidate.
+        service_wait_ms: time until the next permit of any server of the
+            service that has a limit.
         return_after_ms: time after which the caller may come back.
     """
 
@@ -172,6 +178,7 @@
     instance: str
     delay_ms: int
     wait_ms: dict[str, int]
+    service_wait_ms: int
     return_after_ms: int
 
 
--- a/packages/core/src/hyssopwind/core/ids.py
+++ b/packages/core/src/hyssopwind/core/ids.py
@@ -40,16 +40,6 @@
     return InstanceId(f"{server}@{started_at_ms}")
 
 
-def server_of(instance: InstanceId) -> ServerId:
-    """Returns the server of a start.
-
-    Examples:
-        >>> server_of(InstanceId("i-1@1700000000000"))
-        'i-1'
-    """
-    return ServerId(instance.rpartition("@")[0])
-
-
 def pool_id(service: ServiceId, data_centre: DataCentreId) -> PoolId:
     """Returns the identifier of a pool.
 
--- a/packages/core/src/hyssopwind/core/limits/permit_issuer.py
+++ b/packages/core/src/hyssopwind/core/limits/permit_issuer.py
@@ -22,7 +22,6 @@
 # Longest time that a refused caller is told to wait; by then a limit has
 # often changed.
 MAX_RETURN_SECONDS = 10.0
-MAX_STATED_WAITS = 48  # servers in one denial, so that it fits a datagram
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,14 +72,16 @@
     """No permit is available in time.
 
     Attributes:
-        wait_seconds: seconds until the next permit of each candidate, and of
-            other servers of the service that have none now.
+        wait_seconds: seconds until the next permit of each candidate.
+        service_wait_seconds: seconds until the next permit of any server of
+            the service that has a limit.
         return_after_seconds: seconds after which the caller may come back.
             Callers get different times, as many in each second as there are
             permits.
     """
 
     wait_seconds: Mapping[ids.InstanceId, float]
+    service_wait_seconds: float
     return_after_seconds: float
 
 
@@ -115,38 +116,49 @@
         return sum(lent_until > now for lent_until in loans.values())
 
     def issue(
-        self, demand: PermitDemand, share_ratio: float, now: float
+        self,
+        demand: PermitDemand,
+        limited: Sequence[Candidate],
+        share_ratio: float,
+        now: float,
     ) -> PermitResult:
         """Issues a permit for the candidate whose next permit is first.
 
         Args:
             demand: what is needed.
+            limited: all servers of the service with limits, as this daemon
+                knows them; of two limits of a server, the lower one holds.
             share_ratio: ratio of the limits that this daemon holds.
             now: monotonic time in seconds.
         """
-        schedules = self._schedules.setdefault(demand.service, {})
-        waits: dict[ids.InstanceId, float] = {}
-        total_rate = 0.0
+        rates = {each.instance: each.requests_per_second for each in limited}
         for candidate in demand.candidates:
-            rate = candidate.requests_per_second * share_ratio
-            schedule = schedules.get(candidate.instance)
+            rate = rates.get(candidate.instance, float("inf"))
+            rates[candidate.instance] = min(rate, candidate.requests_per_second)
+        schedules = self._schedules.setdefault(demand.service, {})
+        waits = {}
+        for instance, rate in rates.items():
+            schedule = schedules.get(instance)
             if schedule is None:
-                schedule = permit_schedules.PermitSchedule(rate, now)
-                schedules[candidate.instance] = schedule
-            schedule.set_rate(rate, now)
-            waits[candidate.instance] = schedule.wait_seconds(now)
-            total_rate += rate
-        shortest = min(waits.values(), default=float("inf"))
+                schedule = permit_schedules.PermitSchedule(0.0, now)
+                schedules[instance] = schedule
+            schedule.set_rate(rate * share_ratio, now)
+            waits[instance] = schedule.wait_seconds(now)
+        candidate_waits = {
+            each.instance: waits[each.instance] for each in demand.candidates
+        }
+        shortest = min(candidate_waits.values(), default=float("inf"))
         if shortest <= demand.max_wait_seconds:
-            best = min(waits, key=lambda instance: waits[instance])
+            best = min(candidate_waits, key=lambda each: candidate_waits[each])
             schedules[best].reserve(now)
             return Grant(best, shortest)
-        return_after = self._plan_return(demand, shortest, total_rate, now)
-        for instance, schedule in schedules.items():
-            wait_seconds = schedule.wait_seconds(now)
-            if wait_seconds > 0.0 and len(waits) < MAX_STATED_WAITS:
-                waits.setdefault(instance, wait_seconds)
-        return Denial(waits, return_after)
+        service_wait = min(waits.values(), default=float("inf"))
+        total_rate = share_ratio * sum(rates.values())
+        return Denial(
+            candidate_waits,
+            service_wait,
+            self._plan_return(demand, service_wait, total_rate, now),
+        )
 
     def retain(self, instances: set[ids.InstanceId], now: float) -> None:
         """Drops the schedules of other servers and loans that have ended."""
--- a/packages/core/src/hyssopwind/core/limits/rate_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/rate_limits.py
@@ -10,6 +10,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import registry
 from hyssopwind.core.discovery import catalogue
+from hyssopwind.core.limits import permit_issuer
 from hyssopwind.core.limits import stated_limits
 
 # Limit of cold servers of a service whose configuration is unknown.
@@ -51,6 +52,18 @@
             if self.rate(listed_server, now) is not None
         }
 
+    def limited_servers(
+        self, service: ids.ServiceId, now: float
+    ) -> list[permit_issuer.Candidate]:
+        """Returns the servers of a service that have limits."""
+        found = []
+        for listed_server in self._catalogue.usable_servers(service, now):
+            rate = self.rate(listed_server, now)
+            if rate is not None:
+                instance = listed_server.entry.instance
+                found.append(permit_issuer.Candidate(instance, rate))
+        return found
+
     def record_warmup(
         self, instance: ids.InstanceId, seconds: float, now: float
     ) -> bool:
--- a/packages/core/src/hyssopwind/core/limits/stated_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/stated_limits.py
@@ -7,6 +7,9 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
+
+import xxhash
 
 from hyssopwind.core import ids
 from hyssopwind.core.limits import server_notices
@@ -38,7 +41,7 @@
     omitted_at: float = float("-inf")
 
     @property
-    def _is_of_refusals(self) -> bool:
+    def is_of_refusals(self) -> bool:
         """Whether only refusals have stated the limit."""
         return self.kinds == frozenset({server_notices.AnswerKind.REFUSAL})
 
@@ -53,7 +56,7 @@
         if self.omitted_at <= self.stated_at:
             return True
         hold_seconds = (
-            REFUSAL_HOLD_SECONDS if self._is_of_refusals else HOLD_SECONDS
+            REFUSAL_HOLD_SECONDS if self.is_of_refusals else HOLD_SECONDS
         )
         return now < self.stated_at + hold_seconds
 
@@ -65,7 +68,7 @@
             return True
         # The time of the last refusal decides when the limit ends.
         return (
-            self._is_of_refusals
+            self.is_of_refusals
             and self.stated_at > known.stated_at + HOLD_SECONDS
         )
 
@@ -153,6 +156,23 @@
             if record.is_in_force(now)
         ]
 
+    def digest(self, instances: Iterable[ids.InstanceId], now: float) -> int:
+        """Returns a digest of the limits that hold.
+
+        A limit of refusals enters it with the time of the last one, to the
+        second, as that decides when it ends.
+        """
+        lines = []
+        for instance in instances:
+            record = self._records.get(instance)
+            if record is None or not record.is_in_force(now):
+                continue
+            lines.append(f"{instance}\0{record.requests_per_second}")
+            if record.is_of_refusals:
+                age_seconds = int((now - record.stated_at) / HOLD_SECONDS)
+                lines.append(f"{instance}\0{age_seconds}")
+        return xxhash.xxh3_64_intdigest("\n".join(sorted(lines)).encode())
+
     def record_answer(
         self,
         instance: ids.InstanceId,
--- a/packages/core/src/hyssopwind/core/limits/tests/test_permits.py
+++ b/packages/core/src/hyssopwind/core/limits/tests/test_permits.py
@@ -34,7 +34,7 @@
             SERVICE, [permit_issuer.Candidate(SERVER, rate)], 0.0, 0.0
         )
         share_ratio = min(1.0, shares / self.fleet_size)
-        return self.issuer.issue(demand, share_ratio, now)
+        return self.issuer.issue(demand, [], share_ratio, now)
 
 
 class Fleet:
@@ -166,7 +166,7 @@
             for n in range(4)
         ]
         demand = permit_issuer.PermitDemand(SERVICE, candidates, 0.0, remaining)
-        result = issuer.issue(demand, 1.0, now)
+        result = issuer.issue(demand, [], 1.0, now)
         self.assertIsInstance(result, permit_issuer.Denial)
         return result.return_after_seconds
 
@@ -187,5 +187,5 @@
         demand = permit_issuer.PermitDemand(
             SERVICE, [permit_issuer.Candidate(SERVER, 0.0)], 0.0, 10.0
         )
-        result = issuer.issue(demand, 1.0, 0.0)
+        result = issuer.issue(demand, [], 1.0, 0.0)
         self.assertTrue(math.isfinite(result.return_after_seconds))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -38,7 +38,7 @@
 UNANSWERED_WAIT_SECONDS = 0.25
 STATEMENTS_PER_DATAGRAM = 20
 MAX_REMEMBERED_REPLIES = 1_000
-MAX_CANDIDATES = 32
+MAX_CANDIDATES = 8
 REQUEST_NUMBER_BITS = 48
 _MAX_WAIT_MS = 60_000
 
@@ -236,18 +236,38 @@
             ):
                 unknown.append(statement)
         loan = gossip_messages.ShareLoan(
-            self._own_name, service, is_lent, unknown[:STATEMENTS_PER_DATAGRAM]
+            self._own_name,
+            service,
+            is_lent,
+            unknown[:STATEMENTS_PER_DATAGRAM],
+            self._digest(service, now),
         )
         self._send_message(loan, peer.ip)
 
+    def _digest(self, service: ids.ServiceId, now: float) -> int:
+        """Returns a digest of the limits of a service that servers stated."""
+        return self._limits.stated.digest(
+            self._catalogue.instances_of(service), now
+        )
+
     def _send_notice(
-        self, service: ids.ServiceId, peer: fleet_members.Peer, now: float
+        self,
+        service: ids.ServiceId,
+        peer: fleet_members.Peer,
+        now: float,
+        peer_digest: int | None = None,
     ) -> None:
+        """Sends the limits of a service to a peer that may not know them."""
+        digest = self._digest(service, now)
         statements = self._statements(service, now)
+        if digest == peer_digest:
+            statements = []
         starts = range(0, max(1, len(statements)), STATEMENTS_PER_DATAGRAM)
         for start in starts:
             page = statements[start : start + STATEMENTS_PER_DATAGRAM]
-            notice = gossip_messages.LimitNotice(self._own_name, service, page)
+            notice = gossip_messages.LimitNotice(
+                self._own_name, service, page, False, digest
+            )
             self._send_message(notice, peer.ip)
 
     def _statements(
@@ -307,7 +327,8 @@
         if self._plan(demand.service, now).owner == self._own_name:
             share_count += 1
         share_ratio = min(1.0, share_count / self._member_list.fleet_size())
-        return self._issuer.issue(demand, share_ratio, now)
+        limited = self._limits.limited_servers(demand.service, now)
+        return self._issuer.issue(demand, limited, share_ratio, now)
 
     async def _request(
         self, demand: permit_issuer.PermitDemand, peer: fleet_members.Peer
@@ -369,6 +390,7 @@
                     ids.InstanceId(instance): max(0, wait_ms) / 1000
                     for instance, wait_ms in reply.wait_ms.items()
                 },
+                max(0, reply.service_wait_ms) / 1000,
                 max(0, reply.return_after_ms) / 1000,
             )
         )
@@ -396,13 +418,8 @@
         candidates = []
         for name, stated_rate in request.candidates[:MAX_CANDIDATES]:
             instance = ids.InstanceId(name)
-            rate = stated_rate
-            if not math.isfinite(rate) or rate < 0.0:
-                rate = 0.0
-            listed_server = self._catalogue.find_instance(instance)
-            if listed_server is not None:
-                own_rate = self._limits.rate(listed_server, now)
-                rate = rate if own_rate is None else min(rate, own_rate)
+            is_valid = math.isfinite(stated_rate) and stated_rate >= 0.0
+            rate = stated_rate if is_valid else 0.0
             candidates.append(permit_issuer.Candidate(instance, rate))
         demand = permit_issuer.PermitDemand(
             ids.ServiceId(request.service),
@@ -419,6 +436,7 @@
                 math.ceil(result.delay_seconds * 1000),
                 {},
                 0,
+                0,
             )
         return gossip_messages.PermitReply(
             self._own_name,
@@ -429,6 +447,7 @@
                 instance: _wait_ms(seconds)
                 for instance, seconds in result.wait_seconds.items()
             },
+            _wait_ms(result.service_wait_seconds),
             _wait_ms(result.return_after_seconds),
         )
 
@@ -443,7 +462,7 @@
         if self._may_issue(now):
             if loan.is_lent:
                 self._issuer.record_loan(service, peer.name, now)
-            self._send_notice(service, peer, now)
+            self._send_notice(service, peer, now, loan.digest)
         if has_changed:
             self.announce_change(service)
 
@@ -465,6 +484,11 @@
                 continue
             instance, record = read
             self._known_to_owner[instance] = record
+        if notice.digest == self._digest(service, now):
+            for instance in self._catalogue.instances_of(service):
+                own_record = self._limits.stated.find(instance)
+                if own_record is not None:
+                    self._known_to_owner[instance] = own_record
 
 
 def _make_denial(
@@ -474,6 +498,7 @@
     return permit_issuer.Denial(
         {each.instance: wait_seconds for each in demand.candidates},
         wait_seconds,
+        wait_seconds,
     )
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -69,8 +69,10 @@
         self._permits = server_permits
         self._withdrawals = withdrawals
         self._selection_settings = selection_settings
-        # Times until which servers with limits have no permits.
+        # Times until which servers with limits have no permits, by server and
+        # for all of a service.
         self._no_permit_until: dict[ids.InstanceId, float] = {}
+        self._service_no_permit_until: dict[ids.ServiceId, float] = {}
         self._random = random_source
 
     async def pick(
@@ -213,7 +215,7 @@
             )
         )
         if isinstance(result, permit_issuer.Denial):
-            self._record_denial(result)
+            self._record_denial(request.service, result)
             return server_selection.Refuse(
                 "all servers are at their stated limits",
                 retry_after_seconds=result.return_after_seconds,
@@ -252,7 +254,7 @@
                 )
             )
             if isinstance(result, permit_issuer.Denial):
-                self._record_denial(result)
+                self._record_denial(request.service, result)
                 return False
         return self._record_sent(server)
 
@@ -274,9 +276,14 @@
         rate = self._limits.rate(listed_server, now)
         return permit_issuer.Candidate(instance, 0.0 if rate is None else rate)
 
-    def _record_denial(self, denial: permit_issuer.Denial) -> None:
+    def _record_denial(
+        self, service: ids.ServiceId, denial: permit_issuer.Denial
+    ) -> None:
         """Records until when servers have no permits."""
         now = boot_clock.now()
+        self._service_no_permit_until[service] = now + min(
+            denial.service_wait_seconds, MAX_DENIAL_SECONDS
+        )
         for instance, wait_seconds in denial.wait_seconds.items():
             self._no_permit_until[instance] = now + min(
                 wait_seconds, MAX_DENIAL_SECONDS
@@ -354,7 +361,10 @@
         instance = listed_server.entry.instance
         if not self._withdrawals.may_send(instance, now):
             return False
-        no_permit_until = self._no_permit_until.get(instance, now)
+        no_permit_until = max(
+            self._no_permit_until.get(instance, now),
+            self._service_no_permit_until.get(listed_server.entry.service, now),
+        )
         if now >= no_permit_until:
             return True
         return self._limits.rate(listed_server, now) is None
