--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -11,7 +11,6 @@
 from hyssopwind.standins.limits import rig
 from hyssopwind.standins.limits import scenarios
 from hyssopwind.standins.stops import rig as stop_rig
-from hyssopwind.standins.tests import site_fleet_case
 from hyssopwind.standins.virtual import limited_fleet
 
 # Scenarios in which the demand for the limited servers lasts throughout.
@@ -48,13 +47,7 @@
     scenario = registry.find(name)()
     if seconds is not None:
         scenario = dataclasses.replace(scenario, seconds=seconds)
-
-    async def main():
-        fleet = limited_fleet.LimitedFleet(scenario, size, seed)
-        await fleet.run()
-        return fleet
-
-    return site_fleet_case.run_in_virtual_time(main)
+    return limited_fleet.run_in_virtual_time(scenario, size, seed)
 
 
 class LimitCase(unittest.TestCase):
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections.abc import Iterator
+from unittest import mock
 
 import multidict
 
@@ -27,12 +28,14 @@
 from hyssopwind.standins.limits import judging
 from hyssopwind.standins.limits import scenarios
 from hyssopwind.standins.site import documents
+from hyssopwind.standins.virtual import loop
 from hyssopwind.standins.virtual import site_fleet
 from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import connection
 from hyssopwind.transport import connection_pools
 
+START_SECONDS = 100.0  # reading of the clock at the start
 STARTUP_SECONDS = 5.0  # until all daemons have each other in their lists
 HOUSEKEEPING_SECONDS = 0.25
 ROUND_TRIP_SECONDS = 0.002
@@ -543,3 +546,20 @@
         successor.address = leaving.address
         self.servers.append(successor)
         self.store.write(f"servers/{successor.id}", successor.entry())
+
+
+def run_in_virtual_time(
+    scenario: scenarios.Scenario, size: FleetSize, seed: int
+) -> LimitedFleet:
+    """Runs a scenario on a virtual clock and returns the fleet at its end."""
+
+    async def run() -> LimitedFleet:
+        event_loop = asyncio.get_running_loop()
+        with mock.patch.object(
+            boot_clock, "now", lambda: START_SECONDS + event_loop.time()
+        ):
+            fleet = LimitedFleet(scenario, size, seed)
+            await fleet.run()
+            return fleet
+
+    return loop.run_virtual(run())
