Spread the return of callers who are refused for lack of a permit owner

After the death of an owner, or before a daemon may issue permits, all callers were told the same moment to come back. They now come back over half a second. A docstring names the ranking of owners correctly.

--- a/packages/core/src/hyssopwind/core/limits/share_lending.py
+++ b/packages/core/src/hyssopwind/core/limits/share_lending.py
@@ -1,8 +1,8 @@
 """Selects the daemon to which a daemon lends its shares of limits.
 
-The owner of the permits of a service is the live daemon with the highest
-rendezvous hash. A daemon lends only to an owner that it has heard from
-recently, and takes the next in rank while those before it are silent; the
+Rendezvous hashing ranks the live daemons for each service; the first one owns
+the permits of the service. A daemon lends only to an owner that it has heard
+from recently, and takes the next in rank while those before it are silent; the
 last resort is the daemon itself, with its own share. A share that was lent
 comes back only with the end of the loan.
 """
--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -36,6 +36,8 @@
 PERMIT_TIMEOUT_SECONDS = 0.2
 # Wait after an unanswered request for a permit.
 UNANSWERED_WAIT_SECONDS = 0.25
+# Time over which callers come back who were refused for lack of an owner.
+OWNERLESS_SPREAD_SECONDS = 0.5
 STATEMENTS_PER_DATAGRAM = 20
 MAX_REMEMBERED_REPLIES = 1_000
 MAX_CANDIDATES = 8
@@ -78,6 +80,7 @@
             ids.InstanceId, stated_limits.LimitRecord
         ] = {}
         self._announced_at: dict[ids.ServiceId, float] = {}
+        self._random = random_source
         # Starts at random, since owners remember the numbers that this daemon
         # used before a restart.
         self._request_number = random_source.getrandbits(REQUEST_NUMBER_BITS)
@@ -138,7 +141,7 @@
         if plan.owner == self._own_name:
             result = self._issue(demand, now)
         elif peer is None:
-            result = _make_denial(demand, plan.ready_in_seconds)
+            result = self._deny(demand, plan.ready_in_seconds)
         else:
             if not self._lender.has_loan(demand.service, peer.name, now):
                 self._lend(demand.service, peer, now)
@@ -322,7 +325,7 @@
     ) -> permit_issuer.PermitResult:
         if not self._may_issue(now):
             age_seconds = now - self._member_list.started_at
-            return _make_denial(demand, MIN_ISSUER_AGE_SECONDS - age_seconds)
+            return self._deny(demand, MIN_ISSUER_AGE_SECONDS - age_seconds)
         share_count = self._issuer.lender_count(demand.service, now)
         if self._plan(demand.service, now).owner == self._own_name:
             share_count += 1
@@ -330,6 +333,19 @@
         limited = self._limits.limited_servers(demand.service, now)
         return self._issuer.issue(demand, limited, share_ratio, now)
 
+    def _deny(
+        self, demand: permit_issuer.PermitDemand, wait_seconds: float
+    ) -> permit_issuer.Denial:
+        """Returns a denial while there is no owner that issues permits."""
+        wait_seconds = max(0.0, wait_seconds)
+        # The wait ends for many callers at the same time.
+        spread_seconds = self._random.uniform(0.0, OWNERLESS_SPREAD_SECONDS)
+        return permit_issuer.Denial(
+            {each.instance: wait_seconds for each in demand.candidates},
+            wait_seconds,
+            wait_seconds + spread_seconds,
+        )
+
     async def _request(
         self, demand: permit_issuer.PermitDemand, peer: fleet_members.Peer
     ) -> permit_issuer.PermitResult:
@@ -364,7 +380,7 @@
                 "permit request unanswered",
                 extra={"service": demand.service, "owner": peer.name},
             )
-            return _make_denial(demand, UNANSWERED_WAIT_SECONDS)
+            return self._deny(demand, UNANSWERED_WAIT_SECONDS)
         finally:
             retry.cancel()
             del self._pending[number]
@@ -491,16 +507,5 @@
                     self._known_to_owner[instance] = own_record
 
 
-def _make_denial(
-    demand: permit_issuer.PermitDemand, wait_seconds: float
-) -> permit_issuer.Denial:
-    wait_seconds = max(0.0, wait_seconds)
-    return permit_issuer.Denial(
-        {each.instance: wait_seconds for each in demand.candidates},
-        wait_seconds,
-        wait_seconds,
-    )
-
-
 def _wait_ms(seconds: float) -> int:
     return math.ceil(min(_MAX_WAIT_MS, seconds * 1000))
