Issue own permits in a stop, and never deny one without a wait

A stopping daemon returns the shares of its peers. It goes on issuing permits for its own share, and a denial for lack of an owner has a wait of 50 ms at least. Found by reading the diff.

Test: LoneDaemonTest, which failed before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -36,6 +36,7 @@
 PERMIT_TIMEOUT_SECONDS = 0.2
 # Wait after an unanswered request for a permit.
 UNANSWERED_WAIT_SECONDS = 0.25
+MIN_OWNERLESS_WAIT_SECONDS = 0.05
 # Time over which callers come back who were refused for lack of an owner.
 OWNERLESS_SPREAD_SECONDS = 0.5
 STATEMENTS_PER_DATAGRAM = 20
@@ -202,7 +203,7 @@
         self._announced_at[service] = now
         plan = self._plan(service, now)
         if plan.owner == self._own_name:
-            if self._may_issue(now):
+            if self._may_serve_peers(now):
                 for peer in self._member_list.peers():
                     if not self._issuer.has_loan(service, peer.name, now):
                         self._send_notice(service, peer, now)
@@ -316,17 +317,24 @@
             )
         return has_changed
 
-    def _may_issue(self, now: float) -> bool:
+    def _is_mature(self, now: float) -> bool:
+        """Whether this daemon has run for long enough to issue permits."""
         age_seconds = now - self._member_list.started_at
-        return not self._is_stopping and age_seconds >= MIN_ISSUER_AGE_SECONDS
+        return age_seconds >= MIN_ISSUER_AGE_SECONDS
+
+    def _may_serve_peers(self, now: float) -> bool:
+        """Whether this daemon takes loans and issues permits to peers."""
+        return not self._is_stopping and self._is_mature(now)
 
     def _issue(
         self, demand: permit_issuer.PermitDemand, now: float
     ) -> permit_issuer.PermitResult:
-        if not self._may_issue(now):
+        if not self._is_mature(now):
             age_seconds = now - self._member_list.started_at
             return self._deny(demand, MIN_ISSUER_AGE_SECONDS - age_seconds)
-        share_count = self._issuer.lender_count(demand.service, now)
+        share_count = 0
+        if not self._is_stopping:
+            share_count = self._issuer.lender_count(demand.service, now)
         if self._plan(demand.service, now).owner == self._own_name:
             share_count += 1
         share_ratio = min(1.0, share_count / self._member_list.fleet_size())
@@ -337,7 +345,8 @@
         self, demand: permit_issuer.PermitDemand, wait_seconds: float
     ) -> permit_issuer.Denial:
         """Returns a denial while there is no owner that issues permits."""
-        wait_seconds = max(0.0, wait_seconds)
+        # Without a wait the request would be tried again at once.
+        wait_seconds = max(MIN_OWNERLESS_WAIT_SECONDS, wait_seconds)
         # The wait ends for many callers at the same time.
         spread_seconds = self._random.uniform(0.0, OWNERLESS_SPREAD_SECONDS)
         return permit_issuer.Denial(
@@ -420,7 +429,7 @@
         key = (request.sender, request.request_number)
         reply = self._replies.get(key)
         if reply is None:
-            if not self._may_issue(now):
+            if not self._may_serve_peers(now):
                 return
             reply = self._make_reply(request, now)
             self._replies[key] = reply
@@ -475,7 +484,7 @@
     ) -> None:
         has_changed = self._merge(loan.statements, loan.sender, now)
         service = ids.ServiceId(loan.service)
-        if self._may_issue(now):
+        if self._may_serve_peers(now):
             if loan.is_lent:
                 self._issuer.record_loan(service, peer.name, now)
             self._send_notice(service, peer, now, loan.digest)
--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -5,12 +5,15 @@
 import functools
 import pathlib
 import tempfile
+import time
 import unittest
 
+from hyssopwind.daemon.gateway import permits
 from hyssopwind.standins.limits import judging
 from hyssopwind.standins.limits import rig
 from hyssopwind.standins.limits import scenarios
 from hyssopwind.standins.stops import rig as stop_rig
+from hyssopwind.standins.tests import site_gateway_case
 from hyssopwind.standins.virtual import limited_fleet
 
 # Scenarios in which the demand for the limited servers lasts throughout.
@@ -149,6 +152,35 @@
         self.assertGreaterEqual(len(prompt), 0.9 * len(refusals))
 
 
+class LoneDaemonTest(site_gateway_case.GatewayTestCase):
+    """A daemon has no peers, so that it issues its own permits."""
+
+    async def state_limits(self, limit):
+        for stand_in in self.servers:
+            stand_in.options.limit = limit
+        await self.call("/safe/a", request_id="first")
+        await asyncio.sleep(permits.MIN_ISSUER_AGE_SECONDS)
+        # The permits of a new limit begin with the first demand.
+        await self.call("/safe/a", request_id="second")
+        await asyncio.sleep(1.0)
+
+    # The daemon denied itself permits without a wait, and tried again at once.
+    async def test_requests_in_a_stop_get_permits_without_busy_waiting(self):
+        await self.state_limits("5")
+        self.daemon._request_path.permits.announce_stop()
+        started_at = time.process_time()
+        results = await asyncio.gather(
+            *(self.call("/safe/a", request_id=f"r{n}") for n in range(12))
+        )
+        self.assertLess(time.process_time() - started_at, 0.5)
+        statuses = [status for status, _, _ in results]
+        self.assertGreaterEqual(statuses.count(200), 2)
+        self.assertEqual(statuses.count(200) + statuses.count(503), 12)
+        for status, headers, _ in results:
+            if status == 503:
+                self.assertGreater(float(headers["retry-after"]), 0.0)
+
+
 class ProcessLimitTest(LimitCase):
     """A server in need gets more requests than it takes from real daemons."""
 
