Keep a limit when an answer states one that cannot be read

An unreadable `Server-Limit` was logged and then counted as an answer without a limit, which ends the limit. It now neither sets nor ends one. Test: test_unreadable_limit_does_not_end_a_limit, which failed before.

--- a/packages/core/src/hyssopwind/core/limits/server_notices.py
+++ b/packages/core/src/hyssopwind/core/limits/server_notices.py
@@ -27,6 +27,8 @@
     Attributes:
         requests_per_second: limit on the requests of all daemons together;
             `None` if the answer states none.
+        is_limit_unreadable: whether the answer states a limit that cannot be
+            decoded, so that it neither sets nor ends one.
         is_leaving: whether it will stop and wants no further requests.
         quiet_seconds: seconds for which it wants no requests of this daemon;
             0 if the answer states none.
@@ -34,6 +36,7 @@
     """
 
     requests_per_second: float | None = None
+    is_limit_unreadable: bool = False
     is_leaving: bool = False
     quiet_seconds: float = 0.0
     findings: tuple[str, ...] = ()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/notice_recorder.py
@@ -58,6 +58,8 @@
             )
         now = boot_clock.now()
         self._record_withdrawal(entry, kind, notices, now)
+        if notices.is_limit_unreadable:
+            return notices
         has_changed = self._limits.stated.record_answer(
             entry.instance, kind, notices.requests_per_second, now
         )
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_notice_recorder.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_notice_recorder.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
@@ -96,3 +97,15 @@
                 entry, PROBE, 200, {"Server-Limit": text}
             )
             self.assertIsNone(self.rate(entry), text)
+
+    # An unreadable limit counted as an answer without one.
+    def test_unreadable_limit_does_not_end_a_limit(self):
+        entry = make_entry()
+        clock = mock.patch.object(boot_clock, "now", return_value=100.0)
+        with clock as now:
+            for text in ("1.5", "two", "two"):
+                self.recorder.record_answer(
+                    entry, PROBE, 200, {"Server-Limit": text}
+                )
+                now.return_value += 10.0
+            self.assertEqual(self.rate(entry), 1.5)
