Issue permits from the project's token bucket

The schedule of permits was a second token bucket under another name. The bucket can change its rate and reserve tokens ahead now, and the issuer uses it. The counters of the metrics are made by one function. No change of behaviour.

--- a/packages/core/src/hyssopwind/core/buckets.py
+++ b/packages/core/src/hyssopwind/core/buckets.py
@@ -42,6 +42,21 @@
         self._tokens -= 1.0
         return True
 
+    def set_rate(self, rate: float, burst: float, now: float) -> None:
+        """Changes the rate and the burst; tokens that are missing stay so."""
+        self._refill(now)
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(burst, self._tokens)
+
+    def reserve(self, now: float) -> None:
+        """Removes a token, also one that is not available yet.
+
+        The number of tokens becomes negative by the tokens that are reserved.
+        """
+        self._refill(now)
+        self._tokens -= 1.0
+
     def charge(self, amount: float, now: float) -> None:
         """Removes tokens for events that have happened already.
 
--- a/packages/core/src/hyssopwind/core/limits/permit_issuer.py
+++ b/packages/core/src/hyssopwind/core/limits/permit_issuer.py
@@ -13,8 +13,9 @@
 from collections.abc import Sequence
 from typing import TypeAlias
 
+from hyssopwind.core import buckets
 from hyssopwind.core import ids
-from hyssopwind.core.limits import permit_schedules
+from hyssopwind.core.limits import request_limits
 
 # Time for which an owner counts a loan after its receipt. It ends before the
 # lender may lend again, which counts from the time of sending.
@@ -34,7 +35,7 @@
     """
 
     instance: ids.InstanceId
-    limit: permit_schedules.RateLimit
+    limit: request_limits.RateLimit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,14 +87,14 @@
 
 
 PermitResult: TypeAlias = Grant | Denial
-_Schedules: TypeAlias = dict[ids.InstanceId, permit_schedules.PermitSchedule]
+_Buckets: TypeAlias = dict[ids.InstanceId, buckets.TokenBucket]
 
 
 class PermitIssuer:
     """Issues the permits of the shares that this daemon holds."""
 
     def __init__(self) -> None:
-        self._schedules: dict[ids.ServiceId, _Schedules] = {}
+        self._buckets: dict[ids.ServiceId, _Buckets] = {}
         self._loans: dict[ids.ServiceId, dict[ids.DaemonId, float]] = {}
         self._next_return_at: dict[ids.ServiceId, float] = {}
 
@@ -135,26 +136,26 @@
         for candidate in demand.candidates:
             known = limits.get(candidate.instance, candidate.limit)
             limits[candidate.instance] = known.lower(candidate.limit)
-        schedules = self._schedules.setdefault(demand.service, {})
+        service_buckets = self._buckets.setdefault(demand.service, {})
         waits = {}
         for instance, limit in limits.items():
-            shared_limit = dataclasses.replace(
-                limit,
-                requests_per_second=limit.requests_per_second * share_ratio,
-            )
-            schedule = schedules.get(instance)
-            if schedule is None:
-                schedule = permit_schedules.PermitSchedule(shared_limit, now)
-                schedules[instance] = schedule
-            schedule.set_limit(shared_limit, now)
-            waits[instance] = schedule.wait_seconds(now)
+            rate = limit.requests_per_second * share_ratio
+            bucket = service_buckets.get(instance)
+            if bucket is None:
+                # Empty, as another daemon may have issued permits just before.
+                bucket = buckets.TokenBucket(
+                    rate, limit.burst_count, now, is_full=False
+                )
+                service_buckets[instance] = bucket
+            bucket.set_rate(rate, limit.burst_count, now)
+            waits[instance] = bucket.seconds_until_token(now)
         candidate_waits = {
             each.instance: waits[each.instance] for each in demand.candidates
         }
         shortest = min(candidate_waits.values(), default=float("inf"))
         if shortest <= demand.max_wait_seconds:
             best = min(candidate_waits, key=lambda each: candidate_waits[each])
-            schedules[best].reserve(now)
+            service_buckets[best].reserve(now)
             return Grant(best, shortest)
         service_wait = min(waits.values(), default=float("inf"))
         total_rate = share_ratio * sum(
@@ -167,11 +168,11 @@
         )
 
     def retain(self, instances: set[ids.InstanceId], now: float) -> None:
-        """Drops the schedules of other servers and loans that have ended."""
-        for schedules in self._schedules.values():
-            for instance in list(schedules):
+        """Drops the permits of other servers and loans that have ended."""
+        for service_buckets in self._buckets.values():
+            for instance in list(service_buckets):
                 if instance not in instances:
-                    del schedules[instance]
+                    del service_buckets[instance]
         for loans in self._loans.values():
             for lender in list(loans):
                 if loans[lender] <= now:
--- a/packages/core/src/hyssopwind/core/limits/rate_limits.py
+++ b/packages/core/src/hyssopwind/core/limits/rate_limits.py
@@ -12,7 +12,7 @@
 from hyssopwind.core import registry
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.limits import permit_issuer
-from hyssopwind.core.limits import permit_schedules
+from hyssopwind.core.limits import request_limits
 from hyssopwind.core.limits import stated_limits
 
 # Limit of cold servers of a service whose configuration is unknown.
@@ -26,7 +26,7 @@
 
 def make_warmup_limit(
     requests_per_second: float,
-) -> permit_schedules.RateLimit:
+) -> request_limits.RateLimit:
     """Returns the limit of a cold server, which tolerates no bursts.
 
     No second contains more requests than the server tolerates.
@@ -37,8 +37,8 @@
     """
     count = math.floor(requests_per_second)
     if count < 1:
-        return permit_schedules.RateLimit(requests_per_second, 1.0)
-    return permit_schedules.RateLimit(count / WARMUP_PERIOD_SECONDS, 1.0)
+        return request_limits.RateLimit(requests_per_second, 1.0)
+    return request_limits.RateLimit(count / WARMUP_PERIOD_SECONDS, 1.0)
 
 
 class RateLimits:
@@ -59,7 +59,7 @@
 
     def find(
         self, listed_server: catalogue.ListedServer, now: float
-    ) -> permit_schedules.RateLimit | None:
+    ) -> request_limits.RateLimit | None:
         """Returns the limit of a server, if it has one."""
         lowest = None
         for name in SOURCES:
@@ -129,7 +129,7 @@
 
 Source: TypeAlias = Callable[
     [RateLimits, catalogue.ListedServer, float],
-    permit_schedules.RateLimit | None,
+    request_limits.RateLimit | None,
 ]
 
 SOURCES: "registry.Registry[str, Source]" = registry.Registry("limit source")
@@ -138,18 +138,18 @@
 @SOURCES.register("stated")
 def find_stated_limit(
     limits: RateLimits, listed_server: catalogue.ListedServer, now: float
-) -> permit_schedules.RateLimit | None:
+) -> request_limits.RateLimit | None:
     """Returns the limit that a server states in its answers, if any."""
     rate = limits.stated.rate(listed_server.entry.instance, now)
     if rate is None:
         return None
-    return permit_schedules.RateLimit(rate, STATED_BURST_COUNT)
+    return request_limits.RateLimit(rate, STATED_BURST_COUNT)
 
 
 @SOURCES.register("warm-up")
 def find_warmup_limit(
     limits: RateLimits, listed_server: catalogue.ListedServer, now: float
-) -> permit_schedules.RateLimit | None:
+) -> request_limits.RateLimit | None:
     """Returns the limit of a cold server; `None` if it is warm."""
     rate = limits.warmup_rate(listed_server, now)
     return None if rate is None else make_warmup_limit(rate)
--- a/packages/core/src/hyssopwind/core/limits/tests/test_permits.py
+++ b/packages/core/src/hyssopwind/core/limits/tests/test_permits.py
@@ -4,8 +4,8 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.limits import permit_issuer
-from hyssopwind.core.limits import permit_schedules
 from hyssopwind.core.limits import rate_limits
+from hyssopwind.core.limits import request_limits
 from hyssopwind.core.limits import share_lending
 
 SERVICE = ids.ServiceId("s")
@@ -14,7 +14,7 @@
 
 
 def make_stated_limit(rate):
-    return permit_schedules.RateLimit(rate, rate_limits.STATED_BURST_COUNT)
+    return request_limits.RateLimit(rate, rate_limits.STATED_BURST_COUNT)
 
 
 class Daemon:
@@ -160,17 +160,27 @@
                 self.assertLessEqual(count, 1.5 * 5.0 * 4.0 + 5, (seed, start))
 
 
-class PermitScheduleTest(unittest.TestCase):
-    def test_permits_issued_before_a_fall_of_the_rate_still_count(self):
-        schedule = permit_schedules.PermitSchedule(make_stated_limit(10.0), 0.0)
+class ChangedLimitTest(unittest.TestCase):
+    def issue(self, issuer, limit, now, max_wait=0.0):
+        demand = permit_issuer.PermitDemand(
+            SERVICE, [permit_issuer.Candidate(SERVER, limit)], max_wait, 10.0
+        )
+        return issuer.issue(demand, [], 1.0, now)
+
+    # Permits that were reserved at the old rate would add to the new one.
+    def test_permits_issued_before_a_fall_of_the_limit_still_count(self):
+        issuer = permit_issuer.PermitIssuer()
         for _ in range(5):
-            schedule.reserve(1.0)
-        schedule.set_limit(make_stated_limit(1.0), 1.0)
-        self.assertGreaterEqual(schedule.wait_seconds(1.0), 3.0)
+            result = self.issue(issuer, make_stated_limit(10.0), 0.0, 1.0)
+            self.assertIsInstance(result, permit_issuer.Grant)
+        denial = self.issue(issuer, make_stated_limit(1.0), 0.0)
+        self.assertGreaterEqual(denial.wait_seconds[SERVER], 3.0)
 
-    def test_rate_zero_issues_nothing(self):
-        schedule = permit_schedules.PermitSchedule(make_stated_limit(0.0), 0.0)
-        self.assertEqual(schedule.wait_seconds(100.0), math.inf)
+    def test_limit_zero_issues_nothing(self):
+        issuer = permit_issuer.PermitIssuer()
+        for now in (0.0, 100.0):
+            denial = self.issue(issuer, make_stated_limit(0.0), now)
+            self.assertEqual(denial.wait_seconds[SERVER], math.inf)
 
 
 class ReturnTest(unittest.TestCase):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -144,47 +144,37 @@
         """Yields the metrics of a scrape."""
         from prometheus_client import metrics_core
 
-        requests = metrics_core.CounterMetricFamily(
+        permit_counts = self._sources.permit_counts() if self._sources else {}
+        yield _make_counter(
             "hyssopwind_requests",
             "Requests of callers by how they ended",
-            labels=["route", "outcome", "reason"],
+            ["route", "outcome", "reason"],
+            self._requests,
         )
-        for labels, count in self._requests.items():
-            requests.add_metric(labels, count)
-        yield requests
-        attempts = metrics_core.CounterMetricFamily(
+        yield _make_counter(
             "hyssopwind_attempts",
             "Attempts at servers by result",
-            labels=["service", "result"],
+            ["service", "result"],
+            self._attempts,
         )
-        for attempt_labels, count in self._attempts.items():
-            attempts.add_metric(attempt_labels, count)
-        yield attempts
-        limited = metrics_core.CounterMetricFamily(
+        yield _make_counter(
             "hyssopwind_limited_attempts",
             "Attempts at servers that had stated a limit when they ended",
-            labels=["service"],
+            ["service"],
+            {(service,): n for service, n in self._limited_attempts.items()},
         )
-        for service, count in self._limited_attempts.items():
-            limited.add_metric([service], count)
-        yield limited
-        permits = metrics_core.CounterMetricFamily(
+        yield _make_counter(
             "hyssopwind_permits",
             "Requests for permits to send to servers with limits",
-            labels=["result"],
+            ["result"],
+            {(result,): count for result, count in permit_counts.items()},
         )
-        permit_counts = self._sources.permit_counts() if self._sources else {}
-        for result, count in permit_counts.items():
-            permits.add_metric([result], count)
-        yield permits
-        undelivered = metrics_core.CounterMetricFamily(
+        yield _make_counter(
             "hyssopwind_undelivered_answers",
             "Answers that callers did not get whole",
-            labels=["stage", "cause"],
+            ["stage", "cause"],
+            self._undelivered,
         )
-        for delivery_labels, count in self._undelivered.items():
-            undelivered.add_metric(delivery_labels, count)
-        yield undelivered
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
             value = getattr(self._sources, name)() if self._sources else 0.0
@@ -209,3 +199,18 @@
                 buckets.append((bound, float(cumulative_count)))
             family.add_metric([route], buckets, self._latency_sums[route])
         return family
+
+
+def _make_counter(
+    name: str,
+    text: str,
+    label_names: list[str],
+    counts: Mapping[Any, int],
+) -> Any:
+    """Returns a counter metric of counts by their label values."""
+    from prometheus_client import metrics_core
+
+    family = metrics_core.CounterMetricFamily(name, text, labels=label_names)
+    for label_values, count in counts.items():
+        family.add_metric(label_values, count)
+    return family
--- a/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/permits.py
@@ -19,8 +19,8 @@
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.limits import limit_statements
 from hyssopwind.core.limits import permit_issuer
-from hyssopwind.core.limits import permit_schedules
 from hyssopwind.core.limits import rate_limits
+from hyssopwind.core.limits import request_limits
 from hyssopwind.core.limits import share_lending
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.transport import boot_clock
@@ -449,7 +449,7 @@
         candidates = []
         for name, rate, burst_count in request.candidates[:MAX_CANDIDATES]:
             # Of values that no daemon sends, the most careful ones are taken.
-            limit = permit_schedules.RateLimit(
+            limit = request_limits.RateLimit(
                 rate if math.isfinite(rate) and rate >= 0.0 else 0.0,
                 burst_count if 1.0 <= burst_count <= MAX_BURST_COUNT else 1.0,
             )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -11,8 +11,8 @@
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.limits import permit_issuer
-from hyssopwind.core.limits import permit_schedules
 from hyssopwind.core.limits import rate_limits
+from hyssopwind.core.limits import request_limits
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
@@ -276,7 +276,7 @@
         instance = listed_server.entry.instance
         limit = self._limits.find(listed_server, now)
         if limit is None:
-            limit = permit_schedules.RateLimit(0.0, 1.0)
+            limit = request_limits.RateLimit(0.0, 1.0)
         return permit_issuer.Candidate(instance, limit)
 
     def _record_denial(
