Bound the idle connections of all daemons to a server

A server accepts a number of connections from all daemons together, which the configuration states and nothing used. Each daemon kept eight idle ones for a server: 2,400 from 300 daemons where 860 are accepted. It now keeps an equal share of three quarters of them, eight at most as before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -16,6 +16,7 @@
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.fleet import reader_selection
+from hyssopwind.core.limits import connection_shares
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import deliveries
@@ -320,6 +321,11 @@
             self._platform_state.expire()
             server_catalogue = self._platform_state.catalogue
             self._pool.retain(server_catalogue.addresses())
+            self._pool.limit_idle(
+                connection_shares.idle_counts(
+                    server_catalogue, self._member_list.fleet_size()
+                )
+            )
             self._request_path.drop_removed_servers()
 
     def _caller_limits(self) -> tables.CallerLimits:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -7,6 +7,7 @@
 from hyssopwind.standins.site import server
 from hyssopwind.transport import answers
 from hyssopwind.transport import connection
+from hyssopwind.transport import connection_pools
 
 REQUEST = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
 WHOLE = (
@@ -177,3 +178,24 @@
         with self.assertRaises(asyncio.CancelledError):
             await task
         self.assertFalse(self.connection.is_usable)
+
+
+class IdleConnectionTest(unittest.IsolatedAsyncioTestCase):
+    # Idle connections above a lowered limit stayed open, so that the server
+    # refused those of other daemons.
+    async def test_idle_connections_beyond_the_limit_are_closed(self):
+        stand_in = server.StandInServer(server.ServerOptions("i-1"))
+        await stand_in.start()
+        pool = connection_pools.ConnectionPool()
+        opened = [await pool.acquire(stand_in.address) for _ in range(6)]
+        for each in opened:
+            pool.release(each)
+        pool.limit_idle({stand_in.address: 2})
+        await asyncio.sleep(0.05)
+        self.assertEqual(stand_in.disconnect_count, 4)
+        for each in [await pool.acquire(stand_in.address) for _ in range(4)]:
+            pool.release(each)
+        await asyncio.sleep(0.05)
+        self.assertEqual(stand_in.disconnect_count, 6)
+        pool.close()
+        await stand_in.close()
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Mapping
 
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.transport import answers
@@ -28,6 +29,7 @@
         self._byte_budget = byte_budgets.ByteBudget(max_held_bytes)
         self._idle: dict[str, list[connection.ClientConnection]] = {}
         self._opened_count = 0
+        self._max_idle_counts: Mapping[str, int] = {}
 
     @property
     def opened_count(self) -> int:
@@ -53,7 +55,10 @@
     def release(self, client_connection: connection.ClientConnection) -> None:
         """Returns a connection to the pool, or closes one not to be reused."""
         idle = self._idle.setdefault(client_connection.address, [])
-        if not client_connection.is_usable or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        max_idle_count = self._max_idle_counts.get(
+            client_connection.address, MAX_IDLE_PER_ADDRESS
+        )
+        if not client_connection.is_usable or len(idle) >= max_idle_count:
             client_connection.abort()
             return
         idle.append(client_connection)
@@ -69,6 +74,17 @@
             if address not in addresses:
                 self.close_idle(address)
 
+    def limit_idle(self, counts: Mapping[str, int]) -> None:
+        """Sets how many idle connections are kept, by address.
+
+        Other addresses have `MAX_IDLE_PER_ADDRESS`.
+        """
+        self._max_idle_counts = counts
+        for address, count in counts.items():
+            idle = self._idle.get(address, [])
+            while len(idle) > count:
+                idle.pop(0).abort()
+
     def close(self) -> None:
         """Closes all idle connections."""
         self.retain(set())
