Let the seed decide the order of equally good servers

A run of the simulated fleet could not be played again from its seed: probe results came out of a set of tasks, whose order differs from run to run, and the first of two equally good servers was taken. Results have the order of the probes now and are shuffled by the daemon's random source; attempts that end together have the order of their start.

Tests: test_seed_decides_all_arrivals, which failed before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -254,7 +254,7 @@
         self, context: _RequestContext, selected: server_selection.Send
     ) -> attempt_results.AttemptResult:
         first_attempt = self._start_attempt(context, selected)
-        running = {first_attempt}
+        running = [first_attempt]
         try:
             if self._may_hedge(context):
                 delay_seconds = retry_policy.hedge_delay_seconds(
@@ -268,7 +268,7 @@
                 if not done:
                     hedge = await self._start_hedge(context, first_attempt)
                     if hedge is not None:
-                        running.add(hedge)
+                        running.append(hedge)
             return await self._first_success(running)
         finally:
             for task in running:
@@ -306,7 +306,7 @@
         return self._platform_state.catalogue.find(selected.server) is not None
 
     async def _first_success(
-        self, running: "set[asyncio.Task[attempt_results.AttemptResult]]"
+        self, running: "list[asyncio.Task[attempt_results.AttemptResult]]"
     ) -> attempt_results.AttemptResult:
         """Returns the first success, or the last failure if there is none."""
         pending = set(running)
@@ -315,7 +315,8 @@
             done, pending = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
-            for task in done:
+            # The order of the attempts, as sets have none.
+            for task in [each for each in running if each in done]:
                 result = task.result()
                 if not retry_policy.is_failure(result):
                     return result
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -169,10 +169,12 @@
             )
             if not done:
                 break
-            for task in done:
-                self._add_probed_server(
-                    probed_servers, tasks[task], task.result()
-                )
+            # Sets of tasks have no order that a seed decides.
+            for task, listed_server in tasks.items():
+                if task in done:
+                    self._add_probed_server(
+                        probed_servers, listed_server, task.result()
+                    )
             if probed_servers:
                 timeout = STRAGGLER_WAIT_SECONDS
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -409,9 +409,12 @@
         eligible = self._eligible_servers(request, boot_clock.now())
         sample = self._sample_servers(eligible, include_remote, is_first)
         candidates = []
-        for probed_server in await self._prober.probe_servers(
+        probed_servers = await self._prober.probe_servers(
             request.service, sample
-        ):
+        )
+        # Equally good servers get the same number of requests.
+        self._random.shuffle(probed_servers)
+        for probed_server in probed_servers:
             # The probe may have shown that the server is cold.
             if self._may_send_to(probed_server.listed_server, boot_clock.now()):
                 candidates.append(self._make_candidate(probed_server))
--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -109,6 +109,32 @@
             with self.subTest(name):
                 self.check_use(run_scenario(name).evidence)
 
+    # Each daemon holds a sixth of a limit, and may have all of the load.
+    def test_limits_hold_and_are_used_by_six_daemons(self):
+        # With few limited servers, the two daemons of a data centre may prefer
+        # the others for seconds.
+        for name in (
+            "under one a second",
+            "all but one",
+            "whole service",
+            "whole service, one busy daemon",
+            "one busy daemon",
+            "unsafe requests",
+        ):
+            with self.subTest(name):
+                evidence = run_scenario(name, limited_fleet.TINY).evidence
+                self.check_limits(evidence)
+                self.check_use(evidence)
+
+    # A failure could not be played again: sets of tasks ordered the servers.
+    def test_seed_decides_all_arrivals(self):
+        scenario = scenarios.SCENARIOS.find("hedges and retries")()
+        first, second = (
+            limited_fleet.run_in_virtual_time(scenario, limited_fleet.TINY, 7)
+            for _ in range(2)
+        )
+        self.assertEqual(first.evidence.arrivals, second.evidence.arrivals)
+
     # Shares of a hundredth of a request per second do not add up.
     def test_limits_hold_and_are_used_by_a_hundred_daemons(self):
         for name in ("whole service", "under one a second"):
