Count and log transfers of changes between daemons

The logs of the incident of large configurations show failed pulls, but neither how large a transfer was nor how long it took, so that a slow sender and a busy loop look alike.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -394,6 +394,8 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            transfer_counts=lambda: self._gossip.transfer_counts,
+            transfer_bytes=lambda: self._gossip.transfer_bytes,
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
             checks=lambda: self._request_path.probe_client.probe_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -42,6 +42,8 @@
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
         permit_counts: requests for permits by result.
+        transfer_counts: transfers of changes from and to peers by result.
+        transfer_bytes: bytes of these transfers by direction.
         daemons: daemons that were live recently, this one included.
         connections: connections opened to servers.
         checks: probes sent to servers.
@@ -56,6 +58,8 @@
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
+    transfer_counts: Callable[[], Mapping[str, int]]
+    transfer_bytes: Callable[[], Mapping[str, int]]
     daemons: Callable[[], float]
     connections: Callable[[], float]
     checks: Callable[[], float]
@@ -175,6 +179,7 @@
             ["stage", "cause"],
             self._undelivered,
         )
+        yield from self._collect_transfers()
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
             value = getattr(self._sources, name)() if self._sources else 0.0
@@ -182,6 +187,23 @@
                 f"hyssopwind_gateway_{name}", text, value=float(value)
             )
 
+    def _collect_transfers(self) -> Iterator[Any]:
+        sources = self._sources
+        counts = sources.transfer_counts() if sources else {}
+        sizes = sources.transfer_bytes() if sources else {}
+        yield _make_counter(
+            "hyssopwind_transfers",
+            "Transfers of changes from and to other daemons",
+            ["result"],
+            {(result,): count for result, count in counts.items()},
+        )
+        yield _make_counter(
+            "hyssopwind_transfer_bytes",
+            "Bytes of changes from and to other daemons",
+            ["direction"],
+            {(direction,): size for direction, size in sizes.items()},
+        )
+
     def _collect_latencies(self) -> Any:
         from prometheus_client import metrics_core
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -52,12 +52,18 @@
 # Notices that are remembered, so that a repeated one is handled once.
 MAX_REMEMBERED_NOTICES = 1_000
 NOTICE_NUMBER_BITS = 48
+LARGE_TRANSFER_BYTES = 16_384  # logged
 
 _log = logbook.Logger("fleet")
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """Exchanges heartbeats, member lists, notices and changes with peers."""
+    """Exchanges heartbeats, member lists, notices and changes with peers.
+
+    Attributes:
+        transfer_counts: number of transfers of changes by result.
+        transfer_bytes: bytes of changes by direction, `received` or `sent`.
+    """
 
     def __init__(
         self,
@@ -94,6 +100,8 @@
         self._queued_datagrams: collections.deque[tuple[bytes, str]] = (
             collections.deque()
         )
+        self.transfer_counts: collections.Counter[str] = collections.Counter()
+        self.transfer_bytes: collections.Counter[str] = collections.Counter()
         self._handled_notices: collections.OrderedDict[
             tuple[str, int], None
         ] = collections.OrderedDict()
@@ -160,7 +168,10 @@
     def changes_after(self, revision: int) -> bytes:
         """Returns the changes after `revision`, encoded for a peer."""
         delta = self._platform_state.replica.delta_since(revision)
-        return gossip_messages.encode_delta(delta, self._age_ms())
+        data = gossip_messages.encode_delta(delta, self._age_ms())
+        self.transfer_counts["sent"] += 1
+        self.transfer_bytes["sent"] += len(data)
+        return data
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the UDP socket."""
@@ -390,11 +401,25 @@
             answer = await self._pool.get(address, target, PULL_TIMEOUT_SECONDS)
             delta, age_ms = gossip_messages.decode_delta(answer.body)
         except (connection.ExchangeError, msgspec.DecodeError) as error:
+            self.transfer_counts["failed"] += 1
             _log.warn(
                 "pull from a peer failed",
                 extra={"peer": ip, "error": str(error)},
             )
             return
+        self.transfer_counts["received"] += 1
+        self.transfer_bytes["received"] += len(answer.body)
+        if len(answer.body) >= LARGE_TRANSFER_BYTES:
+            _log.info(
+                "large transfer received",
+                extra={
+                    "peer": ip,
+                    "bytes": len(answer.body),
+                    "ms": round((boot_clock.now() - sent_at) * 1000),
+                    "after": self._platform_state.replica.revision,
+                    "revision": delta.revision,
+                },
+            )
         as_of = sent_at - age_ms / 1000
         self._platform_state.apply_delta(delta, as_of, f"peer {ip}")
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import replicated_state
@@ -21,6 +22,7 @@
 # Time that an answer may have been on its way: a slow store takes 0.25 s. If
 # the replica counted as older than it is, more daemons than needed would read.
 MAX_ANSWER_DELIVERY_SECONDS = 0.25
+LARGE_ANSWER_BYTES = 16_384  # logged
 
 _log = logbook.Logger("store")
 
@@ -103,6 +105,7 @@
         delta = await self._store_client.wait_for_changes(
             platform_items.ALL_KEYS_PREFIX, revision, wait_seconds
         )
+        self._log_large_answer(delta, sent_at)
         # The answer holds all changes up to the time at which the store made
         # it, which is the end of the wait if there are none.
         now = boot_clock.now()
@@ -147,6 +150,21 @@
             },
         )
 
+    def _log_large_answer(self, delta: items.Delta, sent_at: float) -> None:
+        value_bytes = sum(len(item.value or b"") for item in delta.items)
+        if value_bytes < LARGE_ANSWER_BYTES:
+            return
+        _log.info(
+            "large change read from the store",
+            extra={
+                "value_bytes": value_bytes,
+                "items": len(delta.items),
+                "revision": delta.revision,
+                # Includes the wait for the change.
+                "ms": round((boot_clock.now() - sent_at) * 1000),
+            },
+        )
+
     def _record_failure(self, error: store.StoreError) -> None:
         self._failure_count += 1
         self._is_reading = False
