Reproduce a large configuration that is late on narrow links

The virtual fleet gets links that listings, watches and pulls share, and the time-outs of the real calls. With links of 5 Mbit/s, a fifth of them in use by callers, 100 daemons in four data centres have 1,400 added routes after 2.62 s where 2.0 s are allowed, and 15 daemons do not have a change of 5 routes in 1,465 within 5 s.

--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -31,6 +31,9 @@
 STORE_DELAY_SECONDS = 0.004  # from a call to its answer
 DATAGRAM_LOSS_RATIO = 0.01
 DATAGRAM_HEADER_BYTES = 28  # of IP and UDP
+# Bytes of a transfer that are on a link at the same time.
+TRANSFER_WINDOW_BYTES = 16_384
+STORE_EVENT_BYTES = 100  # of an event in JSON, without its value
 
 
 class VirtualStore:
@@ -101,7 +104,9 @@
         """Returns the items below a prefix, unless the store is unavailable."""
         self._store.call_count += 1
         await self._apply_store_faults(1.0)
-        return self._store.listing(prefix)
+        delta = self._store.listing(prefix)
+        await self._receive(delta, store.LISTING_TIMEOUT_SECONDS)
+        return delta
 
     async def wait_for_changes(
         self, prefix: str, revision: int, wait_seconds: float
@@ -115,14 +120,32 @@
             raise store.HistoryLostError(
                 "changes after the revision are dropped"
             )
+        called_at = boot_clock.now()
         silence_count = self._daemon.silence_count
         delta = await self._store.wait_for_changes(revision, wait_seconds)
         if self._daemon.silence_count != silence_count:
             await asyncio.sleep(store.WATCH_MARGIN_SECONDS)
             raise store.StoreError("silent")
         await self._apply_store_faults(wait_seconds)
+        await self._receive(
+            delta,
+            called_at
+            + wait_seconds
+            + store.WATCH_MARGIN_SECONDS
+            - boot_clock.now(),
+        )
         return delta
 
+    async def _receive(self, delta: items.Delta, seconds: float) -> None:
+        """Receives an answer over the link of the daemon."""
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                await self._daemon.links.transfer(
+                    "", self._daemon.options.ip, _answer_bytes(delta)
+                )
+        except TimeoutError as error:
+            raise store.StoreError("timeout") from error
+
     async def _apply_store_faults(self, timeout: float) -> None:
         await asyncio.sleep(STORE_DELAY_SECONDS)
         if self._daemon.store_refuses:
@@ -163,6 +186,13 @@
         data = source.gossip.changes_after(
             self._platform_state.replica.revision
         )
+        try:
+            async with asyncio.timeout(gossip.PULL_TIMEOUT_SECONDS):
+                await self._virtual_fleet.links.transfer(
+                    ip, self._daemon.options.ip, len(data)
+                )
+        except TimeoutError:
+            return
         delta, age_ms = gossip_messages.decode_delta(data)
         as_of = requested_at - age_ms / 1000
         self._platform_state.apply_delta(delta, as_of, f"peer {ip}")
@@ -174,6 +204,7 @@
     Attributes:
         options: settings of the daemon.
         store: store that the daemon reads.
+        links: links of all VMs.
         store_refuses: whether the store refuses the daemon's calls.
         store_silent: whether the store leaves the daemon's calls unanswered.
         silence_count: counter that a test increases when it makes the store
@@ -192,6 +223,7 @@
     ):
         self.options = options
         self.store = fleet.store
+        self.links = fleet.links
         self._random = random.Random(fleet.random_source.random())
         self.store_refuses = False
         self.store_silent = False
@@ -265,6 +297,44 @@
         )
 
 
+class VirtualLinks:
+    """The links of all VMs, which the transfers over each of them share.
+
+    Attributes:
+        carried_bytes: bytes of transfers received and sent, by IP address.
+    """
+
+    def __init__(self, bytes_per_second: float):
+        self._bytes_per_second = bytes_per_second
+        self._free_at: dict[tuple[str, str], float] = {}
+        self.carried_bytes: collections.Counter[str] = collections.Counter()
+
+    async def transfer(self, sender: str, receiver: str, size: int) -> None:
+        """Transfers bytes; concurrent transfers take turns on a link.
+
+        Args:
+            sender: IP address of the sender; the empty one has a link that is
+                never full.
+            receiver: IP address of the receiver.
+            size: number of bytes.
+        """
+        while size > 0:
+            window_bytes = min(size, TRANSFER_WINDOW_BYTES)
+            size -= window_bytes
+            done_at = boot_clock.now()
+            for link in ((sender, "sent"), (receiver, "received")):
+                if link[0]:
+                    done_at = max(done_at, self._occupy(link, window_bytes))
+            await asyncio.sleep(max(0.0, done_at - boot_clock.now()))
+
+    def _occupy(self, link: tuple[str, str], size: int) -> float:
+        """Occupies one direction of a link; returns when it is free again."""
+        self.carried_bytes[link[0]] += size
+        starts_at = max(boot_clock.now(), self._free_at.get(link, 0.0))
+        self._free_at[link] = starts_at + size / self._bytes_per_second
+        return self._free_at[link]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
     """Size, random seed and network links of a fleet.
@@ -293,10 +363,12 @@
         daemons: running daemons by IP address.
         sent_bytes: bytes of datagrams by IP address of the sender.
         cut_links: pairs of IP addresses that can't reach each other.
+        links: links of the VMs, for listings, watches and pulls.
     """
 
     def __init__(self, plan: FleetPlan):
         self.store = VirtualStore()
+        self.links = VirtualLinks(plan.link_bytes_per_second)
         self.random_source = random.Random(plan.seed)
         self.daemons: dict[str, VirtualDaemon] = {}
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -375,6 +447,14 @@
                 yield ip
 
 
+def _answer_bytes(delta: items.Delta) -> int:
+    """Returns the bytes of an answer of the store, whose values are Base64."""
+    return sum(
+        STORE_EVENT_BYTES + len(item.value or b"") * 4 // 3
+        for item in delta.items
+    )
+
+
 def _ip(data_centre_number: int, number: int) -> str:
     return f"10.{data_centre_number}.0.{number}"
 
