Keep removed items removed when an older delta arrives after a listing

Callers' requests could be sent to a server that had been removed: a restarted daemon listed the store at revision 83, which leaves no tombstones, and then applied the answer to a pull that it had sent before, of revision 82, with an item removed at 83. The item came back and spread to three data centres.

A replica knows all items up to its revision, so an absent item that was last changed before it has been removed. The new test failed with the item restored.

--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -125,6 +125,9 @@
         )
         if item.revision <= last_revision:
             return False
+        if current is None and item.revision <= self._revision:
+            # Removed before a listing, which leaves no tombstone.
+            return False
         if item.value is None:
             self._items.pop(item.key, None)
             self._add_tombstone(item.key, item.revision)
--- a/packages/core/src/hyssopwind/core/discovery/tests/test_items.py
+++ b/packages/core/src/hyssopwind/core/discovery/tests/test_items.py
@@ -87,3 +87,15 @@
         delta = self.reader.delta_since(9)
         self.assertFalse(delta.is_complete)
         self.assertEqual(delta.items, (items.Item("b", None, 11),))
+
+    # A restarted daemon used a server that had been removed, because a delta
+    # that a peer had sent earlier arrived after its own listing.
+    def test_older_delta_does_not_restore_an_item_removed_before_a_listing(
+        self,
+    ):
+        replica = items.ItemReplica()
+        replica.apply(items.Delta((items.Item("b", b"1", 2),), 9, True))
+        late_items = (items.Item("a", b"1", 5), items.Item("b", b"1", 2))
+        changed = replica.apply(items.Delta(late_items, 8, True))
+        self.assertEqual(changed, [])
+        self.assertEqual(list(replica.items), ["b"])
