Spread changes over a data centre as patches, a few transfers at a time

Cause: a message that grows with the configuration took a link whole, and was sent again from its first byte when it did not end in time. A leader sent the whole configuration of 340 KB to each daemon of its data centre at once; each pull ended after 0.5 s and began anew, from several leaders at the same time. A call of the store had 0.4 s beyond its wait, and the replicas that grew old meanwhile made all other daemons read as well.

- A value of 4 KB or more is sent as a patch of a version that the peer holds, else deflated, with a digest.
Results are cached, as all daemons ask for the same.
- A daemon serves two large transfers at a time and refers waiting peers to those that have received them; one pull runs at a time, another peer is asked without progress only.
- A transfer or an answer of the store ends when its bytes stop coming, not after a time.
- The daemon with the widest link of a data centre reads the store.
While it receives an answer, the others do not read too.

--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -11,6 +11,10 @@
 from collections.abc import Mapping
 
 MAX_TOMBSTONES = 4_000  # a change of 1,000 servers needs 2,000
+# Size from which replaced values are retained, up to a total size, as bases of
+# patches for peers that still hold them.
+MIN_RETAINED_BYTES = 4_096
+MAX_RETAINED_BYTES = 2_500_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +75,12 @@
         self._tombstones: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self._retained: collections.OrderedDict[tuple[str, int], bytes] = (
+            collections.OrderedDict()
+        )
+        self._retained_bytes = 0
         self._revision = 0
+        self._generation = 0
         # Every removal after this revision has a tombstone.
         self._removals_since = 0
 
@@ -80,6 +89,11 @@
         """Revision of the replica; 0 before the first listing."""
         return self._revision
 
+    @property
+    def generation(self) -> int:
+        """Number of the deltas with items, or complete ones, applied so far."""
+        return self._generation
+
     @property
     def items(self) -> Mapping[str, Item]:
         """The items that exist, by key."""
@@ -88,6 +102,8 @@
     def apply(self, delta: Delta) -> list[Item]:
         """Applies a delta and returns the items that it changed."""
         changed = []
+        if delta.items or delta.is_complete:
+            self._generation += 1
         for item in delta.items:
             if self._apply_item(item):
                 changed.append(item)
@@ -97,6 +113,10 @@
         self._revision = max(self._revision, delta.revision)
         return changed
 
+    def earlier_value(self, key: str, revision: int) -> bytes | None:
+        """Returns a replaced value if it is large and still retained."""
+        return self._retained.get((key, revision))
+
     def delta_since(self, revision: int) -> Delta:
         """Returns the changes that a replica at `revision` lacks."""
         items = tuple(self._changes_after(revision))
@@ -133,6 +153,8 @@
             self._add_tombstone(item.key, item.revision)
             return current is not None
         self._tombstones.pop(item.key, None)
+        if current is not None:
+            self._retain(current)
         self._items[item.key] = item
         return current is None or current.value != item.value
 
@@ -145,6 +167,16 @@
             self._add_tombstone(key, delta.revision)
             yield Item(key, None, delta.revision)
 
+    def _retain(self, replaced: Item) -> None:
+        value = replaced.value
+        if value is None or len(value) < MIN_RETAINED_BYTES:
+            return
+        self._retained[replaced.key, replaced.revision] = value
+        self._retained_bytes += len(value)
+        while self._retained_bytes > MAX_RETAINED_BYTES:
+            _, dropped = self._retained.popitem(last=False)
+            self._retained_bytes -= len(dropped)
+
     def _add_tombstone(self, key: str, revision: int) -> None:
         self._tombstones[key] = revision
         self._tombstones.move_to_end(key)
--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -35,6 +35,7 @@
         retry_slack: retries allowed in a window beyond the ratio.
         probe_rate: probes of one server per second, over all daemons.
         memory_bytes: memory above which the process is killed.
+        link_mbps: width of the link of the VM in Mbit/s; 0 if unknown.
     """
 
     name: ids.DaemonId
@@ -59,6 +60,7 @@
     retry_slack: float
     probe_rate: float
     memory_bytes: int
+    link_mbps: int = 0
 
     @property
     def change_bound_seconds(self) -> float:
--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -1,10 +1,11 @@
 """Member list: the live daemons of the fleet and the leader of a data centre.
 
-Each data centre has a leader: the live daemon with the highest rendezvous
-hash. Members send heartbeats to the first two in rank; the leader sends its
-own to all members and to the leaders of other data centres. The daemons need
-not agree on the leader: two leaders cost some messages, and the lack of one is
-detected by missing heartbeats.
+Each data centre has a leader, which reads the platform: the live daemon with
+the widest link and, among those, the highest rendezvous hash. Members send
+heartbeats to the first two in rank; the leader sends its own to all members and
+to the leaders of other data centres. The daemons need not agree on the leader:
+two leaders cost some messages, and the lack of one is detected by missing
+heartbeats.
 
 A heartbeat carries a digest of the member list of its sender. The leader sends
 its member list only to members with a different digest; an equal digest in its
@@ -49,7 +50,11 @@
         has_store_access: whether its calls to the platform succeed.
         is_leaving: whether it is about to stop.
         member_digest: digest of its member list; 0 before its first heartbeat.
-        rank: rendezvous hash of its name; the highest one leads.
+        link_mbps: width of the link of its VM in Mbit/s; 0 if unknown.
+        is_receiving: whether it receives an answer of the platform.
+        can_inflate: whether it can decode deflated pages.
+        rank: rendezvous hash of its name, which orders daemons with links of
+            the same width.
     """
 
     name: ids.DaemonId
@@ -61,6 +66,9 @@
     has_store_access: bool = True
     is_leaving: bool = False
     member_digest: int = 0
+    link_mbps: int = 0
+    is_receiving: bool = False
+    can_inflate: bool = False
     rank: int = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -76,8 +84,9 @@
         ip: str,
         data_centre: ids.DataCentreId,
         now: float,
+        link_mbps: int = 0,
     ):
-        self._own = Peer(name, ip, data_centre, now)
+        self._own = Peer(name, ip, data_centre, now, link_mbps=link_mbps)
         self._peers: dict[ids.DaemonId, Peer] = {}
         self._last_alive_by_name: dict[ids.DaemonId, float] = {name: now}
         self._started_at = now
@@ -98,6 +107,9 @@
         is_new = name not in self._peers
         peer = self._put_peer(name, heartbeat.ip, heartbeat.data_centre, now)
         peer.last_heartbeat_at = now
+        peer.link_mbps = max(0, heartbeat.link_mbps)
+        peer.can_inflate = heartbeat.link_mbps >= 0
+        peer.is_receiving = heartbeat.is_receiving
         peer.revision = heartbeat.revision
         peer.has_store_access = heartbeat.has_store_access
         if peer.is_leaving != heartbeat.is_leaving:
@@ -115,7 +127,10 @@
     ) -> bool:
         """Handles a page of a member list; returns whether a daemon is new."""
         found_new = False
-        for member in page.members:
+        widths = page.link_mbps
+        if len(widths) != len(page.members):
+            widths = [0] * len(page.members)
+        for member, link_mbps in zip(page.members, widths, strict=True):
             name = ids.DaemonId(member.name)
             if name == self._own.name or not _is_ip_address(member.ip):
                 continue
@@ -123,7 +138,10 @@
             if now - last_alive_at > self._expiry_seconds(member.data_centre):
                 continue
             found_new = found_new or name not in self._peers
-            self._put_peer(name, member.ip, member.data_centre, last_alive_at)
+            peer = self._put_peer(
+                name, member.ip, member.data_centre, last_alive_at
+            )
+            peer.link_mbps = link_mbps or peer.link_mbps
         return found_new
 
     def remove_expired(self, now: float) -> list[ids.DaemonId]:
@@ -146,6 +164,11 @@
         self._last_alive_by_name[self._own.name] = now
         return expired
 
+    @property
+    def link_mbps(self) -> int:
+        """Width of the link of this VM in Mbit/s; 0 if unknown."""
+        return self._own.link_mbps
+
     def fleet_size(self) -> int:
         """Returns the number of daemons that were alive in the last minute."""
         return len(self._last_alive_by_name)
@@ -180,7 +203,7 @@
         ]
         if data_centre == self._own.data_centre and not self._own.is_leaving:
             found.append(self._own)
-        found.sort(key=lambda peer: peer.rank, reverse=True)
+        found.sort(key=lambda peer: (peer.link_mbps, peer.rank), reverse=True)
         return found
 
     def leader(self, now: float) -> Peer | None:
@@ -260,6 +283,14 @@
             members.append(_make_member(peer, peer.last_alive_at, now))
         return members
 
+    def link_widths(self, members: list[gossip_messages.Member]) -> list[int]:
+        """Returns the widths of links for a page; empty if all are unknown."""
+        widths = []
+        for member in members:
+            peer = self._peers.get(ids.DaemonId(member.name))
+            widths.append(peer.link_mbps if peer else self._own.link_mbps)
+        return widths if any(widths) else []
+
     def _put_peer(
         self,
         name: ids.DaemonId,
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -6,6 +6,7 @@
 in milliseconds at the time of sending; no message carries a time of day.
 """
 
+import zlib
 from typing import TypeAlias
 
 import msgspec
@@ -14,6 +15,8 @@
 
 MAX_AGE_MS = 3_600_000  # sent for any longer age, and for "never confirmed"
 
+MAX_PAGE_BYTES = 100_000  # of an inflated page
+
 
 class Heartbeat(msgspec.Struct, array_like=True, tag="b", frozen=True):
     """A heartbeat.
@@ -27,6 +30,11 @@
         has_store_access: whether its own calls to the platform succeed.
         is_leaving: whether it is about to stop.
         member_digest: digest of its member list.
+        configuration_revision: revision of the configuration in its replica.
+        link_mbps: width of the link of its VM in Mbit/s; 0 if unknown, -1 from
+            daemons of releases that cannot decode deflated pages.
+        is_receiving: whether it receives an answer of the platform, which may
+            be large.
     """
 
     name: str
@@ -37,6 +45,9 @@
     has_store_access: bool
     is_leaving: bool
     member_digest: int
+    configuration_revision: int = 0
+    link_mbps: int = -1
+    is_receiving: bool = False
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
@@ -61,10 +72,19 @@
     Attributes:
         sender: name of the daemon that sends it.
         members: daemons that the sender considers alive.
+        link_mbps: widths of the links of their VMs in Mbit/s, in the same
+            order; empty if all are unknown.
     """
 
     sender: str
     members: list[Member]
+    link_mbps: list[int] = []
+
+
+class DeflatedPage(msgspec.Struct, array_like=True, tag="z", frozen=True):
+    """A `MemberListPage`, encoded and deflated."""
+
+    data: bytes
 
 
 class CrashNotice(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -219,15 +239,21 @@
     Heartbeat | MemberListPage | CrashNotice | LeavingNotice | PermitMessage
 )
 
-_DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(
-    Heartbeat
-    | MemberListPage
-    | CrashNotice
-    | LeavingNotice
-    | LimitNotice
-    | ShareLoan
-    | PermitRequest
-    | PermitReply
+_DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram | DeflatedPage] = (
+    msgspec.msgpack.Decoder(
+        Heartbeat
+        | MemberListPage
+        | DeflatedPage
+        | CrashNotice
+        | LeavingNotice
+        | LimitNotice
+        | ShareLoan
+        | PermitRequest
+        | PermitReply
+    )
+)
+_PAGE_DECODER: msgspec.msgpack.Decoder[MemberListPage] = (
+    msgspec.msgpack.Decoder(MemberListPage)
 )
 _CHANGES_DECODER: msgspec.msgpack.Decoder[Changes] = msgspec.msgpack.Decoder(
     Changes
@@ -250,7 +276,39 @@
         >>> decode(encode(sent)) == sent
         True
     """
-    return _DATAGRAM_DECODER.decode(data)
+    message = _DATAGRAM_DECODER.decode(data)
+    if not isinstance(message, DeflatedPage):
+        return message
+    inflater = zlib.decompressobj()
+    try:
+        page = inflater.decompress(message.data, MAX_PAGE_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+    return _PAGE_DECODER.decode(page)
+
+
+def encode_deflated(page: MemberListPage) -> bytes:
+    """Returns the bytes of a page for a daemon that can inflate it.
+
+    Examples:
+        >>> page = MemberListPage("a", [Member("b", "127.0.0.2", "north", 5)])
+        >>> decode(encode_deflated(page)) == page
+        True
+    """
+    data = zlib.compress(msgspec.msgpack.encode(page))
+    return msgspec.msgpack.encode(DeflatedPage(data))
+
+
+def encode_age(seconds: float) -> int:
+    """Returns an age as messages carry it, in milliseconds.
+
+    Examples:
+        >>> encode_age(0.25), encode_age(float("inf")) == MAX_AGE_MS
+        (250, True)
+    """
+    if seconds * 1000 >= MAX_AGE_MS:
+        return MAX_AGE_MS
+    return round(seconds * 1000)
 
 
 def encode_delta(delta: items.Delta, age_ms: int) -> bytes:
--- a/packages/core/src/hyssopwind/core/fleet/reader_selection.py
+++ b/packages/core/src/hyssopwind/core/fleet/reader_selection.py
@@ -25,6 +25,9 @@
 # Time added to this age for each daemon before it in rank, and the limit of the
 # sum: a longer delay would exceed the time that changes may take.
 RANK_DELAY_SECONDS = 0.1
+# Time added while a daemon before it in rank receives an answer of the
+# platform, which takes about a second for 500 KB on a link of 5 Mbit/s.
+RECEIVING_DELAY_SECONDS = 1.5
 MAX_RANK_DELAY_SECONDS = 0.6
 # Delay after a failed call of a leader, which doubles with each failure up to
 # the limit. The limit is short so that the end of an outage is detected soon.
@@ -78,6 +81,7 @@
         return False
     higher_ranked = _higher_ranked(state, member_list)
     unavailable_count = 0
+    is_receiving = False
     for peer in higher_ranked:
         is_suspect = (
             now - peer.last_heartbeat_at > fleet_members.SUSPECT_AFTER_SECONDS
@@ -86,9 +90,13 @@
             is_suspect and uptime > fleet_members.SUSPECT_AFTER_SECONDS
         ):
             unavailable_count += 1
+        elif peer.is_receiving and not is_suspect:
+            is_receiving = True
     if unavailable_count == len(higher_ranked):
         return True
     delay = min(MAX_RANK_DELAY_SECONDS, RANK_DELAY_SECONDS * len(higher_ranked))
+    if is_receiving:
+        delay += RECEIVING_DELAY_SECONDS
     age_limit = min(
         MAX_REPLICA_AGE_SECONDS,
         MAX_REPLICA_AGE_RATIO * state.change_bound_seconds,
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
@@ -41,6 +41,32 @@
             leaders.add(member_list.ranked_daemons(NORTH)[0].name)
         self.assertEqual(len(leaders), 1)
 
+    # A daemon on a link of 10 Mbit/s read and passed on a large configuration
+    # while others of its data centre had 200 Mbit/s.
+    def test_daemon_with_the_widest_link_leads(self):
+        for own in "abcd":
+            member_list = make_member_list(own, "")
+            for name in "abcd":
+                link_mbps = 200 if name == "c" else 10
+                member_list.handle_heartbeat(
+                    make_heartbeat(name, link_mbps=link_mbps), 0.0
+                )
+            if own == "c":
+                continue
+            ranked = [p.name for p in member_list.ranked_daemons(NORTH)]
+            self.assertEqual(ranked[0], "c")
+
+    def test_pages_carry_the_widths_of_links(self):
+        sender = make_member_list("a", "")
+        sender.handle_heartbeat(make_heartbeat("b", link_mbps=100), 0.0)
+        members = sender.list_members(0.0, local_only=True)
+        page = gossip_messages.MemberListPage(
+            "a", members, sender.link_widths(members)
+        )
+        receiver = make_member_list("c", "")
+        receiver.handle_member_list_page(page, 0.0)
+        self.assertEqual(receiver.find(ids.DaemonId("b")).link_mbps, 100)
+
     def test_next_in_rank_leads_after_the_leader_stops_sending_heartbeats(self):
         first, second = self.first_two_in_rank("abc")
         member_list = make_member_list(second, "abc".replace(second, ""))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -85,6 +85,7 @@
             initial_settings.ip,
             initial_settings.data_centre,
             boot_clock.now(),
+            initial_settings.link_mbps,
         )
         self._store_client = store.StoreClient(initial_settings.store_address)
         self._store_reader = store_reader.StoreReader(
@@ -115,6 +116,7 @@
             self._platform_state,
             lambda: not self._store_reader.is_failing,
             lambda: self._store_reader.is_reading,
+            lambda: self._store_client.is_receiving,
             self._crash_detector.handle_notice,
             self._request_path.permits.handle,
             self._request_path.handle_leaving_notice,
@@ -122,7 +124,7 @@
             self._random,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
-            self._is_ready, self._gossip.changes_after, self._metrics.render
+            self._is_ready, self._gossip.transfers.answer, self._metrics.render
         )
         self._reloader = reloading.Reloader(
             self._live_settings,
@@ -394,8 +396,8 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
-            transfer_counts=lambda: self._gossip.transfer_counts,
-            transfer_bytes=lambda: self._gossip.transfer_bytes,
+            transfer_counts=lambda: self._gossip.transfers.counts,
+            transfer_bytes=lambda: self._gossip.transfers.byte_counts,
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
             checks=lambda: self._request_path.probe_client.probe_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -1,9 +1,10 @@
 """Messages between daemons: heartbeats, member lists, notices and pulls.
 
 A heartbeat states the revision of the sender's replica and its age. A daemon
-with an earlier revision pulls the changes over HTTP. The leader of a data
-centre sends heartbeats to all of its members and to the other leaders, and
-members send theirs to the daemons first in rank, as `fleet_members` ranks them.
+with an earlier revision pulls the changes, see `change_transfers`. The leader
+of a data centre sends heartbeats to all of its members and to the other
+leaders, and members send theirs to the daemons first in rank, as
+`fleet_members` ranks them.
 The number of messages thus grows only linearly with the fleet, and few of them
 cross between data centres.
 """
@@ -23,12 +24,15 @@
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
+from hyssopwind.daemon.gateway import change_transfers
 from hyssopwind.daemon.gateway import replicated_state
+from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
-from hyssopwind.transport import connection
 from hyssopwind.transport import connection_pools
 
-MEMBERS_PER_DATAGRAM = 20  # about 1,000 bytes, so that none is fragmented
+# About 1,000 bytes, so that no datagram is fragmented.
+MEMBERS_PER_DATAGRAM = 20
+MEMBERS_PER_DEFLATED_DATAGRAM = 40
 # Number of daemons, the first in rank, to which all members send heartbeats.
 HEARTBEAT_RECIPIENT_COUNT = 2
 # Rounds, one in each heartbeat interval, between two messages of a kind.
@@ -44,7 +48,6 @@
 # Rounds between later heartbeats to the seeds, which are sent while the member
 # list contains no peer of this data centre.
 LONE_SEED_CONTACT_ROUNDS = 4
-PULL_TIMEOUT_SECONDS = 0.5  # a pull takes milliseconds
 # Assumed longest time between the sending and the receipt of a heartbeat.
 MAX_HEARTBEAT_DELIVERY_SECONDS = 0.01
 # A notice is sent several times, because datagrams may be lost.
@@ -52,7 +55,6 @@
 # Notices that are remembered, so that a repeated one is handled once.
 MAX_REMEMBERED_NOTICES = 1_000
 NOTICE_NUMBER_BITS = 48
-LARGE_TRANSFER_BYTES = 16_384  # logged
 
 _log = logbook.Logger("fleet")
 
@@ -61,8 +63,7 @@
     """Exchanges heartbeats, member lists, notices and changes with peers.
 
     Attributes:
-        transfer_counts: number of transfers of changes by result.
-        transfer_bytes: bytes of changes by direction, `received` or `sent`.
+        transfers: transfers of changes from and to peers.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         platform_state: replicated_state.PlatformState,
         can_read_store: Callable[[], bool],
         is_reading_store: Callable[[], bool],
+        is_receiving: Callable[[], bool],
         on_crash_notice: Callable[[ids.Fingerprint, int], None],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
         on_leaving_notice: Callable[[ids.InstanceId], None],
@@ -85,6 +87,7 @@
         self._platform_state = platform_state
         self._can_read_store = can_read_store
         self._is_reading_store = is_reading_store
+        self._is_receiving = is_receiving
         self._on_crash_notice = on_crash_notice
         self._on_permit_message = on_permit_message
         self._on_leaving_notice = on_leaving_notice
@@ -96,12 +99,19 @@
         self._round_number = 0
         self._announced_revision = 0
         self._is_stopping = False
-        self._pulls: dict[str, asyncio.Task[None]] = {}
+        self.transfers = change_transfers.ChangeTransfers(
+            initial_settings.ip,
+            platform_state,
+            member_list,
+            self._fetch,
+            lambda ip: self._send(
+                gossip_messages.encode(self._make_heartbeat()), ip
+            ),
+            random_source,
+        )
         self._queued_datagrams: collections.deque[tuple[bytes, str]] = (
             collections.deque()
         )
-        self.transfer_counts: collections.Counter[str] = collections.Counter()
-        self.transfer_bytes: collections.Counter[str] = collections.Counter()
         self._handled_notices: collections.OrderedDict[
             tuple[str, int], None
         ] = collections.OrderedDict()
@@ -129,6 +139,7 @@
         """Closes the UDP socket and the connections to peers."""
         if self._transport is not None:
             self._transport.close()
+        self.transfers.stop()
         self._pool.close()
 
     def announce_stop(self) -> None:
@@ -165,13 +176,15 @@
         """Sends a message about permits to a peer."""
         self._send(gossip_messages.encode(message), ip)
 
-    def changes_after(self, revision: int) -> bytes:
-        """Returns the changes after `revision`, encoded for a peer."""
-        delta = self._platform_state.replica.delta_since(revision)
-        data = gossip_messages.encode_delta(delta, self._age_ms())
-        self.transfer_counts["sent"] += 1
-        self.transfer_bytes["sent"] += len(data)
-        return data
+    async def _fetch(
+        self, ip: str, target: str, progress: connection_pools.Progress
+    ) -> answers.Answer:
+        return await self._pool.get(
+            f"{ip}:{self._peers_port}",
+            target,
+            change_transfers.PULL_TIMEOUT_SECONDS,
+            progress=progress,
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the UDP socket."""
@@ -277,10 +290,13 @@
             self._initial_settings.ip,
             self._initial_settings.data_centre,
             self._platform_state.replica.revision,
-            self._age_ms(),
+            gossip_messages.encode_age(self._platform_state.age_seconds()),
             self._can_read_store(),
             self._is_stopping,
             self._member_list.digest(),
+            self._platform_state.configuration_revision,
+            self._member_list.link_mbps,
+            self._is_receiving(),
         )
 
     def _make_leaving_notice(
@@ -290,26 +306,36 @@
             self._initial_settings.name, instance
         )
 
-    def _age_ms(self) -> int:
-        age = self._platform_state.age_seconds()
-        if age * 1000 >= gossip_messages.MAX_AGE_MS:
-            return gossip_messages.MAX_AGE_MS
-        return round(age * 1000)
-
     def _send_member_list(
         self,
         members: list[gossip_messages.Member],
         peers: list[fleet_members.Peer],
     ) -> None:
         datagrams: list[tuple[bytes, str]] = []
-        for start in range(0, len(members), MEMBERS_PER_DATAGRAM):
-            page = members[start : start + MEMBERS_PER_DATAGRAM]
-            data = gossip_messages.encode(
-                gossip_messages.MemberListPage(
-                    self._initial_settings.name, page
+        for count, encode, receivers in (
+            (
+                MEMBERS_PER_DEFLATED_DATAGRAM,
+                gossip_messages.encode_deflated,
+                [peer for peer in peers if peer.can_inflate],
+            ),
+            (
+                MEMBERS_PER_DATAGRAM,
+                gossip_messages.encode,
+                [peer for peer in peers if not peer.can_inflate],
+            ),
+        ):
+            if not receivers:
+                continue
+            for start in range(0, len(members), count):
+                page = members[start : start + count]
+                data = encode(
+                    gossip_messages.MemberListPage(
+                        self._initial_settings.name,
+                        page,
+                        self._member_list.link_widths(page),
+                    )
                 )
-            )
-            datagrams.extend((data, peer.ip) for peer in peers)
+                datagrams.extend((data, peer.ip) for peer in receivers)
         if not self._queued_datagrams:
             self._loop.call_soon(self._send_queued_datagrams)
         self._queued_datagrams.extend(datagrams)
@@ -372,8 +398,11 @@
                 self._send_all(
                     self._make_leaving_notice(instance), matching_peers
                 )
+        self._platform_state.record_announced_configuration(
+            heartbeat.configuration_revision
+        )
+        self.transfers.handle_announcement(heartbeat.ip, heartbeat.revision)
         if heartbeat.revision > self._platform_state.replica.revision:
-            self._start_pull(heartbeat.ip)
             return
         if heartbeat.revision and heartbeat.age_ms < gossip_messages.MAX_AGE_MS:
             self._confirm_freshness(heartbeat.age_ms, now)
@@ -386,43 +415,6 @@
         )
         self._platform_state.apply_delta(empty_delta, as_of, "peer")
 
-    def _start_pull(self, ip: str) -> None:
-        if ip in self._pulls:
-            return
-        task = self._loop.create_task(self._pull(ip))
-        self._pulls[ip] = task
-        task.add_done_callback(lambda _: self._pulls.pop(ip, None))
-
-    async def _pull(self, ip: str) -> None:
-        sent_at = boot_clock.now()
-        address = f"{ip}:{self._peers_port}"
-        target = f"/changes?after={self._platform_state.replica.revision}"
-        try:
-            answer = await self._pool.get(address, target, PULL_TIMEOUT_SECONDS)
-            delta, age_ms = gossip_messages.decode_delta(answer.body)
-        except (connection.ExchangeError, msgspec.DecodeError) as error:
-            self.transfer_counts["failed"] += 1
-            _log.warn(
-                "pull from a peer failed",
-                extra={"peer": ip, "error": str(error)},
-            )
-            return
-        self.transfer_counts["received"] += 1
-        self.transfer_bytes["received"] += len(answer.body)
-        if len(answer.body) >= LARGE_TRANSFER_BYTES:
-            _log.info(
-                "large transfer received",
-                extra={
-                    "peer": ip,
-                    "bytes": len(answer.body),
-                    "ms": round((boot_clock.now() - sent_at) * 1000),
-                    "after": self._platform_state.replica.revision,
-                    "revision": delta.revision,
-                },
-            )
-        as_of = sent_at - age_ms / 1000
-        self._platform_state.apply_delta(delta, as_of, f"peer {ip}")
-
     def _handle_crash_notice(self, notice: gossip_messages.CrashNotice) -> None:
         key = (notice.sender, notice.notice_number)
         if key in self._handled_notices:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-import urllib.parse
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
@@ -17,7 +17,6 @@
 from hyssopwind.daemon.gateway import caller_requests
 
 _LIMITS = tables.CallerLimits()
-_NOT_FOUND = outcomes.Answered(404, (), b"")
 
 _Handler: TypeAlias = Callable[
     [caller_requests.CallerRequest], Coroutine[Any, Any, outcomes.Outcome]
@@ -30,11 +29,11 @@
     def __init__(
         self,
         is_ready: Callable[[], bool],
-        changes_after: Callable[[int], bytes],
+        answer_peer: Callable[[str], Awaitable[outcomes.Answered]],
         render_metrics: Callable[[], bytes],
     ):
         self._is_ready = is_ready
-        self._changes_after = changes_after
+        self._answer_peer = answer_peer
         self._render_metrics = render_metrics
         self._servers: list[asyncio.Server] = []
         self._connections: set[caller_connection.CallerConnection] = set()
@@ -87,14 +86,7 @@
     async def _handle_peer(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
-        query = urllib.parse.parse_qs(request.target.partition("?")[2])
-        revision = query.get("after", [""])[0]
-        if request.path != "/changes" or not revision.isdigit():
-            return _NOT_FOUND
-        fields = (("Content-Type", "application/msgpack"),)
-        return outcomes.Answered(
-            200, fields, self._changes_after(int(revision))
-        )
+        return await self._answer_peer(request.target)
 
     async def _handle_metrics(
         self, request: caller_requests.CallerRequest
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -34,6 +34,8 @@
         self.replica = items.ItemReplica()
         self.catalogue = catalogue.Catalogue()
         self.freshness = freshness.Freshness()
+        self._configuration_revision = 0
+        self._announced_configuration_revision = 0
         self._configured = asyncio.Event()
         self._unreadable_keys: set[str] = set()
         self._revisions: subject.Subject[int] | None = None
@@ -48,6 +50,28 @@
             self._revisions = subject.Subject()
         return self._revisions
 
+    @property
+    def configuration_revision(self) -> int:
+        """Revision of the configuration in the replica; 0 without one."""
+        return self._configuration_revision
+
+    def record_announced_configuration(self, revision: int) -> None:
+        """Records the revision of the configuration that a peer has."""
+        self._announced_configuration_revision = max(
+            self._announced_configuration_revision, revision
+        )
+
+    def may_lack_configuration(self, bound_seconds: float) -> bool:
+        """Whether a configuration may be in force that the replica lacks.
+
+        Args:
+            bound_seconds: seconds after which a change may be in force.
+        """
+        return (
+            self._announced_configuration_revision > self.replica.revision
+            or self.age_seconds() > bound_seconds
+        )
+
     async def wait_for_configuration(
         self, timeout_seconds: float | None
     ) -> bool:
@@ -112,6 +136,7 @@
             fields = {"key": item.key, "revision": item.revision}
             fields["source"] = source
             if isinstance(record, records.ConfigurationRecord):
+                self._configuration_revision = item.revision
                 fields["version"] = record.configuration.version
                 fields["routes"] = len(record.configuration.routes)
             _log.info(change.value, extra=fields)
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -273,6 +273,7 @@
         target: str,
         timeout_seconds: float,
         is_expected: connection.AnswerPredicate = lambda _: True,
+        progress: connection_pools.Progress | None = None,
     ) -> answers.Answer:
         """Returns the answer to a load probe."""
         await asyncio.sleep(ROUND_TRIP_SECONDS / 2)
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -12,19 +12,26 @@
 from collections.abc import Iterator
 
 from hyssopwind.core import ids
+from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.fleet import reader_selection
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import change_transfers
 from hyssopwind.daemon.gateway import gossip
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.platform import boot
 from hyssopwind.platform import store
 from hyssopwind.standins.site import documents
+from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
+from hyssopwind.transport import connection_pools
+from hyssopwind.transport import heads
 
 LOCAL_DELAY_SECONDS = 0.0002  # one way
 REMOTE_DELAY_SECONDS = 0.0015  # one way
@@ -105,7 +112,7 @@
         self._store.call_count += 1
         await self._apply_store_faults(1.0)
         delta = self._store.listing(prefix)
-        await self._receive(delta, store.LISTING_TIMEOUT_SECONDS)
+        await self._receive(delta)
         return delta
 
     async def wait_for_changes(
@@ -120,31 +127,28 @@
             raise store.HistoryLostError(
                 "changes after the revision are dropped"
             )
-        called_at = boot_clock.now()
         silence_count = self._daemon.silence_count
         delta = await self._store.wait_for_changes(revision, wait_seconds)
         if self._daemon.silence_count != silence_count:
             await asyncio.sleep(store.WATCH_MARGIN_SECONDS)
             raise store.StoreError("silent")
         await self._apply_store_faults(wait_seconds)
-        await self._receive(
-            delta,
-            called_at
-            + wait_seconds
-            + store.WATCH_MARGIN_SECONDS
-            - boot_clock.now(),
-        )
+        await self._receive(delta)
         return delta
 
-    async def _receive(self, delta: items.Delta, seconds: float) -> None:
+    async def _receive(self, delta: items.Delta) -> None:
         """Receives an answer over the link of the daemon."""
         try:
-            async with asyncio.timeout(max(0.0, seconds)):
-                await self._daemon.links.transfer(
-                    "", self._daemon.options.ip, _answer_bytes(delta)
-                )
+            await self._daemon.links.transfer(
+                "",
+                self._daemon.options.ip,
+                _answer_bytes(delta),
+                self._progress,
+            )
         except TimeoutError as error:
             raise store.StoreError("timeout") from error
+        finally:
+            self._is_receiving = False
 
     async def _apply_store_faults(self, timeout: float) -> None:
         await asyncio.sleep(STORE_DELAY_SECONDS)
@@ -165,6 +169,7 @@
             daemon.platform_state,
             lambda: not daemon.reader.is_failing,
             lambda: daemon.reader.is_reading,
+            lambda: daemon.store_client.is_receiving,
             daemon.handle_crash_notice,
             daemon.handle_permit_message,
             daemon.handle_leaving_notice,
@@ -177,25 +182,35 @@
     def _send(self, data: bytes, ip: str) -> None:
         self._virtual_fleet.deliver(self._daemon, ip, data)
 
-    async def _pull(self, ip: str) -> None:
+    async def _fetch(
+        self, ip: str, target: str, progress: connection_pools.Progress
+    ) -> answers.Answer:
+        try:
+            async with asyncio.timeout(change_transfers.PULL_TIMEOUT_SECONDS):
+                answered = await self._ask(ip, target)
+            await self._virtual_fleet.links.transfer(
+                ip,
+                self._daemon.options.ip,
+                len(answered.body),
+                progress,
+            )
+        except TimeoutError as error:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.TIMED_OUT, "virtual"
+            ) from error
+        fields = heads.new_fields()
+        for name, value in answered.headers:
+            fields[name] = value
+        return answers.Answer(
+            answered.status, fields, answered.body, may_reuse_connection=True
+        )
+
+    async def _ask(self, ip: str, target: str) -> outcomes.Answered:
         source = self._virtual_fleet.find_reachable(self._daemon, ip)
-        requested_at = boot_clock.now()
         await asyncio.sleep(2 * REMOTE_DELAY_SECONDS)
         if source is None:
-            return
-        data = source.gossip.changes_after(
-            self._platform_state.replica.revision
-        )
-        try:
-            async with asyncio.timeout(gossip.PULL_TIMEOUT_SECONDS):
-                await self._virtual_fleet.links.transfer(
-                    ip, self._daemon.options.ip, len(data)
-                )
-        except TimeoutError:
-            return
-        delta, age_ms = gossip_messages.decode_delta(data)
-        as_of = requested_at - age_ms / 1000
-        self._platform_state.apply_delta(delta, as_of, f"peer {ip}")
+            raise TimeoutError
+        return await source.gossip.transfers.answer(target)
 
 
 class VirtualDaemon:
@@ -206,6 +221,7 @@
         store: store that the daemon reads.
         links: links of all VMs.
         store_refuses: whether the store refuses the daemon's calls.
+        store_client: client of the store.
         store_silent: whether the store leaves the daemon's calls unanswered.
         silence_count: counter that a test increases when it makes the store
             refuse calls or leave them unanswered, so that a watch that waits
@@ -234,9 +250,9 @@
         self.member_list = fleet_members.MemberList(
             options.name, options.ip, options.data_centre, boot_clock.now()
         )
-        client = VirtualStoreClient(self, fleet.store)
+        self.store_client = VirtualStoreClient(self, fleet.store)
         self.reader = store_reader.StoreReader(
-            client,
+            self.store_client,
             self.platform_state,
             self._should_read,
             self._retry_delay,
@@ -309,7 +325,13 @@
         self._free_at: dict[tuple[str, str], float] = {}
         self.carried_bytes: collections.Counter[str] = collections.Counter()
 
-    async def transfer(self, sender: str, receiver: str, size: int) -> None:
+    async def transfer(
+        self,
+        sender: str,
+        receiver: str,
+        size: int,
+        progress: connection_pools.Progress,
+    ) -> None:
         """Transfers bytes; concurrent transfers take turns on a link.
 
         Args:
@@ -317,7 +339,12 @@
                 never full.
             receiver: IP address of the receiver.
             size: number of bytes.
+            progress: times that the transfer may take.
+
+        Raises:
+            TimeoutError: the transfer takes longer.
         """
+        ends_at = boot_clock.now() + progress.max_seconds
         while size > 0:
             window_bytes = min(size, TRANSFER_WINDOW_BYTES)
             size -= window_bytes
@@ -325,7 +352,12 @@
             for link in ((sender, "sent"), (receiver, "received")):
                 if link[0]:
                     done_at = max(done_at, self._occupy(link, window_bytes))
-            await asyncio.sleep(max(0.0, done_at - boot_clock.now()))
+            wait_seconds = max(0.0, done_at - boot_clock.now())
+            if wait_seconds > progress.stall_seconds or done_at > ends_at:
+                await asyncio.sleep(progress.stall_seconds)
+                raise TimeoutError
+            await asyncio.sleep(wait_seconds)
+            progress.on_bytes()
 
     def _occupy(self, link: tuple[str, str], size: int) -> float:
         """Occupies one direction of a link; returns when it is free again."""
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -39,6 +39,7 @@
     future: "asyncio.Future[answers.Answer]"
     method: str
     is_expected: AnswerPredicate
+    on_progress: Callable[[], None] | None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -81,6 +82,7 @@
         data: bytes,
         method: str,
         is_expected: AnswerPredicate = lambda _: True,
+        on_progress: Callable[[], None] | None = None,
     ) -> answers.Answer:
         """Sends a request and returns the whole answer to it.
 
@@ -89,6 +91,7 @@
             method: the method, which decides whether the answer has a body.
             is_expected: whether an answer is for this request; others are
                 skipped.
+            on_progress: called whenever bytes of the answer are received.
 
         Raises:
             ExchangeError: no whole answer was received.
@@ -99,7 +102,9 @@
                 "connection has ended",
             )
         future: asyncio.Future[answers.Answer] = self._loop.create_future()
-        self._pending = _PendingRequest(future, method, is_expected)
+        self._pending = _PendingRequest(
+            future, method, is_expected, on_progress
+        )
         self._reader = answers.AnswerReader(method)
         self._transport.write(data)
         try:
@@ -132,6 +137,8 @@
             # Bytes without a pending request: the connection cannot be trusted.
             self.abort()
             return
+        if self._pending.on_progress is not None:
+            self._pending.on_progress()
         try:
             self._reader.feed(data)
             self._account_bytes(self._reader.held_bytes)
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -1,7 +1,9 @@
 """A pool of idle connections for reuse."""
 
 import asyncio
+import dataclasses
 import socket
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from hyssopwind.core.attempts import attempt_results
@@ -16,6 +18,21 @@
 MAX_IDLE_PER_ADDRESS = 8
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Times for an answer that may be large.
+
+    Attributes:
+        stall_seconds: longest time between two parts of the answer.
+        max_seconds: longest time after the timeout for the first part.
+        on_bytes: called when a part is received.
+    """
+
+    stall_seconds: float
+    max_seconds: float
+    on_bytes: Callable[[], None]
+
+
 class ConnectionPool:
     """The connections of one daemon, by address.
 
@@ -95,6 +112,7 @@
         target: str,
         timeout_seconds: float,
         is_expected: connection.AnswerPredicate = lambda _: True,
+        progress: Progress | None = None,
     ) -> answers.Answer:
         """Sends a GET and returns the answer; it may be sent more than once.
 
@@ -104,32 +122,53 @@
         Args:
             address: IP address and port.
             target: path and query.
-            timeout_seconds: seconds for the whole call.
+            timeout_seconds: seconds for the whole call, or until the first
+                bytes of the answer if `progress` is given.
             is_expected: whether an answer is for this request.
+            progress: how long an answer may take whose bytes keep coming, so
+                that a narrow link does not make the call start anew.
 
         Raises:
             ExchangeError: no whole answer was received in time.
         """
         head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+        started_at = self._loop.time()
         try:
-            async with asyncio.timeout(timeout_seconds):
-                return await self._get(address, head, is_expected)
+            async with asyncio.timeout(timeout_seconds) as timeout:
+
+                def extend() -> None:
+                    assert progress is not None
+                    progress.on_bytes()
+                    ends_at = min(
+                        self._loop.time() + progress.stall_seconds,
+                        started_at + timeout_seconds + progress.max_seconds,
+                    )
+                    if not timeout.expired():
+                        timeout.reschedule(max(ends_at, timeout.when() or 0.0))
+
+                return await self._get(
+                    address, head, is_expected, extend if progress else None
+                )
         except TimeoutError as error:
             self.close_idle(address)
+            elapsed = self._loop.time() - started_at
             raise connection.ExchangeError(
-                attempt_results.FailureKind.TIMED_OUT,
-                f"after {timeout_seconds} s",
+                attempt_results.FailureKind.TIMED_OUT, f"after {elapsed:.2f} s"
             ) from error
 
     async def _get(
-        self, address: str, head: bytes, is_expected: connection.AnswerPredicate
+        self,
+        address: str,
+        head: bytes,
+        is_expected: connection.AnswerPredicate,
+        on_progress: Callable[[], None] | None,
     ) -> answers.Answer:
         while True:
             had_idle = bool(self._idle.get(address))
             client_connection = await self.acquire(address)
             try:
                 answer = await client_connection.exchange(
-                    head, "GET", is_expected
+                    head, "GET", is_expected, on_progress
                 )
             except connection.ExchangeError:
                 if had_idle:
