Refuse requests without a route while a newer configuration is due

Cause: the daemon answered by the configuration that it had, although its peers had announced a newer one, or its replica was older than the time in which a change has to be in force. Then "no route" is not known to be true. Heartbeats state the revision of the configuration, and such a request is answered 503 with Retry-After, which is true: it has not run. A route that is unknown to the newest configuration is answered 404 as before.

test_unknown_route_is_refused_while_a_configuration_is_due failed with 404 before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -82,8 +82,10 @@
         daemon_count: Callable[[], int],
         retry_settings: tuning.RetryHedgeSettings,
         random_source: random.Random,
+        configuration_bound_seconds: float,
     ):
         self._platform_state = platform_state
+        self._configuration_bound_seconds = configuration_bound_seconds
         self._picker = server_picker
         self._sender = sender
         self._retry_budget = retry_budget
@@ -146,13 +148,7 @@
             )
         route = self.find_route(request)
         if route is None:
-            return self._log_outcome(
-                request,
-                None,
-                outcomes.NotRun(
-                    outcomes.Reason.NO_ROUTE, "no route matches the request"
-                ),
-            )
+            return self._log_outcome(request, None, self._no_route_outcome())
         context = self._create_context(request, route)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
@@ -175,6 +171,20 @@
             raise
         return self._log_outcome(request, context, outcome)
 
+    def _no_route_outcome(self) -> outcomes.NotRun:
+        # A route may have been added that this daemon does not know yet.
+        if self._platform_state.may_lack_configuration(
+            self._configuration_bound_seconds
+        ):
+            return outcomes.NotRun(
+                outcomes.Reason.NOT_READY,
+                "a newer configuration may have a route",
+                NOT_READY_RETRY_AFTER_SECONDS,
+            )
+        return outcomes.NotRun(
+            outcomes.Reason.NO_ROUTE, "no route matches the request"
+        )
+
     def _create_context(
         self, request: caller_requests.CallerRequest, route: tables.Route
     ) -> _RequestContext:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -122,6 +122,7 @@
             member_list.fleet_size,
             gateway_tuning.repeating,
             random_source,
+            gateway_settings.configuration_bound,
         )
 
     def drop_removed_servers(self) -> None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -51,6 +51,22 @@
         self.assertEqual(status, 404)
         self.assertEqual(json.loads(body)["outcome"], "not-run")
 
+    # Callers of routes that had been added were answered 404 by daemons that
+    # had been told of the new configuration but did not have it yet.
+    async def test_unknown_route_is_refused_while_a_configuration_is_due(self):
+        platform_state = self.daemon._platform_state
+        newer = platform_state.replica.revision + 5
+        platform_state.record_announced_configuration(newer)
+        status, headers, body = await self.call("/other/a")
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+        self.assertGreater(float(headers["retry-after"]), 0.0)
+        await self.store.put("op/config", documents.make_configuration(2, []))
+        for number in range(5):
+            await self.store.put(f"other/{number}", {})
+        await self.wait_until(lambda: platform_state.replica.revision >= newer)
+        self.assertEqual((await self.call("/other/a"))[0], 404)
+
     async def test_request_over_the_configured_size_limits_is_refused(self):
         status, _, _ = await self.call("/unsafe/a", "POST", b"x" * 10_001)
         self.assertEqual(status, 413)
