--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -15,6 +15,12 @@
 # patches for peers that still hold them.
 MIN_RETAINED_BYTES = 4_096
 MAX_RETAINED_BYTES = 2_500_000
+# Length of an item as the platform publishes it, without its value.
+ITEM_OVERHEAD_BYTES = 150
+# Length of a listing in Base64 relative to its values, with a margin for items
+# that were added.
+LISTING_RATIO = 1.6
+MIN_LONG_BYTES = 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +58,23 @@
     unchanged_keys: frozenset[str] = frozenset()
 
 
+def max_useful_bytes(replica: "ItemReplica") -> int:
+    """Returns the length above which changes are longer than a listing.
+
+    A value that was set several times is in the changes several times, and in
+    a listing once.
+
+    Examples:
+        >>> max_useful_bytes(ItemReplica())
+        100000
+    """
+    value_bytes = sum(
+        ITEM_OVERHEAD_BYTES + len(item.value or b"")
+        for item in replica.items.values()
+    )
+    return max(MIN_LONG_BYTES, round(LISTING_RATIO * value_bytes))
+
+
 class ItemReplica:
     """Items of the platform as of one revision.
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -74,6 +74,10 @@
                 continue
             try:
                 await self._read_once()
+            except store.LongAnswerError:
+                _log.info("long changes of the store; listing instead")
+                self._must_list = True
+                continue
             except store.HistoryLostError as error:
                 _log.warn(
                     "store dropped its history; listing again",
@@ -103,7 +107,10 @@
         sent_at = boot_clock.now()
         wait_seconds = self._watch_wait_seconds()
         delta = await self._store_client.wait_for_changes(
-            platform_items.ALL_KEYS_PREFIX, revision, wait_seconds
+            platform_items.ALL_KEYS_PREFIX,
+            revision,
+            wait_seconds,
+            items.max_useful_bytes(self._platform_state.replica),
         )
         self._log_large_answer(delta, sent_at)
         # The answer holds all changes up to the time at which the store made
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_configuration_size.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_configuration_size.py
@@ -95,6 +95,23 @@
         delays = site_fleet_case.run_in_virtual_time(main)
         self.assertLessEqual(max(delays), CONFIGURATION_BOUND_SECONDS)
 
+    # The changes of the store repeat the whole configuration for each version,
+    # and the leaders received all of them.
+    def test_last_of_four_versions_in_a_second_is_in_force_in_time(self):
+        async def main():
+            fleet, routes, _, _ = await self.add_routes(
+                1, data_centre_count=2, daemons_per_data_centre=12
+            )
+            for version in range(7, 10):
+                fleet.store.write(
+                    "op/config", encode_configuration(version, routes)
+                )
+                await asyncio.sleep(0.3)
+            return await self.measure_change(fleet, 10, routes)
+
+        delays = site_fleet_case.run_in_virtual_time(main)
+        self.assertLessEqual(max(delays), CONFIGURATION_BOUND_SECONDS)
+
     # Each change moved the whole configuration over each link.
     def test_small_change_moves_at_most_a_quarter_of_the_configuration(self):
         async def main():
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -116,7 +116,11 @@
         return delta
 
     async def wait_for_changes(
-        self, prefix: str, revision: int, wait_seconds: float
+        self,
+        prefix: str,
+        revision: int,
+        wait_seconds: float,
+        max_bytes: int = answers.MAX_ANSWER_BYTES,
     ) -> items.Delta:
         """Waits for changes, unless the store is unavailable."""
         self._store.call_count += 1
@@ -133,17 +137,21 @@
             await asyncio.sleep(store.WATCH_MARGIN_SECONDS)
             raise store.StoreError("silent")
         await self._apply_store_faults(wait_seconds)
+        if _answer_bytes(delta) > max_bytes:
+            raise store.LongAnswerError("virtual")
         await self._receive(delta)
         return delta
 
     async def _receive(self, delta: items.Delta) -> None:
         """Receives an answer over the link of the daemon."""
+        progress = connection_pools.Progress(
+            store.STALL_SECONDS,
+            store.MAX_ANSWER_SECONDS,
+            self._record_progress,
+        )
         try:
             await self._daemon.links.transfer(
-                "",
-                self._daemon.options.ip,
-                _answer_bytes(delta),
-                self._progress,
+                "", self._daemon.options.ip, _answer_bytes(delta), progress
             )
         except TimeoutError as error:
             raise store.StoreError("timeout") from error
--- a/packages/transport/src/hyssopwind/transport/answers.py
+++ b/packages/transport/src/hyssopwind/transport/answers.py
@@ -72,6 +72,13 @@
         """The bytes that the reader holds."""
         return len(self.remaining) + len(self._body)
 
+    @property
+    def known_bytes(self) -> int:
+        """The length of the body as far as it is known."""
+        if self._head is None:
+            return 0
+        return max(self._head.body_length or 0, len(self._body))
+
     def feed(self, data: bytes) -> None:
         """Parses further bytes of the stream.
 
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -39,7 +39,7 @@
     future: "asyncio.Future[answers.Answer]"
     method: str
     is_expected: AnswerPredicate
-    on_progress: Callable[[], None] | None
+    on_progress: Callable[[int], None] | None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -82,7 +82,7 @@
         data: bytes,
         method: str,
         is_expected: AnswerPredicate = lambda _: True,
-        on_progress: Callable[[], None] | None = None,
+        on_progress: Callable[[int], None] | None = None,
     ) -> answers.Answer:
         """Sends a request and returns the whole answer to it.
 
@@ -91,7 +91,9 @@
             method: the method, which decides whether the answer has a body.
             is_expected: whether an answer is for this request; others are
                 skipped.
-            on_progress: called whenever bytes of the answer are received.
+            on_progress: called with the length of the answer as far as it is
+                known, whenever bytes of it are received. It may raise
+                `AnswerTooLargeError`.
 
         Raises:
             ExchangeError: no whole answer was received.
@@ -137,10 +139,10 @@
             # Bytes without a pending request: the connection cannot be trusted.
             self.abort()
             return
-        if self._pending.on_progress is not None:
-            self._pending.on_progress()
         try:
             self._reader.feed(data)
+            if self._pending.on_progress is not None:
+                self._pending.on_progress(self._reader.known_bytes)
             self._account_bytes(self._reader.held_bytes)
             self._process_answers()
         except answers.BadAnswerError as error:
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -26,11 +26,13 @@
         stall_seconds: longest time between two parts of the answer.
         max_seconds: longest time after the timeout for the first part.
         on_bytes: called when a part is received.
+        max_bytes: length of the longest answer that is received to its end.
     """
 
     stall_seconds: float
     max_seconds: float
     on_bytes: Callable[[], None]
+    max_bytes: int = answers.MAX_ANSWER_BYTES
 
 
 class ConnectionPool:
@@ -136,8 +138,10 @@
         try:
             async with asyncio.timeout(timeout_seconds) as timeout:
 
-                def extend() -> None:
+                def extend(known_bytes: int) -> None:
                     assert progress is not None
+                    if known_bytes > progress.max_bytes:
+                        raise answers.AnswerTooLargeError
                     progress.on_bytes()
                     ends_at = min(
                         self._loop.time() + progress.stall_seconds,
@@ -161,7 +165,7 @@
         address: str,
         head: bytes,
         is_expected: connection.AnswerPredicate,
-        on_progress: Callable[[], None] | None,
+        on_progress: Callable[[int], None] | None,
     ) -> answers.Answer:
         while True:
             had_idle = bool(self._idle.get(address))
@@ -170,8 +174,11 @@
                 answer = await client_connection.exchange(
                     head, "GET", is_expected, on_progress
                 )
-            except connection.ExchangeError:
-                if had_idle:
+            except connection.ExchangeError as error:
+                is_too_large = (
+                    error.kind is attempt_results.FailureKind.TOO_LARGE
+                )
+                if had_idle and not is_too_large:
                     continue
                 raise
             self.release(client_connection)
