Let some links of the virtual fleet be wide

The virtual fleet gave all daemons the same link and none its width, so that no check covered sites where the rank of daemons follows their links.

--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -40,6 +40,7 @@
 DATAGRAM_HEADER_BYTES = 28  # of IP and UDP
 # Bytes of a transfer that are on a link at the same time.
 TRANSFER_WINDOW_BYTES = 16_384
+BITS_PER_BYTE = 8
 STORE_EVENT_BYTES = 100  # of an event in JSON, without its value
 
 
@@ -256,7 +257,11 @@
         self.platform_state = replicated_state.PlatformState()
         self.crash_notices: list[tuple[str, int]] = []
         self.member_list = fleet_members.MemberList(
-            options.name, options.ip, options.data_centre, boot_clock.now()
+            options.name,
+            options.ip,
+            options.data_centre,
+            boot_clock.now(),
+            options.link_mbps,
         )
         self.store_client = VirtualStoreClient(self, fleet.store)
         self.reader = store_reader.StoreReader(
@@ -328,8 +333,8 @@
         carried_bytes: bytes of transfers received and sent, by IP address.
     """
 
-    def __init__(self, bytes_per_second: float):
-        self._bytes_per_second = bytes_per_second
+    def __init__(self, plan: "FleetPlan"):
+        self._plan = plan
         self._free_at: dict[tuple[str, str], float] = {}
         self.carried_bytes: collections.Counter[str] = collections.Counter()
 
@@ -371,7 +376,7 @@
         """Occupies one direction of a link; returns when it is free again."""
         self.carried_bytes[link[0]] += size
         starts_at = max(boot_clock.now(), self._free_at.get(link, 0.0))
-        self._free_at[link] = starts_at + size / self._bytes_per_second
+        self._free_at[link] = starts_at + size / self._plan.link_rate(link[0])
         return self._free_at[link]
 
 
@@ -384,6 +389,9 @@
         daemons_per_data_centre: number of daemons in each data centre.
         seed: seed of losses and faults.
         link_bytes_per_second: bytes per second that the link of a VM carries.
+        wide_links_per_data_centre: number of daemons in each data centre whose
+            links are wide; all daemons know the widths of their links then.
+        wide_link_bytes_per_second: bytes per second of a wide link.
         max_link_queue_bytes: bytes that may wait for the link; more are lost.
     """
 
@@ -391,8 +399,17 @@
     daemons_per_data_centre: int = 5
     seed: int = 1
     link_bytes_per_second: float = 125e6
+    wide_links_per_data_centre: int = 0
+    wide_link_bytes_per_second: float = 25e6
     max_link_queue_bytes: float = 1e6
 
+    def link_rate(self, ip: str) -> float:
+        """Returns the bytes per second that the link of a VM carries."""
+        number = int(ip.rpartition(".")[2])
+        if number <= self.wide_links_per_data_centre:
+            return self.wide_link_bytes_per_second
+        return self.link_bytes_per_second
+
 
 class VirtualFleet:
     """All daemons, the links between them, and the store.
@@ -408,7 +425,7 @@
 
     def __init__(self, plan: FleetPlan):
         self.store = VirtualStore()
-        self.links = VirtualLinks(plan.link_bytes_per_second)
+        self.links = VirtualLinks(plan)
         self.random_source = random.Random(plan.seed)
         self.daemons: dict[str, VirtualDaemon] = {}
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -420,6 +437,12 @@
         for data_centre_number in range(plan.data_centre_count):
             for number in range(1, plan.daemons_per_data_centre + 1):
                 options = _make_options(data_centre_number, number, seeds)
+                if plan.wide_links_per_data_centre:
+                    link_rate = plan.link_rate(options.ip)
+                    options = dataclasses.replace(
+                        options,
+                        link_mbps=round(link_rate * BITS_PER_BYTE / 1e6),
+                    )
                 self._options[options.ip] = options
 
     def start_all(self) -> None:
@@ -472,12 +495,11 @@
         self.sent_bytes[ip] += size
         now = boot_clock.now()
         free_at = max(now, self._link_free_at.get(ip, now))
-        queued_bytes = (free_at - now) * self._plan.link_bytes_per_second
+        link_rate = self._plan.link_rate(ip)
+        queued_bytes = (free_at - now) * link_rate
         if queued_bytes + size > self._plan.max_link_queue_bytes:
             return False
-        self._link_free_at[ip] = (
-            free_at + size / self._plan.link_bytes_per_second
-        )
+        self._link_free_at[ip] = free_at + size / link_rate
         return True
 
     def readers(self) -> Iterator[str]:
