Continue to pull after an unexpected error

A pull that ended with an error other than a failed exchange or an undecodable answer, for example from an item that could not be applied, left its entry among the running pulls: its peer was never asked again, and after two such errors the daemon pulled from no peer until it was restarted.

Such an error now counts as a failed pull and is logged as an error.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -221,6 +221,14 @@
             )
             self._pull_if_behind()
             await self._wait_for_retry()
+        except Exception as error:  # Later pulls must not wait for this one.
+            self._planner.fail(ip, boot_clock.now())
+            self.counts["failed"] += 1
+            _log.error(
+                "changes of a peer could not be handled",
+                extra={"peer": ip, "error": repr(error)},
+            )
+            await self._wait_for_retry()
         else:
             self._planner.finish(ip, revision)
         self._pull_if_behind()
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
@@ -53,6 +53,15 @@
         self.transfers.stop()
         self.assertIn(self.fetch.call_count, range(2, 8))
 
+    # A pull that ended with an unexpected error counted as running for ever;
+    # after two of them a daemon pulled nothing any more.
+    async def test_pulls_continue_after_an_unexpected_error(self):
+        self.fetch.side_effect = RuntimeError
+        self.transfers.handle_announcement("127.0.0.2", 7)
+        await asyncio.sleep(0.3)
+        self.transfers.stop()
+        self.assertIn(self.fetch.call_count, range(2, 8))
+
     async def test_daemon_of_an_earlier_release_gets_the_earlier_format(self):
         answer = await self.transfers.answer("/changes?after=0")
         delta, _ = gossip_messages.decode_delta(answer.body)
