Count a transfer until its peer has the changes

Members send a heartbeat to the leader every 0.5 s. Each of them, of whatever revision, ended the transfer to its sender in the queue and reset the limit of referrals to it, so that a leader served more than two large transfers at the same time and referred more peers to one source than it serves.

Failed before: TransferQueueTest .test_heartbeat_with_an_earlier_revision_completes_no_transfer (a third transfer was served) and .test_heartbeat_leaves_the_limit_of_referrals (4 referrals to one source, not 2).

--- a/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
@@ -113,6 +113,26 @@
         self.assertIsNone(decision)
         self.assertEqual(queue.poll("d", 7, 0.4), transfer_queue.Busy())
 
+    # Each heartbeat of a peer, of whatever revision, made room for a transfer to
+    # another one, and reset the limit of its referrals.
+    def test_heartbeat_with_an_earlier_revision_completes_no_transfer(self):
+        queue = transfer_queue.TransferQueue()
+        for ip in ("a", "b"):
+            queue.enter(ip, 0.0)
+            self.assertEqual(queue.poll(ip, 7, 0.0), transfer_queue.Serve())
+            queue.complete(ip, 6)
+        queue.enter("c", 0.1)
+        self.assertIsNone(queue.poll("c", 7, 0.1))
+
+    def test_heartbeat_leaves_the_limit_of_referrals(self):
+        queue = transfer_queue.TransferQueue()
+        decisions = []
+        for number in range(6):
+            queue.complete("source", 7)
+            queue.enter(f"peer-{number}", 0.0)
+            decisions.append(queue.poll(f"peer-{number}", 7, 0.0))
+        self.assertEqual(decisions.count(transfer_queue.Refer("source")), 2)
+
     def test_transfer_that_is_never_confirmed_makes_room(self):
         queue = transfer_queue.TransferQueue()
         for ip in "abc":
--- a/packages/core/src/hyssopwind/core/fleet/transfer_queue.py
+++ b/packages/core/src/hyssopwind/core/fleet/transfer_queue.py
@@ -50,6 +50,12 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Transfer:
+    revision: int
+    started_at: float
+
+
 class TransferQueue:
     """The large transfers of one daemon.
 
@@ -74,7 +80,7 @@
 
     def __init__(self) -> None:
         self._entered_at: dict[str, float] = {}
-        self._started_at: dict[str, float] = {}
+        self._transfers: dict[str, _Transfer] = {}
         self._sources: dict[str, _Source] = {}
 
     def enter(self, ip: str, now: float) -> None:
@@ -87,13 +93,16 @@
 
     def complete(self, ip: str, revision: int) -> None:
         """Records that a peer has all changes up to a revision."""
-        self._sources[ip] = _Source(revision)
-        self._started_at.pop(ip, None)
+        source = self._sources.setdefault(ip, _Source(revision))
+        source.revision = revision
+        transfer = self._transfers.get(ip)
+        if transfer is not None and revision >= transfer.revision:
+            del self._transfers[ip]
 
     def drop_source(self, ip: str) -> None:
         """Forgets a peer that is not alive."""
         self._sources.pop(ip, None)
-        self._started_at.pop(ip, None)
+        self._transfers.pop(ip, None)
 
     def poll(
         self, ip: str, revision: int, now: float, *, may_refer: bool = True
@@ -102,17 +111,18 @@
 
         Args:
             ip: IP address of the peer.
-            revision: revision that another source must have.
+            revision: revision that the peer has after the transfer, and that
+                another source must have.
             now: monotonic time in seconds.
             may_refer: whether the peer may be referred to another source.
         """
-        for started_ip, started_at in list(self._started_at.items()):
-            if now - started_at > TRANSFER_EXPIRY_SECONDS:
-                del self._started_at[started_ip]
+        for started_ip, transfer in list(self._transfers.items()):
+            if now - transfer.started_at > TRANSFER_EXPIRY_SECONDS:
+                del self._transfers[started_ip]
         is_first = next(iter(self._entered_at), ip) == ip
-        if is_first and len(self._started_at) < MAX_CONCURRENT_TRANSFERS:
+        if is_first and len(self._transfers) < MAX_CONCURRENT_TRANSFERS:
             self.leave(ip)
-            self._started_at[ip] = now
+            self._transfers[ip] = _Transfer(revision, now)
             return Serve()
         source_ip = None
         if may_refer:
