Refer peers only to sources that can serve them

Nothing removed dead peers from the sources of transfers, and leaders of other data centres and daemons that were stopping were sources too.

Sources are now the peers of the own data centre that are not about to stop. Peers that leave the member list are forgotten, also as sources of pulls.

--- a/packages/core/src/hyssopwind/core/fleet/pull_planning.py
+++ b/packages/core/src/hyssopwind/core/fleet/pull_planning.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Collection
 
 # Time without progress after which another peer is asked as well.
 NO_PROGRESS_SECONDS = 0.35
@@ -94,6 +95,12 @@
         if ip in self._sources:
             self._sources[ip].failed_at = now
 
+    def keep_sources(self, live_ips: Collection[str]) -> None:
+        """Forgets all peers but those that are alive."""
+        for ip in list(self._sources):
+            if ip not in live_ips:
+                del self._sources[ip]
+
     def next_source(self, own_revision: int, now: float) -> str | None:
         """Returns the peer to pull from now, or `None` to start no pull."""
         for ip, source in list(self._sources.items()):
--- a/packages/core/src/hyssopwind/core/fleet/transfer_queue.py
+++ b/packages/core/src/hyssopwind/core/fleet/transfer_queue.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Collection
 from typing import TypeAlias
 
 MAX_CONCURRENT_TRANSFERS = 2
@@ -100,9 +101,17 @@
             del self._transfers[ip]
 
     def drop_source(self, ip: str) -> None:
-        """Forgets a peer that is not alive."""
+        """Refers no more peers to a peer."""
         self._sources.pop(ip, None)
-        self._transfers.pop(ip, None)
+
+    def keep_sources(self, live_ips: Collection[str]) -> None:
+        """Forgets all peers but those that are alive."""
+        for ip in list(self._sources):
+            if ip not in live_ips:
+                del self._sources[ip]
+        for ip in list(self._transfers):
+            if ip not in live_ips:
+                del self._transfers[ip]
 
     def poll(
         self, ip: str, revision: int, now: float, *, may_refer: bool = True
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -93,14 +93,18 @@
     def handle_announcement(self, ip: str, revision: int) -> None:
         """Handles the revision that a peer announced."""
         self._queue.complete(ip, revision)
+        if not self._may_serve(ip):
+            self._queue.drop_source(ip)
         self._notify_queue()
         if revision > self._platform_state.replica.revision:
             self._planner.announce(ip, revision)
             self._pull_if_behind()
 
-    def drop_peer(self, ip: str) -> None:
-        """Forgets a peer that is not alive any more."""
-        self._queue.drop_source(ip)
+    def drop_dead_peers(self) -> None:
+        """Forgets the peers that are not in the member list any more."""
+        live_ips = {peer.ip for peer in self._member_list.peers()}
+        self._queue.keep_sources(live_ips)
+        self._planner.keep_sources(live_ips)
 
     def stop(self) -> None:
         """Cancels the running pulls."""
@@ -192,6 +196,13 @@
     def _age_ms(self) -> int:
         return gossip_messages.encode_age(self._platform_state.age_seconds())
 
+    def _may_serve(self, ip: str) -> bool:
+        """Whether waiting peers may be referred to a peer."""
+        return any(
+            peer.ip == ip and not peer.is_leaving
+            for peer in self._member_list.local_peers()
+        )
+
     def _pull_if_behind(self) -> None:
         now = boot_clock.now()
         ip = self._planner.next_source(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -232,8 +232,11 @@
     def _run_round(self) -> None:
         self._round_number += 1
         now = boot_clock.now()
-        for name in self._member_list.remove_expired(now):
+        expired = self._member_list.remove_expired(now)
+        for name in expired:
             _log.info("peer daemon expired", extra={"daemon": name})
+        if expired:
+            self.transfers.drop_dead_peers()
         self._contact_seeds()
         include_remote = self._round_number % REMOTE_HEARTBEAT_ROUNDS == 0
         self._send_heartbeats(include_remote=include_remote)
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
@@ -31,12 +31,13 @@
             items.Delta((item,), 5, True), boot_clock.now(), "store"
         )
         self.fetch = mock.AsyncMock()
+        self.member_list = fleet_members.MemberList(
+            ids.DaemonId("a"), "127.0.0.1", ids.DataCentreId("north"), 0.0
+        )
         self.transfers = change_transfers.ChangeTransfers(
             "127.0.0.1",
             self.platform_state,
-            fleet_members.MemberList(
-                ids.DaemonId("a"), "127.0.0.1", ids.DataCentreId("north"), 0.0
-            ),
+            self.member_list,
             self.fetch,
             mock.Mock(),
             random.Random(1),
@@ -62,6 +63,44 @@
         self.transfers.stop()
         self.assertIn(self.fetch.call_count, range(2, 8))
 
+    def add_peer(self, ip, data_centre="north", *, is_leaving=False):
+        heartbeat = gossip_messages.Heartbeat(
+            ip, ip, data_centre, 6, 0, True, is_leaving, 0
+        )
+        self.member_list.handle_heartbeat(heartbeat, 0.0)
+        self.transfers.handle_announcement(ip, 6)
+
+    async def pull_large_change(self):
+        """Pulls as three daemons; returns the locations of their answers."""
+        value = random.Random(1).randbytes(20_000)
+        self.platform_state.apply_delta(
+            items.Delta((items.Item("op/config", value, 6),), 6, False),
+            boot_clock.now(),
+            "store",
+        )
+        found = []
+        for number in range(3):
+            answer = await self.transfers.answer(
+                f"/changes?after=0&held=&ip=127.0.1.{number}"
+            )
+            found.append(dict(answer.headers).get("Location"))
+        return found
+
+    async def test_waiting_daemon_is_referred_to_a_peer(self):
+        self.add_peer("127.0.0.2")
+        found = await self.pull_large_change()
+        self.assertEqual(found[-1], "//127.0.0.2/changes")
+
+    # Daemons that waited for a large change were referred to peers that were
+    # stopping or no longer there, and to the leaders of other data centres.
+    async def test_no_daemon_is_referred_to_a_peer_that_cannot_serve_it(self):
+        self.add_peer("127.0.0.2", is_leaving=True)
+        self.add_peer("127.0.0.3", "south")
+        self.add_peer("127.0.0.4")
+        self.member_list.remove_expired(60.0)
+        self.transfers.drop_dead_peers()
+        self.assertEqual(await self.pull_large_change(), [None] * 3)
+
     async def test_daemon_of_an_earlier_release_gets_the_earlier_format(self):
         answer = await self.transfers.answer("/changes?after=0")
         delta, _ = gossip_messages.decode_delta(answer.body)
