--- a/packages/core/src/hyssopwind/core/fleet/pull_planning.py
+++ b/packages/core/src/hyssopwind/core/fleet/pull_planning.py
@@ -6,12 +6,15 @@
 """
 
 import dataclasses
+from collections.abc import Collection
 
 # Time without progress after which another peer is asked as well.
 NO_PROGRESS_SECONDS = 0.35
 MAX_RUNNING_PULLS = 2
 # Time for which a peer whose pull failed is asked only if no other peer can be.
 FAILURE_MEMORY_SECONDS = 1.0
+# Shortest time until a peer whose pull failed is asked again.
+MIN_RETRY_SECONDS = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +95,12 @@
         if ip in self._sources:
             self._sources[ip].failed_at = now
 
+    def keep_sources(self, live_ips: Collection[str]) -> None:
+        """Forgets all peers but those that are alive."""
+        for ip in list(self._sources):
+            if ip not in live_ips:
+                del self._sources[ip]
+
     def next_source(self, own_revision: int, now: float) -> str | None:
         """Returns the peer to pull from now, or `None` to start no pull."""
         for ip, source in list(self._sources.items()):
@@ -102,7 +111,12 @@
         for progress_at in self._progress_at.values():
             if now - progress_at < NO_PROGRESS_SECONDS:
                 return None
-        available = [ip for ip in self._sources if ip not in self._progress_at]
+        available = [
+            ip
+            for ip, source in self._sources.items()
+            if ip not in self._progress_at
+            and now - source.failed_at >= MIN_RETRY_SECONDS
+        ]
         if not available:
             return None
         return max(available, key=lambda ip: self._preference(ip, now))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -37,8 +37,9 @@
 # Smaller answers are not limited by the queue.
 LARGE_TRANSFER_BYTES = 4_096
 QUEUE_POLL_SECONDS = 0.02
-# Shortest time until a busy peer is asked again, and its random part.
-BUSY_RETRY_SECONDS = 0.05
+# Shortest time until a peer that is busy or failed is asked again; up to as
+# much is added at random.
+RETRY_SECONDS = 0.05
 # Type of answers to daemons that state which large values they hold.
 COMPACT_TYPE = "application/vnd.hyssopwind.changes"
 _NOT_FOUND = outcomes.Answered(404, (), b"")
@@ -92,14 +93,18 @@
     def handle_announcement(self, ip: str, revision: int) -> None:
         """Handles the revision that a peer announced."""
         self._queue.complete(ip, revision)
+        if not self._may_serve(ip):
+            self._queue.drop_source(ip)
         self._notify_queue()
         if revision > self._platform_state.replica.revision:
             self._planner.announce(ip, revision)
             self._pull_if_behind()
 
-    def drop_peer(self, ip: str) -> None:
-        """Forgets a peer that is not alive any more."""
-        self._queue.drop_source(ip)
+    def drop_dead_peers(self) -> None:
+        """Forgets the peers that are not in the member list any more."""
+        live_ips = {peer.ip for peer in self._member_list.peers()}
+        self._queue.keep_sources(live_ips)
+        self._planner.keep_sources(live_ips)
 
     def stop(self) -> None:
         """Cancels the running pulls."""
@@ -191,6 +196,13 @@
     def _age_ms(self) -> int:
         return gossip_messages.encode_age(self._platform_state.age_seconds())
 
+    def _may_serve(self, ip: str) -> bool:
+        """Whether waiting peers may be referred to a peer."""
+        return any(
+            peer.ip == ip and not peer.is_leaving
+            for peer in self._member_list.local_peers()
+        )
+
     def _pull_if_behind(self) -> None:
         now = boot_clock.now()
         ip = self._planner.next_source(
@@ -218,10 +230,23 @@
                 "pull from a peer failed",
                 extra={"peer": ip, "error": str(error)},
             )
+            self._pull_if_behind()
+            await self._wait_for_retry()
+        except Exception as error:  # Later pulls must not wait for this one.
+            self._planner.fail(ip, boot_clock.now())
+            self.counts["failed"] += 1
+            _log.error(
+                "changes of a peer could not be handled",
+                extra={"peer": ip, "error": repr(error)},
+            )
+            await self._wait_for_retry()
         else:
             self._planner.finish(ip, revision)
         self._pull_if_behind()
 
+    async def _wait_for_retry(self) -> None:
+        await asyncio.sleep(RETRY_SECONDS * (1.0 + self._random.random()))
+
     async def _pull_once(self, ip: str) -> int | None:
         """Pulls changes; returns the revision of the peer if it sent them."""
         try:
@@ -233,9 +258,7 @@
                 self._follow(ip, answer)
                 return None
             if answer.status != 200:
-                await asyncio.sleep(
-                    BUSY_RETRY_SECONDS * (1.0 + self._random.random())
-                )
+                await self._wait_for_retry()
                 return None
             delta, age_ms = self._decode(answer)
         except change_encoding.BaseMissingError:
