--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/links/__init__.py
@@ -0,0 +1,1 @@
+"""Gateways as processes behind narrow or cut links."""
