--- a/packages/standins/src/hyssopwind/standins/site/documents.py
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -1,5 +1,6 @@
 """Builders of the documents that the platform publishes."""
 
+from collections.abc import Sequence
 from typing import Any
 
 HOST = "calls.example"
@@ -13,6 +14,7 @@
     ip: str = "127.0.0.1",
     seed_address: str = "",
     grace_seconds: float = 4.0,
+    zone: str = "north",
 ) -> str:
     """Returns the settings file that the platform writes for a daemon.
 
@@ -23,6 +25,7 @@
         ip: address of its VM.
         seed_address: peer address of another daemon; none if empty.
         grace_seconds: time between SIGTERM and SIGKILL.
+        zone: zone of its VM.
     """
     callers_port, ready_port, peers_port, gossip_port = ports
     seeds = f'"{seed_address}"' if seed_address else ""
@@ -30,14 +33,14 @@
 node_name = "{name}"
 role = "gateway"
 ip = "{ip}"
-zone = "north"
+zone = "{zone}"
 region = "home"
 internal_port_range = [{gossip_port},{gossip_port}]
 seeds = [{seeds}]
 bootstrap = false
 unknown_key = 1
 [zones]
-north = "home"
+{zone} = "home"
 [listen]
 front = "{ip}:{callers_port}"
 ready = "{ip}:{ready_port}"
@@ -90,25 +93,32 @@
 
 
 def make_configuration(
-    version: int, routes: list[dict[str, Any]], **limits: Any
+    version: int,
+    routes: list[dict[str, Any]],
+    services: Sequence[str] = ("s",),
+    **limits: Any,
 ) -> dict[str, Any]:
-    """Returns a configuration with one service, `s`.
+    """Returns a configuration.
 
     Args:
         version: version of the configuration.
         routes: its route resources.
+        services: names of its services.
         limits: values that replace those of the limits resource.
     """
-    service_resource = {
-        "resource_kind": "services",
-        "metadata": {"name": "s"},
-        "spec": {
-            "health_path": "/health",
-            "max_connections": 200,
-            "warmup_s": 3.0,
-            "warmup_per_s": 3.4,
-        },
-    }
+    service_resources = [
+        {
+            "resource_kind": "services",
+            "metadata": {"name": name},
+            "spec": {
+                "health_path": "/health",
+                "max_connections": 200,
+                "warmup_s": 3.0,
+                "warmup_per_s": 3.4,
+            },
+        }
+        for name in services
+    ]
     limits_resource = {
         "resource_kind": "limits",
         "metadata": {},
@@ -122,5 +132,5 @@
     }
     return {
         "version": version,
-        "resources": [*routes, service_resource, limits_resource],
+        "resources": [*routes, *service_resources, limits_resource],
     }
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -150,10 +150,11 @@
             "HYSSOPWIND_BOOT": str(self._settings_path),
             "HYSSOPWIND_METRICS_PORT": str(ports.find_free_ports(1)[0]),
         }
+        environment |= self._extra_environment()
         with self.log_path.open("ab") as stream:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                *shlex.split(role["run"])[1:],
+                *self._make_arguments(shlex.split(role["run"])[1:]),
                 cwd=self._root,
                 env=environment,
                 stdout=stream,
@@ -246,6 +247,14 @@
             self._process.kill()
             await self._process.wait()
 
+    def _make_arguments(self, arguments: list[str]) -> list[str]:
+        """Returns the arguments of the interpreter."""
+        return arguments
+
+    def _extra_environment(self) -> dict[str, str]:
+        """Returns variables that add to or replace those of the platform."""
+        return {}
+
     async def _kill_after_grace(
         self, process: asyncio.subprocess.Process
     ) -> None:
