Report the bytes of transfers and the time of a phase on narrow links

The bytes of a link include requests of callers, which depend on the time of the phase. Callers no longer reuse connections that the gateway may have closed.

--- a/packages/standins/src/hyssopwind/standins/links/probing.py
+++ b/packages/standins/src/hyssopwind/standins/links/probing.py
@@ -13,6 +13,8 @@
 INTERVAL_SECONDS = 0.1
 DEADLINE_SECONDS = 1.0
 TIMEOUT_SECONDS = 1.5
+# Callers reuse connections that were idle for up to 4/5 of the limit of 2 s.
+MAX_IDLE_SECONDS = 1.6
 _Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -37,7 +39,7 @@
         self._address = address
         self._offset_seconds = offset_seconds
         self._newest_version = newest_version
-        self._idle: list[_Connection] = []
+        self._idle: list[tuple[float, _Connection]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -54,7 +56,7 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
-            for _, writer in self._idle:
+            for _, (_, writer) in self._idle:
                 writer.close()
 
     async def _send(self, kind: judging.ProbeKind) -> None:
@@ -78,13 +80,12 @@
         connection = None
         try:
             async with asyncio.timeout(TIMEOUT_SECONDS):
-                if self._idle:
-                    connection = self._idle.pop()
-                else:
+                connection = self._take_idle()
+                if connection is None:
                     connection = await asyncio.open_connection(*self._address)
                 is_reusable = await self._exchange(probe, data, connection)
             if is_reusable:
-                self._idle.append(connection)
+                self._idle.append((time.monotonic(), connection))
                 connection = None
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             probe.ended_at = math.inf
@@ -92,6 +93,14 @@
             if connection is not None:
                 connection[1].transport.abort()
 
+    def _take_idle(self) -> _Connection | None:
+        while self._idle:
+            idle_since, connection = self._idle.pop()
+            if time.monotonic() - idle_since <= MAX_IDLE_SECONDS:
+                return connection
+            connection[1].close()
+        return None
+
     async def _exchange(
         self, probe: judging.Probe, data: bytes, connection: _Connection
     ) -> bool:
--- a/packages/standins/src/hyssopwind/standins/links/rig.py
+++ b/packages/standins/src/hyssopwind/standins/links/rig.py
@@ -226,6 +226,7 @@
         self.gateways: list[LinkedGateway] = []
         self.excused_until: dict[int, float] = {}
         self._network = f"127.0.{next(self._numbers) % 250 + 1}"
+        self._peers_label = ""
         self._stack = stack
         self._servers: dict[str, server.StandInServer] = {}
         self._callers: list[probing.Caller] = []
@@ -246,6 +247,7 @@
             await self._write_server(service, 1)
         await self.operator.publish()
         listen_ports = ports.find_free_ports(4)
+        self._peers_label = f"at {listen_ports[2]}"
         for number in range(self.settings.gateways):
             gateway = self._create_gateway(
                 number, listen_ports, root, log_directory
@@ -292,6 +294,7 @@
         return {
             "phase": name,
             **dataclasses.asdict(self.settings),
+            "seconds": round(ended_at - started_at, 1),
             **judging.summarize(evidence, len(self.gateways)),
             **self._summarize_links(counters_before, counters_after),
         }
@@ -409,26 +412,41 @@
         readers = 0
         for name in ("sent", "received"):
             totals = []
+            transfers = []
             for first, second in zip(before, after, strict=True):
                 grown = dict(
                     judging.iterate_differences(
                         first[name]["bytes"], second[name]["bytes"]
                     )
                 )
-                totals.append(sum(grown.values()))
+                totals.append(sum(grown.values()) / 1e3)
+                transfers.append(
+                    sum(
+                        count
+                        for label, count in grown.items()
+                        if self._is_transfer(label)
+                    )
+                    / 1e3
+                )
                 if name == "received":
                     store_bytes = grown.get(self.store.address, 0)
                     readers += store_bytes >= READER_BYTES
-            figures[f"{name}_kb_median"] = round(
-                statistics.median(totals) / 1e3, 1
-            )
-            figures[f"{name}_kb_max"] = round(max(totals) / 1e3, 1)
+            for prefix, counts in (("", totals), ("transfers_", transfers)):
+                key = f"{prefix}{name}_kb"
+                figures[f"{key}_median"] = round(statistics.median(counts), 1)
+                figures[f"{key}_max"] = round(max(counts), 1)
         figures["store_readers"] = readers
         figures["max_lag_ms"] = round(
             1e3 * max(each["max_lag_seconds"] for each in after)
         )
         return figures
 
+    def _is_transfer(self, label: str) -> bool:
+        """Whether bytes are of the store or of connections between gateways."""
+        return label in (self.store.address, self._peers_label) or (
+            label.startswith(f"{self._network}.")
+        )
+
 
 PHASES: registry.Registry[str, Callable[[Run], Coroutine[Any, Any, None]]] = (
     registry.Registry("phase")
