--- a/packages/standins/src/hyssopwind/standins/links/__main__.py
+++ b/packages/standins/src/hyssopwind/standins/links/__main__.py
@@ -28,6 +28,13 @@
         default=defaults.mbps,
         help="width of each direction of each link",
     )
+    parser.add_argument(
+        "--wide-gateways",
+        type=int,
+        default=defaults.wide_gateways,
+        help="number of gateways with wider links",
+    )
+    parser.add_argument("--wide-mbps", type=float, default=defaults.wide_mbps)
     parser.add_argument(
         "--window",
         type=int,
@@ -54,6 +61,8 @@
         gateways=arguments.gateways,
         data_centres=arguments.data_centres,
         mbps=arguments.mbps,
+        wide_gateways=arguments.wide_gateways,
+        wide_mbps=arguments.wide_mbps,
         window_bytes=arguments.window,
         seed=arguments.seed,
         bound_seconds=arguments.bound,
--- a/packages/standins/src/hyssopwind/standins/links/judging.py
+++ b/packages/standins/src/hyssopwind/standins/links/judging.py
@@ -138,6 +138,21 @@
     ]
 
 
+def find_late_refusals(evidence: Evidence) -> list[Probe]:
+    """Returns requests on added routes that were not served after the bound.
+
+    Those that were answered 404 do not count.
+    """
+    return [
+        probe
+        for probe in evidence.probes
+        if probe.kind is ProbeKind.ADDED
+        and probe.status not in (200, 404)
+        and probe.version
+        <= evidence.required_at(probe.gateway, probe.sent_at).version
+    ]
+
+
 def find_late_by_old_version(evidence: Evidence) -> list[Probe]:
     """Returns the requests that an old version routed too late."""
     found = []
@@ -190,6 +205,7 @@
         "not_in_bound": sum(d > evidence.bound_seconds for d in delays),
         "never": sum(math.isinf(each) for each in delays),
         "late_404": len(find_late_404s(evidence)),
+        "late_refused": len(find_late_refusals(evidence)),
         "late_old": len(find_late_by_old_version(evidence)),
         "latency_before": _summarize_latency(
             [each for each in evidence.probes if each.sent_at < before]
--- a/packages/standins/src/hyssopwind/standins/site/documents.py
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -15,6 +15,7 @@
     seed_address: str = "",
     grace_seconds: float = 4.0,
     zone: str = "north",
+    link_mbps: float = 1_000.0,
 ) -> str:
     """Returns the settings file that the platform writes for a daemon.
 
@@ -26,6 +27,7 @@
         seed_address: peer address of another daemon; none if empty.
         grace_seconds: time between SIGTERM and SIGKILL.
         zone: zone of its VM.
+        link_mbps: width of the link of its VM in Mbit/s.
     """
     callers_port, ready_port, peers_port, gossip_port = ports
     seeds = f'"{seed_address}"' if seed_address else ""
@@ -47,6 +49,7 @@
 control = "{ip}:{peers_port}"
 [limits]
 memory_mb = 300
+link_mbps = {link_mbps:g}
 [bounds]
 grace_s = {grace_seconds:g}
 drain_s = 2
