--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -39,6 +39,7 @@
     future: "asyncio.Future[answers.Answer]"
     method: str
     is_expected: AnswerPredicate
+    on_progress: Callable[[int], None] | None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -81,6 +82,7 @@
         data: bytes,
         method: str,
         is_expected: AnswerPredicate = lambda _: True,
+        on_progress: Callable[[int], None] | None = None,
     ) -> answers.Answer:
         """Sends a request and returns the whole answer to it.
 
@@ -89,6 +91,9 @@
             method: the method, which decides whether the answer has a body.
             is_expected: whether an answer is for this request; others are
                 skipped.
+            on_progress: called with the length of the answer as far as it is
+                known, whenever bytes of it are received. It may raise
+                `AnswerTooLargeError`.
 
         Raises:
             ExchangeError: no whole answer was received.
@@ -99,7 +104,9 @@
                 "connection has ended",
             )
         future: asyncio.Future[answers.Answer] = self._loop.create_future()
-        self._pending = _PendingRequest(future, method, is_expected)
+        self._pending = _PendingRequest(
+            future, method, is_expected, on_progress
+        )
         self._reader = answers.AnswerReader(method)
         self._transport.write(data)
         try:
@@ -134,6 +141,8 @@
             return
         try:
             self._reader.feed(data)
+            if self._pending.on_progress is not None:
+                self._pending.on_progress(self._reader.known_bytes)
             self._account_bytes(self._reader.held_bytes)
             self._process_answers()
         except answers.BadAnswerError as error:
