--- a/packages/standins/src/hyssopwind/standins/links/probing.py
+++ b/packages/standins/src/hyssopwind/standins/links/probing.py
@@ -39,6 +39,7 @@
         self._address = address
         self._offset_seconds = offset_seconds
         self._newest_version = newest_version
+        self._pending: dict[str, float] = {}
         self._idle: list[tuple[float, _Connection]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -59,6 +60,10 @@
             for _, (_, writer) in self._idle:
                 writer.close()
 
+    def has_pending(self, before: float) -> bool:
+        """Whether requests that were sent before a time have not ended."""
+        return any(sent_at < before for sent_at in self._pending.values())
+
     async def _send(self, kind: judging.ProbeKind) -> None:
         version = self._newest_version()
         probe = judging.Probe(
@@ -69,6 +74,7 @@
             time.monotonic(),
         )
         self.probes.append(probe)
+        self._pending[probe.request_id] = probe.sent_at
         prefix = "moved"
         if kind is judging.ProbeKind.ADDED:
             prefix = f"added-{version}"
@@ -90,6 +96,7 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             probe.ended_at = math.inf
         finally:
+            del self._pending[probe.request_id]
             if connection is not None:
                 connection[1].transport.abort()
 
--- a/packages/standins/src/hyssopwind/standins/links/rig.py
+++ b/packages/standins/src/hyssopwind/standins/links/rig.py
@@ -40,7 +40,7 @@
 SLOTS = 40
 GRACE_SECONDS = 4.0
 # Until all gateways have each other in their member lists.
-SETTLING_SECONDS = 3.0
+SETTLING_SECONDS = 2.0
 QUIET_SECONDS = 1.0  # before each change
 COUNTERS_TIMEOUT_SECONDS = 5.0
 READER_BYTES = 10_000  # Daemons that do not read the store receive less.
@@ -304,7 +304,8 @@
                 break
         ended_at = time.monotonic()
         counters_after = await self._read_all_counters()
-        await asyncio.sleep(probing.TIMEOUT_SECONDS)
+        while any(each.has_pending(ended_at) for each in self._callers):
+            await asyncio.sleep(probing.INTERVAL_SECONDS)
         evidence = self._collect(started_at, version_before, ended_at)
         return {
             "phase": name,
