--- a/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
@@ -113,8 +113,8 @@
         self.assertIsNone(decision)
         self.assertEqual(queue.poll("d", 7, 0.4), transfer_queue.Busy())
 
-    # Each heartbeat of a peer, of whatever revision, made room for a transfer to
-    # another one, and reset the limit of its referrals.
+    # Each heartbeat of a peer ended its transfer, whatever its revision, and
+    # reset the limit of its referrals.
     def test_heartbeat_with_an_earlier_revision_completes_no_transfer(self):
         queue = transfer_queue.TransferQueue()
         for ip in ("a", "b"):
