Let a new leader learn of changes from the other leaders

A leader that was killed while it read a change of 350 KB over a link of 5 Mbit/s left its data centre without the change for 2.1 to 2.9 s: its successor is known after up to 1.1 s and then read the whole change from the store, in 1 s, although the leaders of the other data centres had it and send it as 26 KB. They announced it to the killed leader, which remained the first in rank for 12 s.

Leaders now send to the first in rank that sent a heartbeat within 2.2 s. A new leader sends them a heartbeat at once, and a leader that is ahead of another one answers with its own.

--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -25,6 +25,9 @@
 # A daemon of the same data centre that has sent no heartbeat for two intervals
 # and a margin is no longer regarded as the leader or as a reader.
 SUSPECT_AFTER_SECONDS = 1.1
+# The same for the leaders of other data centres, whose heartbeats come at half
+# the rate.
+REMOTE_SUSPECT_AFTER_SECONDS = 2.2
 # A daemon of the same data centre is removed if nothing confirms it for this
 # long. A leader confirms members with each heartbeat; after its failure the
 # next leader does so two seconds later.
@@ -245,15 +248,24 @@
         ranked = self.ranked_daemons(self._own.data_centre)
         return [peer for peer in ranked if peer is not self._own][:count]
 
-    def remote_leaders(self) -> list[Peer]:
-        """Returns the first daemon in rank of each other data centre."""
+    def remote_leaders(self, now: float) -> list[Peer]:
+        """Returns the likely leader of each other data centre.
+
+        It is the first in rank that sent a heartbeat in time, or else the first
+        in rank.
+        """
         centres = {peer.data_centre for peer in self._peers.values()}
         centres.discard(self._own.data_centre)
-        return [
-            self.ranked_daemons(c)[0]
-            for c in sorted(centres)
-            if self.ranked_daemons(c)
-        ]
+        leaders = []
+        for centre in sorted(centres):
+            ranked = self.ranked_daemons(centre)
+            heard = [
+                peer
+                for peer in ranked
+                if now - peer.last_heartbeat_at <= REMOTE_SUSPECT_AFTER_SECONDS
+            ]
+            leaders.extend((heard or ranked)[:1])
+        return leaders
 
     def daemon_ids(self, data_centre: ids.DataCentreId) -> list[ids.DaemonId]:
         """Returns the names of the daemons of a data centre.
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_fleet.py
@@ -56,6 +56,20 @@
             ranked = [p.name for p in member_list.ranked_daemons(NORTH)]
             self.assertEqual(ranked[0], "c")
 
+    # The leaders of other data centres sent their heartbeats to a killed leader
+    # for 12 s and not to its successor.
+    def test_remote_leader_that_is_silent_is_replaced(self):
+        member_list = make_member_list("a", "")
+        for name, link_mbps in (("b", 10), ("c", 200)):
+            heartbeat = make_heartbeat(name, SOUTH, link_mbps=link_mbps)
+            member_list.handle_heartbeat(heartbeat, 0.0)
+        member_list.handle_heartbeat(
+            make_heartbeat("b", SOUTH, link_mbps=10), 3.0
+        )
+        for now, expected in ((1.0, "c"), (3.0, "b"), (9.0, "c")):
+            leaders = [p.name for p in member_list.remote_leaders(now)]
+            self.assertEqual(leaders, [expected])
+
     def test_pages_carry_the_widths_of_links(self):
         sender = make_member_list("a", "")
         sender.handle_heartbeat(make_heartbeat("b", link_mbps=100), 0.0)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -43,6 +43,8 @@
 # narrowest link of 5 Mbit/s, whose queue a burst would overflow.
 MEMBER_LIST_BATCH_DATAGRAMS = 10
 MEMBER_LIST_BATCH_INTERVAL_SECONDS = 0.05
+# Interval at which a daemon checks whether it has become the leader.
+LEADER_POLL_SECONDS = 0.05
 # Rounds after the start in which the seeds get heartbeats.
 SEED_CONTACT_ROUNDS = 6
 # Rounds between later heartbeats to the seeds, which are sent while the member
@@ -98,6 +100,7 @@
         self._peers_port = initial_settings.peers_address.rpartition(":")[2]
         self._round_number = 0
         self._announced_revision = 0
+        self._was_leader = False
         self._is_stopping = False
         self.transfers = change_transfers.ChangeTransfers(
             initial_settings.ip,
@@ -133,7 +136,12 @@
         """Sends heartbeats and member lists until it is cancelled."""
         while True:
             self._run_round()
-            await asyncio.sleep(fleet_members.HEARTBEAT_INTERVAL_SECONDS)
+            ends_at = (
+                boot_clock.now() + fleet_members.HEARTBEAT_INTERVAL_SECONDS
+            )
+            while (remaining := ends_at - boot_clock.now()) > 0.0:
+                await asyncio.sleep(min(remaining, LEADER_POLL_SECONDS))
+                self._contact_remote_leaders()
 
     def stop(self) -> None:
         """Closes the UDP socket and the connections to peers."""
@@ -252,7 +260,22 @@
             )
         if self._round_number % REMOTE_MEMBER_LIST_ROUNDS == 0:
             members = self._member_list.list_members(now, local_only=True)
-            self._send_member_list(members, self._member_list.remote_leaders())
+            self._send_member_list(
+                members, self._member_list.remote_leaders(now)
+            )
+
+    def _contact_remote_leaders(self) -> None:
+        """Sends a heartbeat to the other leaders if this daemon is a new one.
+
+        They announce the changes that this daemon lacks in return.
+        """
+        is_leader = self._member_list.is_leader(boot_clock.now())
+        if is_leader and not self._was_leader:
+            self._send_all(
+                self._make_heartbeat(),
+                self._member_list.remote_leaders(boot_clock.now()),
+            )
+        self._was_leader = is_leader
 
     def _contact_seeds(self) -> None:
         is_only_local_daemon = not any(
@@ -285,7 +308,9 @@
             return
         self._send_all(heartbeat, self._member_list.local_peers())
         if include_remote:
-            self._send_all(heartbeat, self._member_list.remote_leaders())
+            self._send_all(
+                heartbeat, self._member_list.remote_leaders(boot_clock.now())
+            )
 
     def _make_heartbeat(self) -> gossip_messages.Heartbeat:
         return gossip_messages.Heartbeat(
@@ -407,6 +432,12 @@
         self.transfers.handle_announcement(heartbeat.ip, heartbeat.revision)
         if heartbeat.revision > self._platform_state.replica.revision:
             return
+        if (
+            heartbeat.revision < self._platform_state.replica.revision
+            and heartbeat.data_centre != self._initial_settings.data_centre
+            and self._member_list.is_leader(now)
+        ):
+            self._send_all(self._make_heartbeat(), matching_peers)
         if heartbeat.revision and heartbeat.age_ms < gossip_messages.MAX_AGE_MS:
             self._confirm_freshness(heartbeat.age_ms, now)
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_configuration_size.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_configuration_size.py
@@ -95,6 +95,33 @@
         delays = site_fleet_case.run_in_virtual_time(main)
         self.assertLessEqual(max(delays), CONFIGURATION_BOUND_SECONDS)
 
+    # The next leader read all of the change from the store again, although the
+    # leaders of other data centres had it.
+    def test_change_is_in_force_in_time_if_a_leader_is_killed_reading_it(self):
+        async def main():
+            random_source = random.Random(1)
+            fleet = self.start_narrow_fleet(
+                4, data_centre_count=3, daemons_per_data_centre=12
+            )
+            routes = make_routes(random_source, INITIAL_ROUTES)
+            fleet.store.write("op/config", encode_configuration(3, routes))
+            await asyncio.sleep(6.0)
+            routes += make_routes(random_source, ADDED_ROUTES)
+
+            async def kill_leader():
+                await asyncio.sleep(0.5)
+                ip = self.leaders(fleet)[0]
+                fleet.daemons[ip].gossip.transfers.stop()
+                fleet.kill(ip)
+
+            killing = asyncio.create_task(kill_leader())
+            delays = await self.measure_change(fleet, 4, routes)
+            await killing
+            return delays
+
+        delays = site_fleet_case.run_in_virtual_time(main)
+        self.assertLessEqual(max(delays), CONFIGURATION_BOUND_SECONDS)
+
     # The changes of the store repeat the whole configuration for each version,
     # and the leaders received all of them.
     def test_last_of_four_versions_in_a_second_is_in_force_in_time(self):
