Ask a busy peer again after a patch that does not fit

If the replica had changed while a patch for it was on its way, the pull was repeated for whole values. A peer that was busy then, or that referred to another one, counted as failed, since its answer is empty, and was asked last for a second.

The repeated pull now handles each answer as the first one does.

Failed before: PullTest .test_busy_peer_is_asked_again_after_a_patch_that_does_not_fit.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -249,24 +249,27 @@
 
     async def _pull_once(self, ip: str) -> int | None:
         """Pulls changes; returns the revision of the peer if it sent them."""
-        try:
-            answer, sent_at = await self._request(
-                ip,
-                change_encoding.large_revisions(self._platform_state.replica),
-            )
+        held_revisions = change_encoding.large_revisions(
+            self._platform_state.replica
+        )
+        while True:
+            answer, sent_at = await self._request(ip, held_revisions)
             if answer.status == 307:
                 self._follow(ip, answer)
                 return None
             if answer.status != 200:
                 await self._wait_for_retry()
                 return None
-            delta, age_ms = self._decode(answer)
-        except change_encoding.BaseMissingError:
-            # The replica has changed meanwhile.
-            answer, sent_at = await self._request(ip, [])
-            delta, age_ms = self._decode(answer)
-        self._apply(ip, answer, delta, sent_at, age_ms)
-        return delta.revision
+            try:
+                delta, age_ms = self._decode(answer)
+            except change_encoding.BaseMissingError:
+                if not held_revisions:
+                    raise
+                # The replica has changed meanwhile.
+                held_revisions = []
+                continue
+            self._apply(ip, answer, delta, sent_at, age_ms)
+            return delta.revision
 
     async def _request(
         self, ip: str, held_revisions: list[int]
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
@@ -15,8 +15,10 @@
 from hyssopwind.daemon.gateway import change_transfers
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.standins.site import documents
+from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import connection
+from hyssopwind.transport import heads
 
 KEY = "servers/i-1"
 
@@ -63,6 +65,37 @@
         self.transfers.stop()
         self.assertIn(self.fetch.call_count, range(2, 8))
 
+    def make_answer(self, status, body):
+        fields = heads.new_fields()
+        fields["Content-Type"] = change_transfers.COMPACT_TYPE
+        return answers.Answer(status, fields, body, may_reuse_connection=True)
+
+    # A busy peer counted as failed, and was asked last for a second, if its
+    # patch did not fit the replica any more.
+    async def test_busy_peer_is_asked_again_after_a_patch_that_does_not_fit(
+        self,
+    ):
+        value = bytes(10_000)
+        held = items.Item("op/config", value, 6)
+        self.platform_state.apply_delta(
+            items.Delta((held,), 6, False), boot_clock.now(), "store"
+        )
+        source = items.ItemReplica()
+        for revision, item_value in ((5, value[1:]), (7, value[2:])):
+            item = items.Item("op/config", item_value, revision)
+            source.apply(items.Delta((item,), revision, False))
+        encoder = change_encoding.ChangeEncoder(source)
+        self.fetch.side_effect = [
+            self.make_answer(200, encoder.encode(6, [5], 0)),
+            self.make_answer(503, b""),
+            self.make_answer(200, encoder.encode(6, [], 0)),
+        ]
+        self.transfers.handle_announcement("127.0.0.2", 7)
+        await asyncio.sleep(0.2)
+        self.transfers.stop()
+        self.assertEqual(self.transfers.counts["failed"], 0)
+        self.assertEqual(self.platform_state.replica.revision, 7)
+
     def add_peer(self, ip, data_centre="north", *, is_leaving=False):
         heartbeat = gossip_messages.Heartbeat(
             ip, ip, data_centre, 6, 0, True, is_leaving, 0
