--- a/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
@@ -73,6 +73,12 @@
         """Counts a request of a caller."""
         self._recent_times(self._requests, service, now).append(now)
 
+    def withdraw_request(self, service: ids.ServiceId) -> None:
+        """Takes back a request that another daemon sends and counts."""
+        times = self._requests.get(service)
+        if times:
+            times.pop()
+
     def try_acquire(
         self, service: ids.ServiceId, now: float, daemon_count: int
     ) -> bool:
--- a/packages/core/src/hyssopwind/core/dispatch/server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_health.py
@@ -41,6 +41,7 @@
 class _ServerState:
     failure_count: int = 0
     ejected_until: float = float("-inf")
+    failed_at: float = float("-inf")
     penalty_ratio: float = 1.0
     penalty_updated_at: float = 0.0
     in_flight_count: int = 0
@@ -162,6 +163,7 @@
         """Records a request that failed at a server."""
         state = self._find_or_add(server)
         state.failure_count += 1
+        state.failed_at = now
         excess_count = state.failure_count - FAILURES_TO_EJECT
         if excess_count < 0:
             return
@@ -173,10 +175,23 @@
     def record_unanswered_probe(self, server: ids.ServerId, now: float) -> None:
         """Records a probe without an answer."""
         state = self._find_or_add(server)
+        state.failed_at = now
         state.ejected_until = max(
             state.ejected_until, now + UNANSWERED_PROBE_EJECTION_SECONDS
         )
 
+    def forget_failures(self, since: float) -> None:
+        """Forgets the failures of all servers that failed since a time.
+
+        They were those of the daemon, which had no way to the servers.
+        """
+        for state in self._servers.values():
+            if state.failed_at >= since:
+                state.failure_count = 0
+                state.ejected_until = float("-inf")
+            if state.penalty_updated_at >= since:
+                state.penalty_ratio = 1.0
+
     def retain(self, servers: set[ids.ServerId]) -> None:
         """Removes servers that are not in `servers` and have no requests."""
         for server in list(self._servers):
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -195,6 +195,20 @@
     instance: str
 
 
+class ReachabilityNotice(msgspec.Struct, array_like=True, tag="u", frozen=True):
+    """A notice whether the sender has a way to the servers.
+
+    It is sent when a cut begins and ends, and repeated in between.
+
+    Attributes:
+        sender: name of the daemon.
+        is_cut_off: whether it reaches no server.
+    """
+
+    sender: str
+    is_cut_off: bool
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True):
     """Items of the platform that a replica at an earlier revision lacks.
 
@@ -216,7 +230,12 @@
 
 PermitMessage: TypeAlias = LimitNotice | ShareLoan | PermitRequest | PermitReply
 Datagram: TypeAlias = (
-    Heartbeat | MemberListPage | CrashNotice | LeavingNotice | PermitMessage
+    Heartbeat
+    | MemberListPage
+    | CrashNotice
+    | LeavingNotice
+    | ReachabilityNotice
+    | PermitMessage
 )
 
 _DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram] = msgspec.msgpack.Decoder(
@@ -224,6 +243,7 @@
     | MemberListPage
     | CrashNotice
     | LeavingNotice
+    | ReachabilityNotice
     | LimitNotice
     | ShareLoan
     | PermitRequest
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/fleet/peer_choice.py
@@ -0,0 +1,92 @@
+"""Chooses the peer to which a daemon hands a request that it cannot serve.
+
+Peers of the own data centre are preferred until they have many requests of this
+daemon. Of two random peers the one with fewer of them is taken, so that many
+daemons that are cut off at once do not all send to the same few peers.
+"""
+
+import collections
+import random
+from collections.abc import Collection
+from collections.abc import Iterable
+
+from hyssopwind.core import ids
+from hyssopwind.core.fleet import fleet_members
+
+# Requests of this daemon at one peer, beyond which peers of other data centres
+# are taken too, and beyond which the peer gets no more.
+MAX_IN_FLIGHT_LOCAL = 6
+MAX_IN_FLIGHT = 32
+# A notice of a peer that is cut off is repeated every second.
+CUT_OFF_MEMORY_SECONDS = 3.0
+# The same for a peer to which no connection could be made.
+UNCONNECTED_MEMORY_SECONDS = 2.0
+
+
+class PeerChoice:
+    """Which peers serve requests for this daemon, and how many each has."""
+
+    def __init__(self, data_centre: ids.DataCentreId):
+        self._data_centre = data_centre
+        self._avoided_until: dict[ids.DaemonId, float] = {}
+        self._in_flight: collections.Counter[ids.DaemonId] = (
+            collections.Counter()
+        )
+
+    def choose(
+        self,
+        peers: Iterable[fleet_members.Peer],
+        tried: Collection[ids.DaemonId],
+        random_source: random.Random,
+        now: float,
+    ) -> fleet_members.Peer | None:
+        """Returns a peer, or `None` if none may be able to serve.
+
+        Args:
+            peers: the peers that may get the request.
+            tried: peers that it was handed to before.
+            random_source: source of randomness.
+            now: monotonic time in seconds.
+        """
+        usable = [
+            peer
+            for peer in peers
+            if not peer.is_leaving
+            and peer.name not in tried
+            and now >= self._avoided_until.get(peer.name, now)
+            and self._in_flight[peer.name] < MAX_IN_FLIGHT
+        ]
+        local = [
+            peer
+            for peer in usable
+            if peer.data_centre == self._data_centre
+            and self._in_flight[peer.name] < MAX_IN_FLIGHT_LOCAL
+        ]
+        eligible = local or usable
+        if not eligible:
+            return None
+        drawn = random_source.sample(eligible, min(2, len(eligible)))
+        return min(drawn, key=lambda peer: self._in_flight[peer.name])
+
+    def record_start(self, name: ids.DaemonId) -> None:
+        """Records that a request is handed to a peer."""
+        self._in_flight[name] += 1
+
+    def record_end(self, name: ids.DaemonId) -> None:
+        """Records that a request is no longer at a peer."""
+        self._in_flight[name] -= 1
+        if self._in_flight[name] <= 0:
+            del self._in_flight[name]
+
+    def record_cut_off(
+        self, name: ids.DaemonId, now: float, *, is_cut_off: bool = True
+    ) -> None:
+        """Records whether a peer is cut off from the servers."""
+        if is_cut_off:
+            self._avoided_until[name] = now + CUT_OFF_MEMORY_SECONDS
+        else:
+            self._avoided_until.pop(name, None)
+
+    def record_unconnected(self, name: ids.DaemonId, now: float) -> None:
+        """Records that no connection to a peer could be made."""
+        self._avoided_until[name] = now + UNCONNECTED_MEMORY_SECONDS
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
@@ -2,7 +2,8 @@
 
 A connection that breaks while a server works on a request may mean that the
 server crashed, or only that the answer was lost. The server is probed shortly
-afterwards: one that still answers did not crash.
+afterwards: one that still answers did not crash. One that does not answer has
+crashed only if others do; otherwise this daemon lacks the way to all of them.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from hyssopwind.core.requests import classification
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import health_client
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.transport import boot_clock
 
 # Delay of the probe; a crashed server is down for seconds.
@@ -30,9 +32,11 @@
     def __init__(
         self,
         probe_client: health_client.ProbeClient,
+        monitor: reachability.ReachabilityMonitor,
         announce_crash: Callable[[ids.Fingerprint, int], None],
     ):
         self._probe_client = probe_client
+        self._monitor = monitor
         self._announce_crash = announce_crash
         self._quarantine = quarantine.CrashQuarantine()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -95,6 +99,12 @@
         await asyncio.sleep(CRASH_PROBE_DELAY_SECONDS)
         if await self._probe_client.probe(entry, health_path) is not None:
             return
+        if not await self._monitor.does_another_answer(entry.id):
+            _log.info(
+                "crash not confirmed: no other server answers",
+                extra={"server": entry.id},
+            )
+            return
         fingerprint = _fingerprint(request)
         if not self._quarantine.record_crash(fingerprint, sent_at, broken_at):
             return
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 from collections.abc import Callable
+from typing import Any
 
 import logbook
 
@@ -13,12 +14,16 @@
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import server_selection
+from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.fleet import handovers
 from hyssopwind.core.routing import splitting
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import stop_plan
 from hyssopwind.daemon.gateway import caller_requests
+from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import picker
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.platform import field_names
@@ -27,6 +32,10 @@
 # Longest wait of a request for the first configuration after the start.
 START_WAIT_SECONDS = 0.2
 NOT_READY_RETRY_AFTER_SECONDS = 0.5  # a daemon is configured within a second
+# Peers to which one request is handed at most, and how many of them may say
+# that they are cut off from the servers themselves.
+MAX_PEERS = 3
+MAX_CUT_OFF_PEERS = 1
 
 _log = logbook.Logger("request")
 
@@ -41,9 +50,15 @@
         service: the service selected for it.
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to.
+        max_attempts: number of servers that it may be sent to.
         spent_seconds: seconds that the caller spent on earlier requests that
-            were refused.
+            were refused, or at the daemon that handed it over.
+        is_caller_retry: whether the caller retries it after a refusal.
+        terms: the terms of a peer that handed it over; `None` for a request
+            of a caller.
+        unconnected_servers: servers to which no connection was made.
         may_have_run: servers that may have run it.
+        may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
     """
 
@@ -52,8 +67,15 @@
     service: ids.ServiceId
     deadline: float
     tried_servers: set[ids.ServerId]
+    max_attempts: int
     spent_seconds: float = 0.0
+    is_caller_retry: bool = False
+    terms: handovers.Terms | None = None
+    unconnected_servers: set[ids.ServerId] = dataclasses.field(
+        default_factory=set
+    )
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
 
 
@@ -67,6 +89,34 @@
         return None
 
 
+def _create_peer_context(
+    request: caller_requests.CallerRequest,
+    route: tables.Route,
+    service: ids.ServiceId,
+    terms: handovers.Terms,
+) -> _RequestContext:
+    """Returns the state of a request that a peer handed over."""
+    tried_servers = {ids.ServerId(server) for server in terms.tried_servers}
+    return _RequestContext(
+        request,
+        route,
+        service,
+        request.arrived_at
+        + min(route.timeout_seconds, terms.remaining_ms / 1000),
+        tried_servers,
+        len(tried_servers) + terms.attempts_left,
+        terms.waited_ms / 1000,
+        is_caller_retry=terms.is_caller_retry,
+        terms=terms,
+    )
+
+
+def _is_unconnected(result: attempt_results.AttemptResult) -> bool:
+    return result == attempt_results.Failed(
+        attempt_results.FailureKind.NOT_CONNECTED
+    )
+
+
 class Dispatcher:
     """Serves the requests of callers.
 
@@ -78,6 +128,8 @@
         platform_state: replicated_state.PlatformState,
         server_picker: picker.Picker,
         sender: sending.Sender,
+        monitor: reachability.ReachabilityMonitor,
+        handover: handover_client.HandoverClient,
         retry_budget: fleet_retry_budgets.FleetRetryBudget,
         daemon_count: Callable[[], int],
         retry_settings: tuning.RetryHedgeSettings,
@@ -86,6 +138,8 @@
         self._platform_state = platform_state
         self._picker = server_picker
         self._sender = sender
+        self._monitor = monitor
+        self._handover = handover
         self._retry_budget = retry_budget
         self._daemon_count = daemon_count
         self._retry_settings = retry_settings
@@ -96,12 +150,16 @@
         self._has_expired = False
         self._timeouts: set[asyncio.Timeout] = set()
         # The event loop itself keeps only weak references to tasks.
-        self._attempts: set[asyncio.Task[attempt_results.AttemptResult]] = set()
+        self._attempts: set[asyncio.Task[object]] = set()
+        self._received_count = 0
 
     @property
     def has_running_attempts(self) -> bool:
-        """Whether an attempt runs, also one whose caller has left."""
-        return bool(self._attempts)
+        """Whether an attempt runs, also one whose caller has left.
+
+        A request that a peer handed over counts until it ends.
+        """
+        return bool(self._attempts) or self._received_count > 0
 
     def start_stop(self, plan: stop_plan.StopPlan) -> None:
         """Refuses, from now on, requests that would outlast a planned stop."""
@@ -128,10 +186,27 @@
         route = self.find_route(request)
         return route is not None and route.is_idempotent
 
+    async def serve_for_peer(
+        self, request: caller_requests.CallerRequest, terms: handovers.Terms
+    ) -> outcomes.Outcome:
+        """Serves a request that a peer handed over."""
+        self._received_count += 1
+        try:
+            return await self.serve(request, terms)
+        finally:
+            self._received_count -= 1
+
     async def serve(
-        self, request: caller_requests.CallerRequest
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
     ) -> outcomes.Outcome:
-        """Serves a request and returns its outcome."""
+        """Serves a request and returns its outcome.
+
+        Args:
+            request: the request.
+            terms: the terms of the peer that handed it over, if one did.
+        """
         if not await self._platform_state.wait_for_configuration(
             START_WAIT_SECONDS
         ):
@@ -153,7 +228,7 @@
                     outcomes.Reason.NO_ROUTE, "no route matches the request"
                 ),
             )
-        context = self._create_context(request, route)
+        context = self._create_context(request, route, terms)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
         try:
@@ -176,10 +251,15 @@
         return self._log_outcome(request, context, outcome)
 
     def _create_context(
-        self, request: caller_requests.CallerRequest, route: tables.Route
+        self,
+        request: caller_requests.CallerRequest,
+        route: tables.Route,
+        terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
         self._retry_budget.record_request(service, request.arrived_at)
+        if terms is not None:
+            return _create_peer_context(request, route, service, terms)
         caller_timeout_seconds = _read_caller_timeout(request)
         timeout_seconds = (
             route.timeout_seconds
@@ -191,7 +271,15 @@
         )
         deadline = request.arrived_at + timeout_seconds
         return _RequestContext(
-            request, route, service, deadline, set(), spent_seconds
+            request,
+            route,
+            service,
+            deadline,
+            set(),
+            route.max_attempts,
+            spent_seconds,
+            is_caller_retry=spent_seconds
+            > retry_policy.CALLER_RETRY_MIN_SECONDS,
         )
 
     def _may_start(self, context: _RequestContext) -> bool:
@@ -209,18 +297,29 @@
 
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
+            if self._monitor.is_cut_off:
+                return await self._serve_elsewhere(context)
             selected = await self._picker.pick(self._selection_request(context))
             if isinstance(selected, server_selection.Refuse):
+                if (
+                    selected.answered_count == 0
+                    and await self._monitor.is_confirmed_unreachable()
+                ):
+                    return await self._serve_elsewhere(context)
                 return self._handle_refusal(context, selected)
-            if context.tried_servers and not self._try_acquire_retry(context):
+            if self._is_retry(context) and not self._try_acquire_retry(context):
                 return self._final_outcome(context)
             result = await self._attempt_with_hedge(context, selected)
             context.last_result = result
+            if (
+                _is_unconnected(result)
+                and await self._monitor.is_confirmed_unreachable()
+            ):
+                return await self._serve_elsewhere(context)
             decision = retry_policy.retry_decision(
                 result,
                 is_idempotent=context.route.is_idempotent,
-                attempts_left=context.route.max_attempts
-                - len(context.tried_servers),
+                attempts_left=context.max_attempts - len(context.tried_servers),
                 remaining_seconds=context.deadline - boot_clock.now(),
             )
             if decision is retry_policy.RetryDecision.RETRY:
@@ -241,8 +340,125 @@
             arrived_at=context.request.arrived_at - context.spent_seconds,
             deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
-            is_caller_retry=context.spent_seconds
-            > retry_policy.CALLER_RETRY_MIN_SECONDS,
+            is_caller_retry=context.is_caller_retry,
+        )
+
+    async def _serve_elsewhere(
+        self, context: _RequestContext
+    ) -> outcomes.Outcome:
+        """Hands a request to a peer, as this daemon does not reach servers."""
+        attempts_left = handovers.attempts_left(
+            context.max_attempts,
+            context.tried_servers - context.unconnected_servers,
+        )
+        failure = self._unreachable_outcome(context)
+        tried_peers: set[ids.DaemonId] = set()
+        cut_off_count = 0
+        while (
+            context.terms is None
+            and attempts_left > 0
+            and len(tried_peers) < MAX_PEERS
+            and cut_off_count <= MAX_CUT_OFF_PEERS
+            and context.deadline - boot_clock.now()
+            > retry_policy.MIN_USEFUL_SECONDS
+        ):
+            peer = self._handover.choose_peer(
+                context.request, context.route, tried_peers
+            )
+            if peer is None:
+                break
+            tried_peers.add(peer.name)
+            handed = await self._hand_over(context, peer, attempts_left)
+            if handed.result is handovers.HandoverResult.BROKEN:
+                if not context.route.is_idempotent:
+                    return outcomes.Unknown(
+                        outcomes.Reason.SERVER_FAILED,
+                        "the peer that served the request did not answer",
+                    )
+                attempts_left -= 1
+                continue
+            if handed.result is handovers.HandoverResult.NOT_CONNECTED:
+                continue
+            assert handed.outcome is not None
+            if handed.result is handovers.HandoverResult.CUT_OFF:
+                cut_off_count += 1
+                continue
+            if (
+                isinstance(handed.outcome, outcomes.NotRun)
+                and handed.outcome.reason in handovers.PEER_REASONS
+            ):
+                continue
+            self._retry_budget.withdraw_request(context.service)
+            if isinstance(handed.outcome, outcomes.NotRun):
+                failure = handed.outcome
+                break
+            return handed.outcome
+        if context.may_have_run or context.may_have_run_elsewhere:
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, failure.detail
+            )
+        return failure
+
+    def _unreachable_outcome(self, context: _RequestContext) -> outcomes.NotRun:
+        return outcomes.NotRun(
+            outcomes.Reason.NO_SERVER,
+            "no server can be reached",
+            self._retry_after(context),
+        )
+
+    async def _hand_over(
+        self,
+        context: _RequestContext,
+        peer: fleet_members.Peer,
+        attempts_left: int,
+    ) -> handover_client.Handed:
+        """Hands a request to one peer and records whether it may have run."""
+        might_have_run = context.may_have_run_elsewhere
+        terms = handovers.Terms(
+            sender="",
+            number=0,
+            remaining_ms=0,
+            waited_ms=self._waited_ms(context),
+            is_caller_retry=context.is_caller_retry,
+            attempts_left=attempts_left,
+            tried_servers=sorted(
+                context.tried_servers - context.unconnected_servers
+            ),
+            may_have_run=bool(context.may_have_run) or might_have_run,
+        )
+        task = asyncio.create_task(
+            self._handover.hand_over(
+                peer, context.request, terms, context.deadline
+            )
+        )
+        self._attempts.add(task)
+        task.add_done_callback(self._attempts.discard)
+        context.may_have_run_elsewhere = True
+        try:
+            await asyncio.wait({task})
+        finally:
+            self._cancel_if_idempotent(context, task)
+        handed = task.result()
+        has_run_nowhere = handed.result in (
+            handovers.HandoverResult.NOT_CONNECTED,
+            handovers.HandoverResult.CUT_OFF,
+            handovers.HandoverResult.REFUSED,
+        )
+        if has_run_nowhere:
+            context.may_have_run_elsewhere = might_have_run
+        return handed
+
+    def _waited_ms(self, context: _RequestContext) -> int:
+        waited_seconds = (
+            boot_clock.now()
+            - context.request.arrived_at
+            + context.spent_seconds
+        )
+        return max(0, round(waited_seconds * 1000))
+
+    def _is_retry(self, context: _RequestContext) -> bool:
+        return bool(context.tried_servers) or (
+            context.terms is not None and context.terms.may_have_run
         )
 
     def _try_acquire_retry(self, context: _RequestContext) -> bool:
@@ -277,7 +493,7 @@
     def _may_hedge(self, context: _RequestContext) -> bool:
         return (
             context.route.is_idempotent
-            and len(context.tried_servers) < context.route.max_attempts
+            and len(context.tried_servers) < context.max_attempts
         )
 
     async def _start_hedge(
@@ -349,12 +565,14 @@
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
+        if _is_unconnected(result):
+            context.unconnected_servers.add(attempt_request.entry.id)
         return result
 
     def _cancel_if_idempotent(
         self,
         context: _RequestContext,
-        task: "asyncio.Task[attempt_results.AttemptResult]",
+        task: "asyncio.Task[Any]",
     ) -> None:
         # An attempt of a non-idempotent request runs to its end: its effect is
         # wanted even when nobody waits for the answer.
@@ -404,14 +622,17 @@
         return failure
 
     def _timeout_outcome(self, context: _RequestContext) -> outcomes.Outcome:
-        if self._has_expired and context.may_have_run:
+        may_have_run = (
+            bool(context.may_have_run) or context.may_have_run_elsewhere
+        )
+        if self._has_expired and may_have_run:
             return outcomes.Unknown(
                 outcomes.Reason.STOPPING,
                 "the daemon stopped before a server answered",
             )
         if self._has_expired:
             return self._stop_outcome()
-        if context.may_have_run:
+        if may_have_run:
             return outcomes.Unknown(
                 outcomes.Reason.DEADLINE, "no server answered in time"
             )
@@ -425,7 +646,7 @@
         )
 
     def _log_fields(self, context: _RequestContext) -> dict[str, object]:
-        return {
+        log_fields: dict[str, object] = {
             "request": context.request.fields.get(field_names.REQUEST_ID, ""),
             "route": context.route.name,
             "service": context.service,
@@ -437,6 +658,9 @@
             "revision": self._platform_state.replica.revision,
             "version": self._platform_state.catalogue.configuration_version,
         }
+        if context.terms is not None:
+            log_fields["handed_by"] = context.terms.sender
+        return log_fields
 
     def _log_outcome(
         self,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -9,18 +9,21 @@
 from typing import Any
 
 import logbook
+import msgspec
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
+from hyssopwind.core.fleet import handovers
 from hyssopwind.core.fleet import reader_selection
 from hyssopwind.core.limits import connection_shares
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import deliveries
 from hyssopwind.core.stopping import stop_plan
+from hyssopwind.daemon import headers
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
@@ -105,6 +108,7 @@
             self._announce_crash,
             self._announce_leaving,
             self._send_permit_message,
+            self._announce_reachability,
             self._random,
         )
         self._crash_detector = self._request_path.crash_detector
@@ -120,9 +124,13 @@
             self._request_path.handle_leaving_notice,
             self._request_path.withdrawals.leaving_servers,
             self._random,
+            self._handle_reachability_notice,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
-            self._is_ready, self._gossip.changes_after, self._metrics.render
+            self._is_ready,
+            self._gossip.changes_after,
+            self._metrics.render,
+            self._serve_handover,
         )
         self._reloader = reloading.Reloader(
             self._live_settings,
@@ -164,6 +172,7 @@
         for task in self._tasks:
             task.cancel()
         self._gossip.stop()
+        self._request_path.stop()
 
     def _request_stop(self) -> None:
         """Starts the planned stop; a second signal changes nothing."""
@@ -200,16 +209,8 @@
     async def _serve(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
-        retry_after = self._crash_detector.quarantine_seconds(request)
-        outcome: outcomes.Outcome
-        if retry_after is not None:
-            outcome = outcomes.NotRun(
-                outcomes.Reason.QUARANTINED,
-                "servers crashed on this request",
-                retry_after,
-            )
-            self._log_rejection(outcome)
-        else:
+        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        if outcome is None:
             outcome = await self._dispatcher.serve(request)
         reason = ""
         if not isinstance(outcome, outcomes.Answered):
@@ -223,6 +224,49 @@
         )
         return outcome
 
+    def _check_quarantine(
+        self, request: caller_requests.CallerRequest
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request that is quarantined."""
+        retry_after = self._crash_detector.quarantine_seconds(request)
+        if retry_after is None:
+            return None
+        refusal = outcomes.NotRun(
+            outcomes.Reason.QUARANTINED,
+            "servers crashed on this request",
+            retry_after,
+        )
+        self._log_rejection(refusal)
+        return refusal
+
+    async def _serve_handover(
+        self, request: caller_requests.CallerRequest
+    ) -> outcomes.Outcome:
+        """Serves a request that a peer handed over."""
+        try:
+            terms = handovers.decode_terms(request.fields[headers.HANDOVER])
+        except msgspec.DecodeError as error:
+            _log.warn(
+                "unreadable handover refused", extra={"error": str(error)}
+            )
+            return outcomes.Answered(400, (), b"")
+        monitor = self._request_path.monitor
+        # Only a daemon that is cut off itself hands requests over.
+        self._handle_reachability_notice(ids.DaemonId(terms.sender), True)
+        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        if outcome is None:
+            outcome = await self._dispatcher.serve_for_peer(request, terms)
+        result = handovers.make_result(
+            terms.number, outcome, is_cut_off=not monitor.is_reachable
+        )
+        self._metrics.count_handover("received", outcome.tag)
+        fields = ((headers.HANDOVER, handovers.encode(result)),)
+        if isinstance(outcome, outcomes.Answered):
+            return outcomes.Answered(
+                outcome.status, outcome.headers + fields, outcome.body
+            )
+        return outcomes.Answered(200, fields, b"")
+
     async def _drain(self, server: asyncio.Server) -> None:
         """Waits until all answers are delivered, at most until the deadline."""
         plan = self._stop_plan
@@ -370,6 +414,14 @@
     def _announce_leaving(self, instance: ids.InstanceId) -> None:
         self._gossip.announce_leaving(instance)
 
+    def _announce_reachability(self, is_cut_off: bool) -> None:
+        self._gossip.announce_reachability(is_cut_off)
+
+    def _handle_reachability_notice(
+        self, sender: ids.DaemonId, is_cut_off: bool
+    ) -> None:
+        self._request_path.handover.handle_notice(sender, is_cut_off=is_cut_off)
+
     def _send_permit_message(
         self, message: gossip_messages.PermitMessage, ip: str
     ) -> None:
@@ -396,10 +448,14 @@
             permit_counts=lambda: self._request_path.permits.result_counts,
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
-            checks=lambda: self._request_path.probe_client.probe_count,
+            checks=lambda: (
+                self._request_path.probe_client.probe_count
+                + self._request_path.monitor.probe_count
+            ),
             store_calls=lambda: self._store_client.call_count,
             lines_dropped=lambda: log_stream.dropped_count,
             ready=lambda: float(self._is_ready()),
+            cut_off=lambda: float(not self._request_path.monitor.is_reachable),
         )
 
     async def _supervise(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -48,6 +48,7 @@
         store_calls: calls to the platform's store.
         lines_dropped: log lines dropped.
         ready: whether the daemon reports that it is ready.
+        cut_off: whether the daemon has no way to the servers.
     """
 
     copy_age: Callable[[], float]
@@ -62,6 +63,7 @@
     store_calls: Callable[[], float]
     lines_dropped: Callable[[], float]
     ready: Callable[[], float]
+    cut_off: Callable[[], float]
 
 
 # Help texts by the name of the source, which is the end of the metric's name.
@@ -77,6 +79,7 @@
     "store_calls": "Calls to the platform's store so far",
     "lines_dropped": "Log lines dropped so far",
     "ready": "Whether the daemon says that it is ready",
+    "cut_off": "Whether the daemon has no way to the servers",
 }
 
 
@@ -94,6 +97,9 @@
         self._undelivered: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._handovers: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._bucket_counts: dict[str, list[int]] = {}
         self._latency_sums: dict[str, float] = {}
         self._sources: GaugeSources | None = None
@@ -126,6 +132,10 @@
         if len(self._attempts) < MAX_SERIES:
             self._attempts[service, result] += 1
 
+    def count_handover(self, direction: str, result: str) -> None:
+        """Counts a request that was sent to or received from a peer."""
+        self._handovers[direction, result] += 1
+
     def count_undelivered(
         self, stage: deliveries.DeliveryStage, cause: deliveries.CloseCause
     ) -> None:
@@ -169,6 +179,12 @@
             ["result"],
             {(result,): count for result, count in permit_counts.items()},
         )
+        yield _make_counter(
+            "hyssopwind_handovers",
+            "Requests handed between daemons",
+            ["direction", "result"],
+            self._handovers,
+        )
         yield _make_counter(
             "hyssopwind_undelivered_answers",
             "Answers that callers did not get whole",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -71,6 +71,9 @@
         on_leaving_notice: Callable[[ids.InstanceId], None],
         leaving_servers: Callable[[], Iterable[ids.InstanceId]],
         random_source: random.Random,
+        on_reachability_notice: Callable[[ids.DaemonId, bool], None] = (
+            lambda _sender, _is_cut_off: None
+        ),
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -82,6 +85,7 @@
         self._on_crash_notice = on_crash_notice
         self._on_permit_message = on_permit_message
         self._on_leaving_notice = on_leaving_notice
+        self._on_reachability_notice = on_reachability_notice
         self._leaving_servers = leaving_servers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -151,6 +155,13 @@
         """Announces to all peers that a server is about to stop."""
         self._send_repeatedly(self._make_leaving_notice(instance))
 
+    def announce_reachability(self, is_cut_off: bool) -> None:
+        """Announces to all peers whether this daemon reaches servers."""
+        notice = gossip_messages.ReachabilityNotice(
+            self._initial_settings.name, is_cut_off
+        )
+        self._send_all(notice, self._member_list.peers())
+
     def send_permit_message(
         self, message: gossip_messages.PermitMessage, ip: str
     ) -> None:
@@ -198,6 +209,10 @@
             self._handle_crash_notice(message)
         elif isinstance(message, gossip_messages.LeavingNotice):
             self._on_leaving_notice(ids.InstanceId(message.instance))
+        elif isinstance(message, gossip_messages.ReachabilityNotice):
+            self._on_reachability_notice(
+                ids.DaemonId(message.sender), message.is_cut_off
+            )
         else:
             self._on_permit_message(message)
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/health_client.py
@@ -6,6 +6,7 @@
 from hyssopwind.core.limits import server_notices
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import notice_recorder
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.platform import probe_answers
 from hyssopwind.transport import connection
 from hyssopwind.transport import connection_pools
@@ -19,9 +20,11 @@
         connection_pool: connection_pools.ConnectionPool,
         selection_settings: tuning.SelectionSettings,
         recorder: notice_recorder.NoticeRecorder,
+        monitor: reachability.ReachabilityMonitor,
     ):
         self._selection_settings = selection_settings
         self._recorder = recorder
+        self._monitor = monitor
         self._pool = connection_pool
         self._probe_count = 0
 
@@ -45,8 +48,10 @@
                 self._selection_settings.check_timeout,
                 probe_answers.is_probe_answer,
             )
-        except connection.ExchangeError:
+        except connection.ExchangeError as error:
+            self._monitor.record_failure(entry.id, error.kind)
             return None
+        self._monitor.record_answer()
         result = probe_answers.decode_probe_result(answer.status, answer.fields)
         if result.server not in (entry.id, ids.ServerId("")):
             return None
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -13,6 +13,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.routing import tables
+from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
 
@@ -32,10 +33,12 @@
         is_ready: Callable[[], bool],
         changes_after: Callable[[int], bytes],
         render_metrics: Callable[[], bytes],
+        serve_handover: _Handler,
     ):
         self._is_ready = is_ready
         self._changes_after = changes_after
         self._render_metrics = render_metrics
+        self._serve_handover = serve_handover
         self._servers: list[asyncio.Server] = []
         self._connections: set[caller_connection.CallerConnection] = set()
 
@@ -87,6 +90,8 @@
     async def _handle_peer(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
+        if headers.HANDOVER in request.fields:
+            return await self._serve_handover(request)
         query = urllib.parse.parse_qs(request.target.partition("?")[2])
         revision = query.get("after", [""])[0]
         if request.path != "/changes" or not revision.isdigit():
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -142,6 +142,12 @@
         """Records a request that the next probe result may not include."""
         self._sent_at.setdefault(server, []).append(now)
 
+    def forget_unanswered(self, since: float) -> None:
+        """Forgets that probes of services were not answered since a time."""
+        for service, until in list(self._no_load_until.items()):
+            if until - NO_LOAD_REPROBE_SECONDS >= since:
+                del self._no_load_until[service]
+
     def retain(self, servers: set[ids.ServerId]) -> None:
         """Drops the state of all servers but the given ones."""
         for table in (self._recent_results, self._sent_at):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
@@ -61,7 +62,9 @@
         withdrawals: server_withdrawals.ServerWithdrawals,
         selection_settings: tuning.SelectionSettings,
         random_source: random.Random,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
+        self._is_cut_off = is_cut_off
         self._initial_settings = initial_settings
         self._catalogue = server_catalogue
         self._passive_health = passive_health
@@ -87,6 +90,8 @@
         include_remote = False
         is_first = True
         while True:
+            if self._is_cut_off():
+                return server_selection.Refuse("no server can be reached")
             now = boot_clock.now()
             quiet_ends_at = self._quiet_end(request, now)
             if quiet_ends_at is not None:
@@ -115,7 +120,9 @@
                 await asyncio.sleep(decision.seconds)
                 continue
             if isinstance(decision, server_selection.Refuse):
-                return decision
+                return dataclasses.replace(
+                    decision, answered_count=len(candidates)
+                )
             if not await self._try_reserve(decision.server, request):
                 continue
             return decision
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
@@ -0,0 +1,233 @@
+"""Observes whether this daemon reaches servers, and verifies a suspicion.
+
+While the daemon is cut off it probes a few servers at a fixed rate and tells
+its peers, which then hand it no requests.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import logbook
+
+from hyssopwind.core import ids
+from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.discovery import catalogue
+from hyssopwind.core.dispatch import probe_budgets
+from hyssopwind.core.dispatch import server_reachability
+from hyssopwind.core.fleet import fleet_members
+from hyssopwind.platform import probe_answers
+from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
+from hyssopwind.transport import connection_pools
+
+# Interval of the notices to peers while the daemon is cut off.
+NOTICE_INTERVAL_SECONDS = 1.0
+
+_log = logbook.Logger("reachability")
+
+
+class ReachabilityMonitor:
+    """Decides whether this daemon itself lacks the way to the servers."""
+
+    def __init__(
+        self,
+        server_catalogue: catalogue.Catalogue,
+        connection_pool: connection_pools.ConnectionPool,
+        probe_timeout_seconds: float,
+        health_path: Callable[[ids.ServiceId], str],
+        probe_budget: probe_budgets.ProbeBudget,
+        member_list: fleet_members.MemberList,
+        on_end: Callable[[float], None],
+        announce: Callable[[bool], None],
+        random_source: random.Random,
+    ):
+        self._catalogue = server_catalogue
+        self._pool = connection_pool
+        self._probe_timeout_seconds = probe_timeout_seconds
+        self._health_path = health_path
+        self._probe_budget = probe_budget
+        self._member_list = member_list
+        self._on_end = on_end
+        self._announce = announce
+        self._random = random_source
+        self._reachability = server_reachability.ServerReachability()
+        self._verification: asyncio.Task[None] | None = None
+        self._cut_task: asyncio.Task[None] | None = None
+        self._cut_off_at = float("-inf")
+        self._probe_count = 0
+
+    @property
+    def probe_count(self) -> int:
+        """Number of probes sent so far."""
+        return self._probe_count
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether servers can be reached on new connections."""
+        return self._reachability.is_reachable
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether servers answer neither on new nor on open connections."""
+        if self._reachability.is_reachable:
+            return False
+        state = self._reachability.state(boot_clock.now())
+        return state is server_reachability.Reachability.CUT_OFF
+
+    def record_answer(self) -> None:
+        """Records bytes of any server."""
+        self._reachability.record_answer(boot_clock.now())
+
+    def record_failure(
+        self, server: ids.ServerId, kind: attempt_results.FailureKind
+    ) -> None:
+        """Records a probe or request that a server did not answer."""
+        now = boot_clock.now()
+        self._reachability.record_failure(
+            server,
+            now,
+            is_connect=kind is attempt_results.FailureKind.NOT_CONNECTED,
+        )
+        if self._verification is not None:
+            return
+        if self._reachability.needs_verification(
+            self._catalogue.server_count, now
+        ):
+            self._verification = asyncio.get_running_loop().create_task(
+                self._verify()
+            )
+
+    async def is_confirmed_unreachable(self) -> bool:
+        """Whether servers cannot be reached, after a verification that runs."""
+        if self._verification is not None:
+            await asyncio.wait({self._verification})
+        return not self._reachability.is_reachable
+
+    async def does_another_answer(self, server: ids.ServerId) -> bool:
+        """Whether servers other than one answer at this moment.
+
+        Without any other server this cannot be known, and is assumed.
+        """
+        sample = self._choose_sample(
+            server_reachability.VERIFICATION_SAMPLE, [server]
+        )
+        sample = [each for each in sample if each.entry.id != server]
+        if not sample:
+            return True
+        return await self._probe_any(sample)
+
+    def stop(self) -> None:
+        """Ends all work in the background."""
+        for task in (self._verification, self._cut_task):
+            if task is not None:
+                task.cancel()
+
+    def _choose_sample(
+        self, count: int, excluded: Sequence[ids.ServerId] = ()
+    ) -> list[catalogue.ListedServer]:
+        return server_reachability.choose_sample(
+            self._random, self._catalogue.listed_servers(), count, excluded
+        )
+
+    async def _verify(self) -> None:
+        try:
+            sample = self._choose_sample(
+                server_reachability.VERIFICATION_SAMPLE,
+                self._reachability.failed_servers,
+            )
+            if not sample or await self._probe_any(sample):
+                return
+            now = boot_clock.now()
+            evidence = self._reachability.record_unanswered_verification(
+                [each.entry.id for each in sample], now
+            )
+            self._cut_off_at = now
+            _log.warn(
+                "cut off from all servers",
+                extra={
+                    "failed": list(evidence.failed_servers),
+                    "probed": list(evidence.probed_servers),
+                    "silent_ms": round(min(evidence.silent_seconds, 1e6) * 1e3),
+                },
+            )
+            self._cut_task = asyncio.get_running_loop().create_task(
+                self._watch_cut()
+            )
+        finally:
+            self._verification = None
+
+    async def _watch_cut(self) -> None:
+        """Probes servers and tells the peers, until a server answers."""
+        next_notice_at = float("-inf")
+        while not self._reachability.is_reachable:
+            now = boot_clock.now()
+            if now >= next_notice_at:
+                self._announce(True)
+                next_notice_at = now + NOTICE_INTERVAL_SECONDS
+            # A daemon that is cut off sends no other probes.
+            allowed_count = self._probe_budget.try_acquire(
+                server_reachability.CUT_PROBE_SAMPLE,
+                server_count=self._catalogue.server_count,
+                daemon_count=self._member_list.fleet_size(),
+                now=now,
+            )
+            sample = self._choose_sample(max(1, allowed_count))
+            if not sample:
+                self._end_cut()
+            elif not await self._probe_any(sample):
+                await asyncio.sleep(
+                    server_reachability.CUT_PROBE_INTERVAL_SECONDS
+                )
+
+    async def _probe_any(
+        self, listed_servers: Sequence[catalogue.ListedServer]
+    ) -> bool:
+        """Returns whether any of the servers answers on a new connection."""
+        tasks = [
+            asyncio.get_running_loop().create_task(self._probe(each))
+            for each in listed_servers
+        ]
+        try:
+            for completed in asyncio.as_completed(tasks):
+                if await completed:
+                    self._end_cut()
+                    return True
+        finally:
+            for task in tasks:
+                task.cancel()
+        return False
+
+    async def _probe(self, listed_server: catalogue.ListedServer) -> bool:
+        entry = listed_server.entry
+        self._probe_count += 1
+        try:
+            await self._pool.get_on_new_connection(
+                entry.address,
+                self._health_path(entry.service),
+                self._probe_timeout_seconds,
+                probe_answers.is_probe_answer,
+            )
+        except connection.ExchangeError as error:
+            # Bytes that are no answer still came from a server.
+            return error.kind in (
+                attempt_results.FailureKind.GARBLED,
+                attempt_results.FailureKind.TOO_LARGE,
+            )
+        return True
+
+    def _end_cut(self) -> None:
+        now = boot_clock.now()
+        evidence = self._reachability.record_new_connection_answer(now)
+        if evidence is None:
+            return
+        _log.warn(
+            "servers can be reached again",
+            extra={
+                "cut_off_ms": round((now - self._cut_off_at) * 1000),
+                "failed": list(evidence.failed_servers),
+            },
+        )
+        self._on_end(evidence.since)
+        self._announce(False)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -16,11 +16,13 @@
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gateway_metrics
+from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import health_client
 from hyssopwind.daemon.gateway import load_probes
 from hyssopwind.daemon.gateway import notice_recorder
 from hyssopwind.daemon.gateway import permits
 from hyssopwind.daemon.gateway import picker
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import sending
 from hyssopwind.transport import boot_clock
@@ -35,6 +37,8 @@
         withdrawals: servers that want no requests.
         permits: permits to send to servers with limits.
         handle_leaving_notice: records what a peer heard of a leaving server.
+        monitor: whether this daemon reaches servers.
+        handover: hands requests to peers.
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
@@ -52,6 +56,7 @@
         announce_crash: Callable[[ids.Fingerprint, int], None],
         announce_leaving: Callable[[ids.InstanceId], None],
         send_permit_message: permits.SendMessage,
+        announce_reachability: Callable[[bool], None],
         random_source: random.Random,
     ):
         self._platform_state = platform_state
@@ -75,20 +80,35 @@
             announce_leaving,
         )
         self.handle_leaving_notice = recorder.handle_leaving_notice
+        probe_budget = probe_budgets.ProbeBudget(
+            gateway_settings.probe_rate, boot_clock.now()
+        )
+        self.monitor = reachability.ReachabilityMonitor(
+            platform_state.catalogue,
+            pool,
+            gateway_tuning.choosing.check_timeout,
+            lambda service: self._prober.health_path(service),
+            probe_budget,
+            member_list,
+            self._forget_failures,
+            announce_reachability,
+            random_source,
+        )
+        self.handover = handover_client.HandoverClient(
+            gateway_settings, member_list, metrics, random_source
+        )
         self.probe_client = health_client.ProbeClient(
-            pool, gateway_tuning.choosing, recorder
+            pool, gateway_tuning.choosing, recorder, self.monitor
         )
         self.crash_detector = crash_detection.CrashDetector(
-            self.probe_client, announce_crash
+            self.probe_client, self.monitor, announce_crash
         )
         self._prober = load_probes.LoadProber(
             platform_state.catalogue,
             self._passive_health,
             self.probe_client,
             member_list,
-            probe_budgets.ProbeBudget(
-                gateway_settings.probe_rate, boot_clock.now()
-            ),
+            probe_budget,
         )
         server_picker = picker.Picker(
             gateway_settings,
@@ -100,6 +120,7 @@
             self.withdrawals,
             gateway_tuning.choosing,
             random_source,
+            lambda: self.monitor.is_cut_off,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
@@ -117,7 +138,10 @@
                 recorder,
                 self.limits,
                 self._prober.health_path,
+                self.monitor,
             ),
+            self.monitor,
+            self.handover,
             self.retry_budget,
             member_list.fleet_size,
             gateway_tuning.repeating,
@@ -134,3 +158,14 @@
         self.limits.retain(instances)
         self.withdrawals.retain(instances)
         self.permits.drop_removed_servers()
+        self.handover.retain_live_peers()
+
+    def stop(self) -> None:
+        """Ends the work in the background and closes idle connections."""
+        self.monitor.stop()
+        self.handover.stop()
+
+    def _forget_failures(self, since: float) -> None:
+        """Drops what was observed of servers without a way to them."""
+        self._passive_health.forget_failures(since)
+        self._prober.forget_unanswered(since)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -20,6 +20,7 @@
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import gateway_metrics
 from hyssopwind.daemon.gateway import notice_recorder
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.platform import field_names
 from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
@@ -63,6 +64,7 @@
         recorder: notice_recorder.NoticeRecorder,
         limits: rate_limits.RateLimits,
         health_path: Callable[[ids.ServiceId], str],
+        monitor: reachability.ReachabilityMonitor,
     ):
         self._pool = connection_pool
         self._passive_health = passive_health
@@ -71,6 +73,7 @@
         self._recorder = recorder
         self._limits = limits
         self._health_path = health_path
+        self._monitor = monitor
 
     async def send(
         self, attempt_request: AttemptRequest
@@ -160,6 +163,16 @@
     ) -> None:
         now = boot_clock.now()
         server = attempt_request.entry.id
+        if isinstance(result, attempt_results.Failed) and result.kind in (
+            attempt_results.FailureKind.NOT_CONNECTED,
+            attempt_results.FailureKind.BROKEN,
+            attempt_results.FailureKind.TIMED_OUT,
+        ):
+            self._monitor.record_failure(server, result.kind)
+        elif result != attempt_results.Failed(
+            attempt_results.FailureKind.WITHHELD
+        ):
+            self._monitor.record_answer()
         answer_fields: dict[str, object] = {}
         result_label = "shed"
         if isinstance(result, attempt_results.WholeAnswer):
--- a/packages/daemon/src/hyssopwind/daemon/headers.py
+++ b/packages/daemon/src/hyssopwind/daemon/headers.py
@@ -9,6 +9,8 @@
 OUTCOME = "Hyssopwind-Outcome"
 FORWARDED = "Hyssopwind-Forwarded"
 WANT_TICKETS = "Hyssopwind-Want-Tickets"
+# Terms of a request that a gateway hands to a peer, and the result.
+HANDOVER = "Hyssopwind-Handover"
 NOT_AFTER = "X-Request-Not-After"
 
 _HOP_BY_HOP = frozenset(
@@ -25,7 +27,9 @@
     }
 )
 _SET_BY_HTTP_LIBRARY = frozenset({"content-length", "expect"})
-_INTERNAL = frozenset({FORWARDED.lower(), WANT_TICKETS.lower()})
+_INTERNAL = frozenset(
+    {FORWARDED.lower(), WANT_TICKETS.lower(), HANDOVER.lower()}
+)
 _REMOVED = tuple(
     multidict.istr(name)
     for name in sorted(_HOP_BY_HOP | _SET_BY_HTTP_LIBRARY | _INTERNAL)
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -285,6 +285,16 @@
         await asyncio.sleep(ROUND_TRIP_SECONDS / 2)
         return answer
 
+    async def get_on_new_connection(
+        self,
+        address: str,
+        target: str,
+        timeout_seconds: float,
+        is_expected: connection.AnswerPredicate = lambda _: True,
+    ) -> answers.Answer:
+        """Returns the answer to a load probe."""
+        return await self.get(address, target, timeout_seconds, is_expected)
+
 
 class ServingDaemon(site_fleet.VirtualDaemon):
     """A daemon that also serves requests of callers.
@@ -309,6 +319,7 @@
             lambda _fingerprint, _count: None,
             self.gossip.announce_leaving,
             self.gossip.send_permit_message,
+            self.gossip.announce_reachability,
             random.Random(fleet.random_source.random()),
         )
         self._tasks += [
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -138,6 +138,37 @@
             self.release(client_connection)
             return answer
 
+    async def get_on_new_connection(
+        self,
+        address: str,
+        target: str,
+        timeout_seconds: float,
+        is_expected: connection.AnswerPredicate = lambda _: True,
+    ) -> answers.Answer:
+        """Sends a GET on a new connection, once, and returns the answer.
+
+        Args:
+            address: IP address and port.
+            target: path and query.
+            timeout_seconds: seconds for the whole call.
+            is_expected: whether an answer is for this request.
+
+        Raises:
+            ExchangeError: no whole answer was received in time.
+        """
+        head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                opened = await self._open(address)
+                answer = await opened.exchange(head, "GET", is_expected)
+        except TimeoutError as error:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.TIMED_OUT,
+                f"after {timeout_seconds} s",
+            ) from error
+        self.release(opened)
+        return answer
+
     async def _open(self, address: str) -> connection.ClientConnection:
         host, _, port = address.rpartition(":")
         self._opened_count += 1
