--- a/packages/core/src/hyssopwind/core/dispatch/server_reachability.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_reachability.py
@@ -24,8 +24,14 @@
 # connections that are open.
 CONNECT_FAILURE_WINDOW_SECONDS = 1.0
 VERIFICATION_SAMPLE = 4
-# Time after a verification that found a server until the next one.
-VERIFICATION_INTERVAL_SECONDS = 1.0
+# Time after a verification that found a server until the next one. It is longer
+# while servers answer on open connections, on which requests can be served.
+VERIFICATION_INTERVAL_SECONDS = 0.5
+ANSWERED_VERIFICATION_INTERVAL_SECONDS = 2.0
+# A request is overdue after this multiple of its expected duration, and at
+# least after this time.
+OVERDUE_RATIO = 2.0
+MIN_OVERDUE_SECONDS = 0.3
 # Time without an answer on an open connection after which none is expected.
 ANSWER_SILENCE_SECONDS = 0.3
 # Probes of a daemon that is cut off.
@@ -33,6 +39,11 @@
 CUT_PROBE_SAMPLE = 2
 
 
+def overdue_seconds(estimated_seconds: float) -> float:
+    """Returns after how long a request counts as overdue."""
+    return max(MIN_OVERDUE_SECONDS, OVERDUE_RATIO * estimated_seconds)
+
+
 class Reachability(enum.Enum):
     """Whether this daemon reaches servers."""
 
@@ -87,6 +98,12 @@
         self._failures: dict[ids.ServerId, float] = {}
         self._connect_failures: dict[ids.ServerId, float] = {}
         self._first_failure_at: float | None = None
+        self._is_silent = False
+
+    @property
+    def last_answer_at(self) -> float:
+        """Monotonic time of the last answer of any server."""
+        return self._last_answer_at
 
     @property
     def is_reachable(self) -> bool:
@@ -109,6 +126,7 @@
     def record_answer(self, now: float) -> None:
         """Records bytes of any server on any connection."""
         self._last_answer_at = now
+        self._is_silent = False
         if self._is_cut_off or not self._failures:
             return
         self._failures.clear()
@@ -132,6 +150,19 @@
         if is_connect:
             self._connect_failures[server] = now
 
+    def record_overdue(
+        self, server: ids.ServerId, sent_at: float, now: float
+    ) -> None:
+        """Records that a request waits much longer than expected.
+
+        It matters if no server has answered since the request was sent; then
+        it alone has to be verified, as requests on hung connections fail only
+        at their deadlines.
+        """
+        if self._last_answer_at < sent_at:
+            self.record_failure(server, now)
+            self._is_silent = True
+
     def needs_verification(self, server_count: int, now: float) -> bool:
         """Whether a sample of servers has to be probed.
 
@@ -141,8 +172,13 @@
         """
         if self._is_cut_off or not server_count:
             return False
-        if now - self._verified_at < VERIFICATION_INTERVAL_SECONDS:
+        interval_seconds = VERIFICATION_INTERVAL_SECONDS
+        if now - self._last_answer_at < ANSWER_SILENCE_SECONDS:
+            interval_seconds = ANSWERED_VERIFICATION_INTERVAL_SECONDS
+        if now - self._verified_at < interval_seconds:
             return False
+        if self._is_silent:
+            return True
         self._drop_old_connect_failures(now)
         failed_count = max(len(self._failures), len(self._connect_failures))
         return failed_count >= min(SUSPICIOUS_SERVER_COUNT, server_count)
@@ -164,10 +200,14 @@
         Returns:
             What the state was based on, if it ends with the answer.
         """
-        evidence = self._evidence((), now) if self._is_cut_off else None
-        self._is_cut_off = False
-        self._verified_at = now
+        evidence = None
+        if self._is_cut_off:
+            evidence = self._evidence((), now)
+            self._is_cut_off = False
+        else:
+            self._verified_at = now
         self._last_answer_at = now
+        self._is_silent = False
         self._failures.clear()
         self._connect_failures.clear()
         self._first_failure_at = None
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_peer_choice.py
@@ -0,0 +1,101 @@
+import collections
+import random
+import unittest
+
+from hyssopwind.core import ids
+from hyssopwind.core.fleet import fleet_members
+from hyssopwind.core.fleet import handovers
+from hyssopwind.core.fleet import peer_choice
+
+NORTH, SOUTH = ids.DataCentreId("north"), ids.DataCentreId("south")
+
+
+def make_peers(count, data_centre, start=0):
+    return [
+        fleet_members.Peer(
+            ids.DaemonId(f"{data_centre}-{number}"),
+            "10.0.0.1",
+            data_centre,
+            0.0,
+        )
+        for number in range(start, start + count)
+    ]
+
+
+class PeerChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.choice = peer_choice.PeerChoice(NORTH)
+        self.random = random.Random(1)
+        self.local = make_peers(5, NORTH)
+        self.peers = self.local + make_peers(10, SOUTH)
+
+    def choose(self, tried=(), now=0.0):
+        return self.choice.choose(self.peers, tried, self.random, now)
+
+    # Requests crossed data centres although a local peer could serve them.
+    def test_own_data_centre_comes_first(self):
+        for _ in range(100):
+            self.assertEqual(self.choose().data_centre, NORTH)
+
+    # All requests of a cut daemon went to the same peer.
+    def test_requests_are_spread(self):
+        counts = collections.Counter()
+        for _ in range(25):
+            peer = self.choose()
+            self.choice.record_start(peer.name)
+            counts[peer.name] += 1
+        self.assertLessEqual(max(counts.values()), 6)
+        self.assertEqual(len(counts), 5)
+
+    # The last local peer got the requests of its whole data centre.
+    def test_crowded_local_peers_are_relieved_by_remote_ones(self):
+        for peer in self.local[1:]:
+            self.choice.record_cut_off(peer.name, 0.0)
+        chosen = []
+        for _ in range(60):
+            peer = self.choose()
+            self.choice.record_start(peer.name)
+            chosen.append(peer.data_centre)
+        self.assertEqual(set(chosen), {NORTH, SOUTH})
+        self.assertLess(chosen.count(NORTH), 20)
+
+    # Requests went to peers that had said that they are cut off.
+    def test_cut_off_and_leaving_peers_get_nothing(self):
+        for peer in self.peers[1:]:
+            self.choice.record_cut_off(peer.name, 0.0)
+        self.assertIs(self.choose(), self.peers[0])
+        self.assertIsNone(self.choose(tried={self.peers[0].name}))
+        self.peers[0].is_leaving = True
+        self.assertIsNone(self.choose())
+        self.choice.record_cut_off(self.peers[3].name, 1.0, is_cut_off=False)
+        self.assertIs(self.choose(now=1.0), self.peers[3])
+
+    # A notice that nobody repeated excluded a peer for ever.
+    def test_notices_expire(self):
+        for peer in self.peers:
+            self.choice.record_cut_off(peer.name, 0.0)
+        self.assertIsNone(self.choose(now=2.9))
+        self.assertIsNotNone(self.choose(now=3.1))
+
+    # A peer without answers got requests without a bound.
+    def test_requests_at_one_peer_are_bounded(self):
+        self.peers = self.local[:1]
+        for _ in range(peer_choice.MAX_IN_FLIGHT):
+            self.choice.record_start(self.choose().name)
+        self.assertIsNone(self.choose())
+        self.choice.record_end(self.local[0].name)
+        self.assertIsNotNone(self.choose())
+
+
+class HandoverTest(unittest.TestCase):
+    # A later version's reasons must not become promises.
+    def test_unreadable_failure_promises_nothing(self):
+        result = handovers.Result(1, "not-run", "reason of a later version")
+        self.assertEqual(handovers.read_failure(result).tag, "unknown")
+
+    # Bodies were sent to areas that the route does not allow.
+    def test_bodies_stay_in_the_home_regions(self):
+        home = frozenset({"west"})
+        self.assertTrue(handovers.may_receive_body("west", "east", home))
+        self.assertTrue(handovers.may_receive_body("east", "east", home))
+        self.assertFalse(handovers.may_receive_body("north", "east", home))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
@@ -97,9 +97,10 @@
         broken_at: float,
     ) -> None:
         await asyncio.sleep(CRASH_PROBE_DELAY_SECONDS)
+        probed_at = boot_clock.now()
         if await self._probe_client.probe(entry, health_path) is not None:
             return
-        if not await self._monitor.does_another_answer(entry.id):
+        if not await self._monitor.does_another_answer(entry.id, probed_at):
             _log.info(
                 "crash not confirmed: no other server answers",
                 extra={"server": entry.id},
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -57,6 +57,7 @@
         terms: the terms of a peer that handed it over; `None` for a request
             of a caller.
         unconnected_servers: servers to which no connection was made.
+        unanswered_servers: these, and servers that did not answer.
         may_have_run: servers that may have run it.
         may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
@@ -74,6 +75,9 @@
     unconnected_servers: set[ids.ServerId] = dataclasses.field(
         default_factory=set
     )
+    unanswered_servers: set[ids.ServerId] = dataclasses.field(
+        default_factory=set
+    )
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
@@ -421,8 +425,9 @@
             waited_ms=self._waited_ms(context),
             is_caller_retry=context.is_caller_retry,
             attempts_left=attempts_left,
+            # The others failed for lack of a way to them, which the peer has.
             tried_servers=sorted(
-                context.tried_servers - context.unconnected_servers
+                context.tried_servers - context.unanswered_servers
             ),
             may_have_run=bool(context.may_have_run) or might_have_run,
         )
@@ -567,6 +572,8 @@
             context.may_have_run.discard(attempt_request.entry.id)
         if _is_unconnected(result):
             context.unconnected_servers.add(attempt_request.entry.id)
+        if isinstance(result, attempt_results.Failed):
+            context.unanswered_servers.add(attempt_request.entry.id)
         return result
 
     def _cancel_if_idempotent(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -17,7 +17,10 @@
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
 
-_LIMITS = tables.CallerLimits()
+# Above all limits for callers, since requests of peers have fields of our own.
+_LIMITS = tables.CallerLimits(
+    max_header_bytes=131_072, max_body_bytes=67_108_864
+)
 _NOT_FOUND = outcomes.Answered(404, (), b"")
 
 _Handler: TypeAlias = Callable[
--- a/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
@@ -39,6 +39,7 @@
         health_path: Callable[[ids.ServiceId], str],
         probe_budget: probe_budgets.ProbeBudget,
         member_list: fleet_members.MemberList,
+        on_begin: Callable[[], None],
         on_end: Callable[[float], None],
         announce: Callable[[bool], None],
         random_source: random.Random,
@@ -49,6 +50,7 @@
         self._health_path = health_path
         self._probe_budget = probe_budget
         self._member_list = member_list
+        self._on_begin = on_begin
         self._on_end = on_end
         self._announce = announce
         self._random = random_source
@@ -90,14 +92,13 @@
             now,
             is_connect=kind is attempt_results.FailureKind.NOT_CONNECTED,
         )
-        if self._verification is not None:
-            return
-        if self._reachability.needs_verification(
-            self._catalogue.server_count, now
-        ):
-            self._verification = asyncio.get_running_loop().create_task(
-                self._verify()
-            )
+        self._start_verification(now)
+
+    def record_overdue(self, server: ids.ServerId, sent_at: float) -> None:
+        """Records that a request waits much longer than expected."""
+        now = boot_clock.now()
+        self._reachability.record_overdue(server, sent_at, now)
+        self._start_verification(now)
 
     async def is_confirmed_unreachable(self) -> bool:
         """Whether servers cannot be reached, after a verification that runs."""
@@ -105,11 +106,21 @@
             await asyncio.wait({self._verification})
         return not self._reachability.is_reachable
 
-    async def does_another_answer(self, server: ids.ServerId) -> bool:
-        """Whether servers other than one answer at this moment.
+    async def does_another_answer(
+        self, server: ids.ServerId, since: float
+    ) -> bool:
+        """Whether any server has answered since a time, or one does now.
 
         Without any other server this cannot be known, and is assumed.
+
+        Args:
+            server: a server that does not answer.
+            since: monotonic time.
         """
+        if self._reachability.last_answer_at > since:
+            return True
+        if await self.is_confirmed_unreachable():
+            return False
         sample = self._choose_sample(
             server_reachability.VERIFICATION_SAMPLE, [server]
         )
@@ -124,6 +135,16 @@
             if task is not None:
                 task.cancel()
 
+    def _start_verification(self, now: float) -> None:
+        if self._verification is not None:
+            return
+        if self._reachability.needs_verification(
+            self._catalogue.server_count, now
+        ):
+            self._verification = asyncio.get_running_loop().create_task(
+                self._verify()
+            )
+
     def _choose_sample(
         self, count: int, excluded: Sequence[ids.ServerId] = ()
     ) -> list[catalogue.ListedServer]:
@@ -155,6 +176,8 @@
             self._cut_task = asyncio.get_running_loop().create_task(
                 self._watch_cut()
             )
+            if self.is_cut_off:
+                self._on_begin()
         finally:
             self._verification = None
 
@@ -229,5 +252,6 @@
                 "failed": list(evidence.failed_servers),
             },
         )
-        self._on_end(evidence.since)
+        # The first probe that failed was sent before it did.
+        self._on_end(evidence.since - self._probe_timeout_seconds)
         self._announce(False)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -90,6 +90,7 @@
             lambda service: self._prober.health_path(service),
             probe_budget,
             member_list,
+            lambda: self._sender.break_off_idempotent(),
             self._forget_failures,
             announce_reachability,
             random_source,
@@ -127,19 +128,20 @@
                 gateway_settings, gateway_tuning.repeating
             )
         )
+        self._sender = sending.Sender(
+            pool,
+            self._passive_health,
+            self.crash_detector,
+            metrics,
+            recorder,
+            self.limits,
+            self._prober.health_path,
+            self.monitor,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
             server_picker,
-            sending.Sender(
-                pool,
-                self._passive_health,
-                self.crash_detector,
-                metrics,
-                recorder,
-                self.limits,
-                self._prober.health_path,
-                self.monitor,
-            ),
+            self._sender,
             self.monitor,
             self.handover,
             self.retry_budget,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -11,6 +11,7 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import server_health
+from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_notices
@@ -74,6 +75,13 @@
         self._limits = limits
         self._health_path = health_path
         self._monitor = monitor
+        # Connections with idempotent requests, which may be sent elsewhere.
+        self._repeatable: set[connection.ClientConnection] = set()
+
+    def break_off_idempotent(self) -> None:
+        """Ends the attempts that may be repeated, as no answer can come."""
+        for server_connection in list(self._repeatable):
+            server_connection.abort()
 
     async def send(
         self, attempt_request: AttemptRequest
@@ -82,12 +90,21 @@
         server = attempt_request.entry.id
         started_at = boot_clock.now()
         self._passive_health.record_start(server)
+        overdue_timer = asyncio.get_running_loop().call_later(
+            server_reachability.overdue_seconds(
+                attempt_request.selection.estimated_seconds
+            ),
+            self._monitor.record_overdue,
+            server,
+            started_at,
+        )
         try:
             result = await self._exchange(attempt_request, started_at)
         except asyncio.CancelledError:
             self._record_cancellation(attempt_request, started_at)
             raise
         finally:
+            overdue_timer.cancel()
             self._passive_health.record_end(server)
         self._record_result(attempt_request, result, started_at)
         return result
@@ -124,6 +141,8 @@
             # statement that the server did not run this request.
             return answer.fields.get(field_names.REQUEST_ID, "") == request_id
 
+        if attempt_request.route.is_idempotent:
+            self._repeatable.add(server_connection)
         try:
             async with asyncio.timeout(
                 remaining_seconds + LATE_ANSWER_GRACE_SECONDS
@@ -135,6 +154,8 @@
             return attempt_results.Failed(error.kind)
         except TimeoutError:
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
+        finally:
+            self._repeatable.discard(server_connection)
         self._pool.release(server_connection)
         quiet_seconds = 0.0
         if _is_from_server(answer):
--- a/packages/operator/src/hyssopwind/operator/request_history.py
+++ b/packages/operator/src/hyssopwind/operator/request_history.py
@@ -14,7 +14,9 @@
 from typing import Any
 
 LOOK_BACK_SECONDS = 10.0  # a change is in force within 5 seconds
-_DEPENDENCY_LOGGERS = frozenset({"store", "fleet", "settings", "gateway"})
+_DEPENDENCY_LOGGERS = frozenset(
+    {"store", "fleet", "settings", "gateway", "reachability"}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
@@ -0,0 +1,253 @@
+import asyncio
+import os
+
+from hyssopwind.core import ids
+from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.settings import tuning
+from hyssopwind.daemon import log_output
+from hyssopwind.daemon.gateway import gateway
+from hyssopwind.daemon.gateway import listening
+from hyssopwind.platform import boot
+from hyssopwind.standins.site import documents
+from hyssopwind.standins.tests import site_gateway_case
+from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
+
+PEER_IP = "127.0.0.2"
+
+
+class HandoverTest(site_gateway_case.GatewayTestCase):
+    """Two daemons of one data centre, one of which is partitioned."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        text = documents.render_settings(
+            store_address=self.store.address,
+            ports=self.ports[:4],
+            name="front-2",
+            ip=PEER_IP,
+            seed_address=f"127.0.0.1:{self.ports[2]}",
+        )
+        options = boot.parse_settings(text, "test")
+        self.peer_read_end, write_end = os.pipe()
+        stream = log_output.BoundedStream(
+            write_end, tuning.GatewayTuning().logs
+        )
+        self.peer_listener = listening.listen(options.callers_address)
+        self.peer = gateway.Gateway(
+            options,
+            tuning.GatewayTuning(),
+            self.peer_listener,
+            self.ports[4],
+            stream,
+        )
+        self.peer_task = asyncio.create_task(self.peer.run())
+        self.addAsyncCleanup(self.stop_peer)
+        await self.wait_until(lambda: self.peer._is_ready())
+        await self.wait_until(
+            lambda: (
+                list(self.daemon._member_list.peers())
+                and list(self.peer._member_list.peers())
+            )
+        )
+
+    async def stop_peer(self):
+        self.peer_task.cancel()
+        await asyncio.gather(self.peer_task, return_exceptions=True)
+        self.peer._internal_listeners.stop()
+        self.peer._gossip.stop()
+        self.peer._request_path.stop()
+        self.daemon._request_path.stop()
+        self.peer_listener.close()
+        self.peer._store_client.close_connections()
+        os.close(self.peer_read_end)
+
+    def cut_off(self, daemon, *, hangs=False, keeps_open=False):
+        pool = daemon._pool
+
+        async def fail(address):
+            if hangs:
+                await asyncio.sleep(0.4)
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.NOT_CONNECTED, "partitioned"
+            )
+
+        pool._open = fail
+        if not keeps_open:
+            pool.retain(set())
+
+    async def hang(self, daemon):
+        """Gives a daemon connections on which nothing is answered."""
+        listener = await asyncio.get_running_loop().create_server(
+            asyncio.Protocol, PEER_IP, 0
+        )
+        self.addCleanup(listener.close)
+        host, port = listener.sockets[0].getsockname()[:2]
+        pool = daemon._pool
+        original = type(pool)._open
+
+        async def open_hung(address):
+            return await original(pool, f"{host}:{port}")
+
+        pool._open = open_hung
+        pool.retain(set())
+
+    def heal(self, daemon):
+        del daemon._pool._open
+
+    def handovers(self, daemon):
+        return daemon._metrics._handovers
+
+    # A daemon that was partitioned from all servers refused its callers.
+    async def test_partitioned_daemon_serves_through_its_peer(self):
+        for hangs in (False, True):
+            self.cut_off(self.daemon, hangs=hangs)
+            for number in range(20):
+                target = "/unsafe/a" if number % 2 else "/safe/a"
+                method = "POST" if number % 2 else "GET"
+                body = b"12" if number % 2 else b""
+                status, fields, _ = await self.call(
+                    target, method, body, request_id=f"{hangs}{number}"
+                )
+                self.assertEqual(status, 200)
+                self.assertIn("server-stamp", fields)
+                self.assertNotIn("hyssopwind-handover", fields)
+            self.assertTrue(self.daemon._request_path.monitor.is_cut_off)
+            self.heal(self.daemon)
+            await self.wait_until(
+                lambda: self.daemon._request_path.monitor.is_reachable, 1.0
+            )
+        self.assertEqual(self.count_executions(), 40)
+        self.assertEqual(
+            {each.executions.most_common(1)[0][1] for each in self.servers}, {1}
+        )
+        self.assertEqual(self.handovers(self.peer)["received", "answered"], 40)
+
+    # Connections that lived on made the daemon believe that it was not cut off.
+    async def test_open_connections_live_on(self):
+        for number in range(5):
+            await self.call("/safe/a", request_id=f"w{number}")
+        self.cut_off(self.daemon, keeps_open=True)
+        answers = await asyncio.gather(
+            *(
+                self.call("/unsafe/a", request_id=f"u{number}")
+                for number in range(30)
+            )
+        )
+        self.assertEqual({status for status, _, _ in answers}, {200})
+        self.assertEqual(self.count_executions(), 35)
+
+    # Requests on hung connections failed only at their deadlines, so that a
+    # daemon whose servers report no load did not notice the partition.
+    async def test_hung_connections_without_load_reports(self):
+        for stand_in in self.servers:
+            stand_in.options.omits_load = True
+        # One attempt more than the request and its hedge take.
+        route = documents.make_route_resource("safe", "/safe/", max_attempts=3)
+        await self.configure(2, [route])
+        for daemon in (self.daemon, self.peer):
+            state = daemon._platform_state
+            await self.wait_until(
+                lambda state=state: state.catalogue.configuration_version == 2
+            )
+        for number in range(4):
+            await self.call("/safe/a", request_id=f"w{number}")
+        await self.hang(self.daemon)
+        for number in range(5):
+            started_at = boot_clock.now()
+            status, _, _ = await self.call("/safe/a", request_id=f"h{number}")
+            self.assertEqual(status, 200)
+            seconds = boot_clock.now() - started_at
+            self.assertLess(seconds, 0.2 if number else 0.9)
+
+    # Ejections by probes that could not be answered outlasted the partition.
+    async def test_daemon_serves_at_once_after_the_partition(self):
+        self.cut_off(self.daemon)
+        for number in range(6):
+            await self.call("/safe/a", request_id=f"c{number}")
+        handed = self.handovers(self.daemon)["sent", "answered"]
+        self.heal(self.daemon)
+        await self.wait_until(
+            lambda: self.daemon._request_path.monitor.is_reachable, 1.0
+        )
+        health = self.daemon._request_path._passive_health
+        for stand_in in self.servers:
+            server = ids.ServerId(stand_in.options.server_id)
+            self.assertFalse(health.is_ejected(server, boot_clock.now()))
+        status, _, _ = await self.call("/safe/a", request_id="after")
+        self.assertEqual(status, 200)
+        self.assertEqual(
+            self.handovers(self.daemon)["sent", "answered"], handed
+        )
+
+    # Requests must not go from daemon to daemon when no server is reachable.
+    async def test_all_daemons_cut_off_refuse_at_once(self):
+        self.cut_off(self.daemon)
+        self.cut_off(self.peer)
+        for number in range(4):
+            started_at = boot_clock.now()
+            status, fields, _ = await self.call(
+                "/unsafe/a", request_id=f"n{number}"
+            )
+            self.assertEqual(status, 503)
+            self.assertIn("retry-after", fields)
+            self.assertEqual(fields["hyssopwind-outcome"], "not-run")
+            if number:
+                self.assertLess(boot_clock.now() - started_at, 0.1)
+        self.assertEqual(self.count_executions(), 0)
+        self.assertLessEqual(
+            sum(self.handovers(self.peer).values()), 1, "no request multiplies"
+        )
+
+    # A 503 promises that a request has not run, also where a peer may run it.
+    async def test_peer_that_breaks_off_leaves_the_outcome_unknown(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.5
+        call = asyncio.create_task(self.call("/unsafe/a", request_id="broken"))
+        await self.wait_until(
+            lambda: any(each.executions["broken"] for each in self.servers)
+        )
+        for peer_connection in list(self.peer._internal_listeners._connections):
+            peer_connection._transport.abort()
+        status, fields, _ = await call
+        self.assertEqual(status, 502)
+        self.assertEqual(fields["hyssopwind-outcome"], "unknown")
+        await asyncio.sleep(0.6)
+        self.assertEqual(
+            sum(each.executions["broken"] for each in self.servers), 1
+        )
+
+    # Servers went on working at a peer for callers that had left.
+    async def test_caller_that_leaves_cancels_the_attempt_of_the_peer(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.9
+        _, writer = await self.connect()
+        writer.write(self.request("/safe/a", request_id="left"))
+        await self.wait_until(
+            lambda: any(each.running_count for each in self.servers)
+        )
+        writer.close()
+        await self.wait_until(
+            lambda: not any(each.running_count for each in self.servers), 0.4
+        )
+
+    # Breaks of connections by a partition quarantined requests in the fleet.
+    async def test_partition_confirms_no_crash(self):
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.5
+        call = asyncio.create_task(self.call("/safe/a", request_id="cut"))
+        await self.wait_until(
+            lambda: any(each.running_count for each in self.servers)
+        )
+        self.cut_off(self.daemon)
+        for stand_in in self.servers:
+            for writer in list(stand_in._writers):
+                writer.transport.abort()
+        await call
+        await asyncio.sleep(0.3)
+        self.assertTrue(self.daemon._crash_detector._quarantine.is_empty)
+        self.assertTrue(self.peer._crash_detector._quarantine.is_empty)
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -235,6 +235,9 @@
         self._record_statements(answer)
         return answer
 
+    def abort(self) -> None:
+        """Does nothing, since no connection breaks in the model."""
+
     def _record_statements(self, answer: answers.Answer) -> None:
         evidence = self._daemon.fleet.evidence
         key = self._server.id, self._daemon.options.name
