--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-import urllib.parse
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
@@ -21,7 +21,6 @@
 _LIMITS = tables.CallerLimits(
     max_header_bytes=131_072, max_body_bytes=67_108_864
 )
-_NOT_FOUND = outcomes.Answered(404, (), b"")
 
 _Handler: TypeAlias = Callable[
     [caller_requests.CallerRequest], Coroutine[Any, Any, outcomes.Outcome]
@@ -34,12 +33,12 @@
     def __init__(
         self,
         is_ready: Callable[[], bool],
-        changes_after: Callable[[int], bytes],
+        answer_peer: Callable[[str], Awaitable[outcomes.Answered]],
         render_metrics: Callable[[], bytes],
         serve_handover: _Handler,
     ):
         self._is_ready = is_ready
-        self._changes_after = changes_after
+        self._answer_peer = answer_peer
         self._render_metrics = render_metrics
         self._serve_handover = serve_handover
         self._servers: list[asyncio.Server] = []
@@ -95,14 +94,7 @@
     ) -> outcomes.Outcome:
         if headers.HANDOVER in request.fields:
             return await self._serve_handover(request)
-        query = urllib.parse.parse_qs(request.target.partition("?")[2])
-        revision = query.get("after", [""])[0]
-        if request.path != "/changes" or not revision.isdigit():
-            return _NOT_FOUND
-        fields = (("Content-Type", "application/msgpack"),)
-        return outcomes.Answered(
-            200, fields, self._changes_after(int(revision))
-        )
+        return await self._answer_peer(request.target)
 
     async def _handle_metrics(
         self, request: caller_requests.CallerRequest
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -12,25 +12,35 @@
 from collections.abc import Iterator
 
 from hyssopwind.core import ids
+from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.fleet import reader_selection
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import change_transfers
 from hyssopwind.daemon.gateway import gossip
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.platform import boot
 from hyssopwind.platform import store
 from hyssopwind.standins.site import documents
+from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
+from hyssopwind.transport import connection_pools
+from hyssopwind.transport import heads
 
 LOCAL_DELAY_SECONDS = 0.0002  # one way
 REMOTE_DELAY_SECONDS = 0.0015  # one way
 STORE_DELAY_SECONDS = 0.004  # from a call to its answer
 DATAGRAM_LOSS_RATIO = 0.01
 DATAGRAM_HEADER_BYTES = 28  # of IP and UDP
+# Bytes of a transfer that are on a link at the same time.
+TRANSFER_WINDOW_BYTES = 16_384
+STORE_EVENT_BYTES = 100  # of an event in JSON, without its value
 
 
 class VirtualStore:
@@ -101,7 +111,9 @@
         """Returns the items below a prefix, unless the store is unavailable."""
         self._store.call_count += 1
         await self._apply_store_faults(1.0)
-        return self._store.listing(prefix)
+        delta = self._store.listing(prefix)
+        await self._receive(delta)
+        return delta
 
     async def wait_for_changes(
         self, prefix: str, revision: int, wait_seconds: float
@@ -121,8 +133,23 @@
             await asyncio.sleep(store.WATCH_MARGIN_SECONDS)
             raise store.StoreError("silent")
         await self._apply_store_faults(wait_seconds)
+        await self._receive(delta)
         return delta
 
+    async def _receive(self, delta: items.Delta) -> None:
+        """Receives an answer over the link of the daemon."""
+        try:
+            await self._daemon.links.transfer(
+                "",
+                self._daemon.options.ip,
+                _answer_bytes(delta),
+                self._progress,
+            )
+        except TimeoutError as error:
+            raise store.StoreError("timeout") from error
+        finally:
+            self._is_receiving = False
+
     async def _apply_store_faults(self, timeout: float) -> None:
         await asyncio.sleep(STORE_DELAY_SECONDS)
         if self._daemon.store_refuses:
@@ -142,6 +169,7 @@
             daemon.platform_state,
             lambda: not daemon.reader.is_failing,
             lambda: daemon.reader.is_reading,
+            lambda: daemon.store_client.is_receiving,
             daemon.handle_crash_notice,
             daemon.handle_permit_message,
             daemon.handle_leaving_notice,
@@ -154,18 +182,35 @@
     def _send(self, data: bytes, ip: str) -> None:
         self._virtual_fleet.deliver(self._daemon, ip, data)
 
-    async def _pull(self, ip: str) -> None:
+    async def _fetch(
+        self, ip: str, target: str, progress: connection_pools.Progress
+    ) -> answers.Answer:
+        try:
+            async with asyncio.timeout(change_transfers.PULL_TIMEOUT_SECONDS):
+                answered = await self._ask(ip, target)
+            await self._virtual_fleet.links.transfer(
+                ip,
+                self._daemon.options.ip,
+                len(answered.body),
+                progress,
+            )
+        except TimeoutError as error:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.TIMED_OUT, "virtual"
+            ) from error
+        fields = heads.new_fields()
+        for name, value in answered.headers:
+            fields[name] = value
+        return answers.Answer(
+            answered.status, fields, answered.body, may_reuse_connection=True
+        )
+
+    async def _ask(self, ip: str, target: str) -> outcomes.Answered:
         source = self._virtual_fleet.find_reachable(self._daemon, ip)
-        requested_at = boot_clock.now()
         await asyncio.sleep(2 * REMOTE_DELAY_SECONDS)
         if source is None:
-            return
-        data = source.gossip.changes_after(
-            self._platform_state.replica.revision
-        )
-        delta, age_ms = gossip_messages.decode_delta(data)
-        as_of = requested_at - age_ms / 1000
-        self._platform_state.apply_delta(delta, as_of, f"peer {ip}")
+            raise TimeoutError
+        return await source.gossip.transfers.answer(target)
 
 
 class VirtualDaemon:
@@ -174,7 +219,9 @@
     Attributes:
         options: settings of the daemon.
         store: store that the daemon reads.
+        links: links of all VMs.
         store_refuses: whether the store refuses the daemon's calls.
+        store_client: client of the store.
         store_silent: whether the store leaves the daemon's calls unanswered.
         silence_count: counter that a test increases when it makes the store
             refuse calls or leave them unanswered, so that a watch that waits
@@ -192,6 +239,7 @@
     ):
         self.options = options
         self.store = fleet.store
+        self.links = fleet.links
         self._random = random.Random(fleet.random_source.random())
         self.store_refuses = False
         self.store_silent = False
@@ -202,9 +250,9 @@
         self.member_list = fleet_members.MemberList(
             options.name, options.ip, options.data_centre, boot_clock.now()
         )
-        client = VirtualStoreClient(self, fleet.store)
+        self.store_client = VirtualStoreClient(self, fleet.store)
         self.reader = store_reader.StoreReader(
-            client,
+            self.store_client,
             self.platform_state,
             self._should_read,
             self._retry_delay,
@@ -265,6 +313,60 @@
         )
 
 
+class VirtualLinks:
+    """The links of all VMs, which the transfers over each of them share.
+
+    Attributes:
+        carried_bytes: bytes of transfers received and sent, by IP address.
+    """
+
+    def __init__(self, bytes_per_second: float):
+        self._bytes_per_second = bytes_per_second
+        self._free_at: dict[tuple[str, str], float] = {}
+        self.carried_bytes: collections.Counter[str] = collections.Counter()
+
+    async def transfer(
+        self,
+        sender: str,
+        receiver: str,
+        size: int,
+        progress: connection_pools.Progress,
+    ) -> None:
+        """Transfers bytes; concurrent transfers take turns on a link.
+
+        Args:
+            sender: IP address of the sender; the empty one has a link that is
+                never full.
+            receiver: IP address of the receiver.
+            size: number of bytes.
+            progress: times that the transfer may take.
+
+        Raises:
+            TimeoutError: the transfer takes longer.
+        """
+        ends_at = boot_clock.now() + progress.max_seconds
+        while size > 0:
+            window_bytes = min(size, TRANSFER_WINDOW_BYTES)
+            size -= window_bytes
+            done_at = boot_clock.now()
+            for link in ((sender, "sent"), (receiver, "received")):
+                if link[0]:
+                    done_at = max(done_at, self._occupy(link, window_bytes))
+            wait_seconds = max(0.0, done_at - boot_clock.now())
+            if wait_seconds > progress.stall_seconds or done_at > ends_at:
+                await asyncio.sleep(progress.stall_seconds)
+                raise TimeoutError
+            await asyncio.sleep(wait_seconds)
+            progress.on_bytes()
+
+    def _occupy(self, link: tuple[str, str], size: int) -> float:
+        """Occupies one direction of a link; returns when it is free again."""
+        self.carried_bytes[link[0]] += size
+        starts_at = max(boot_clock.now(), self._free_at.get(link, 0.0))
+        self._free_at[link] = starts_at + size / self._bytes_per_second
+        return self._free_at[link]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
     """Size, random seed and network links of a fleet.
@@ -293,10 +395,12 @@
         daemons: running daemons by IP address.
         sent_bytes: bytes of datagrams by IP address of the sender.
         cut_links: pairs of IP addresses that can't reach each other.
+        links: links of the VMs, for listings, watches and pulls.
     """
 
     def __init__(self, plan: FleetPlan):
         self.store = VirtualStore()
+        self.links = VirtualLinks(plan.link_bytes_per_second)
         self.random_source = random.Random(plan.seed)
         self.daemons: dict[str, VirtualDaemon] = {}
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -375,6 +479,14 @@
                 yield ip
 
 
+def _answer_bytes(delta: items.Delta) -> int:
+    """Returns the bytes of an answer of the store, whose values are Base64."""
+    return sum(
+        STORE_EVENT_BYTES + len(item.value or b"") * 4 // 3
+        for item in delta.items
+    )
+
+
 def _ip(data_centre_number: int, number: int) -> str:
     return f"10.{data_centre_number}.0.{number}"
 
