Virtual daemons that serve requests take their connection pool and heed crash notices

ServingDaemon made its own pool and dropped the crash notices that its request path announces. Rigs with other networks can now pass a pool, and notices reach the crash detectors of all daemons, as in the gateway. test_server_limits: 17 of 17 pass.

--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -135,7 +135,7 @@
         return _make_answer(200, fields)
 
     async def answer_request(
-        self, daemon: "ServingDaemon", request_id: str, expected: str
+        self, daemon_name: str, request_id: str, expected: str
     ) -> answers.Answer:
         """Runs a request and returns the answer to it."""
         scenario = self._fleet.scenario
@@ -146,7 +146,7 @@
         self._fleet.evidence.arrivals.append(
             judging.Arrival(
                 boot_clock.now(),
-                daemon.options.name,
+                daemon_name,
                 self.id,
                 self._fleet.sent_at[request_id],
             )
@@ -205,8 +205,11 @@
 class _VirtualConnection:
     """A connection of a daemon to a server."""
 
-    def __init__(self, daemon: "ServingDaemon", server: LimitedServer):
-        self._daemon = daemon
+    def __init__(
+        self, fleet: "LimitedFleet", daemon_name: str, server: LimitedServer
+    ):
+        self._fleet = fleet
+        self._daemon_name = daemon_name
         self._server = server
 
     async def exchange(
@@ -227,7 +230,7 @@
                 attempt_results.FailureKind.BROKEN, "the server has ended"
             )
         answer = await self._server.answer_request(
-            self._daemon,
+            self._daemon_name,
             fields[field_names.REQUEST_ID],
             fields.get(field_names.EXPECTED_SERVER, ""),
         )
@@ -236,8 +239,8 @@
         return answer
 
     def _record_statements(self, answer: answers.Answer) -> None:
-        evidence = self._daemon.fleet.evidence
-        key = self._server.id, self._daemon.options.name
+        evidence = self._fleet.evidence
+        key = self._server.id, self._daemon_name
         now = boot_clock.now()
         if field_names.SERVER_LIMIT in answer.fields:
             evidence.told[key].append(now)
@@ -251,18 +254,21 @@
 class _VirtualPool(connection_pools.ConnectionPool):
     """Connections of one daemon to the servers of the fleet."""
 
-    def __init__(self, daemon: "ServingDaemon"):
+    def __init__(self, fleet: "LimitedFleet", daemon_name: str):
         super().__init__()
-        self._daemon = daemon
+        self._fleet = fleet
+        self._daemon_name = daemon_name
 
     async def acquire(self, address: str) -> connection.ClientConnection:
         """Returns a connection, unless no server listens at the address."""
-        server = self._daemon.fleet.find_server(address)
+        server = self._fleet.find_server(address)
         if server is None:
             raise connection.ExchangeError(
                 attempt_results.FailureKind.NOT_CONNECTED, "refused"
             )
-        return _VirtualConnection(self._daemon, server)  # type: ignore[return-value]
+        return _VirtualConnection(  # type: ignore[return-value]
+            self._fleet, self._daemon_name, server
+        )
 
     def release(self, client_connection: connection.ClientConnection) -> None:
         """Does nothing, since connections are free in the model."""
@@ -276,7 +282,7 @@
     ) -> answers.Answer:
         """Returns the answer to a load probe."""
         await asyncio.sleep(ROUND_TRIP_SECONDS / 2)
-        server = self._daemon.fleet.find_server(address)
+        server = self._fleet.find_server(address)
         if server is None:
             raise connection.ExchangeError(
                 attempt_results.FailureKind.NOT_CONNECTED, "refused"
@@ -290,23 +296,24 @@
     """A daemon that also serves requests of callers.
 
     Attributes:
-        fleet: the fleet to which it belongs.
         request_path: the parts that serve requests.
     """
 
     def __init__(
-        self, fleet: "LimitedFleet", options: settings.GatewaySettings
+        self,
+        fleet: site_fleet.VirtualFleet,
+        options: settings.GatewaySettings,
+        pool: connection_pools.ConnectionPool,
     ):
         super().__init__(fleet, options)
-        self.fleet = fleet
         self.request_path = request_path.RequestPath(
             options,
             tuning.GatewayTuning(),
             self.platform_state,
             self.member_list,
-            _VirtualPool(self),
+            pool,
             gateway_metrics.GatewayMetrics(),
-            lambda _fingerprint, _count: None,
+            self.gossip.announce_crash,
             self.gossip.announce_leaving,
             self.gossip.send_permit_message,
             random.Random(fleet.random_source.random()),
@@ -316,6 +323,13 @@
             asyncio.ensure_future(self.request_path.permits.run()),
         ]
 
+    def handle_crash_notice(
+        self, fingerprint: ids.Fingerprint, crashes: int
+    ) -> None:
+        """Handles a crash notice."""
+        super().handle_crash_notice(fingerprint, crashes)
+        self.request_path.crash_detector.handle_notice(fingerprint, crashes)
+
     def handle_permit_message(
         self, message: gossip_messages.PermitMessage
     ) -> None:
@@ -392,7 +406,10 @@
 
     def start(self, ip: str) -> None:
         """Starts a daemon; one that ran before starts without its state."""
-        self.daemons[ip] = ServingDaemon(self, self._options[ip])
+        options = self._options[ip]
+        self.daemons[ip] = ServingDaemon(
+            self, options, _VirtualPool(self, options.name)
+        )
         self._options[ip] = dataclasses.replace(
             self._options[ip], first_start=False
         )
