--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets some of whose daemons are partitioned from all servers."""
