Let virtual peers serve requests that are handed over

The rig delivers handovers and reachability notices, records exceptions in daemons, and takes the equal share of a peer over the daemons that are not cut off (before: over all that got a request).

--- a/packages/standins/src/hyssopwind/standins/partitions/__main__.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/__main__.py
@@ -42,6 +42,8 @@
                         "broken_promises",
                         "excess_attempts",
                         "long_deadlines",
+                        "defects",
+                        "circles",
                         "forwarded_again",
                     )
                 )
--- a/packages/standins/src/hyssopwind/standins/partitions/fleet.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/fleet.py
@@ -12,10 +12,13 @@
 
 import multidict
 
+from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import settings
+from hyssopwind.core.fleet import handovers
 from hyssopwind.core.limits import connection_shares
+from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import rendering
 from hyssopwind.platform import field_names
@@ -92,7 +95,11 @@
         request: caller_requests.CallerRequest,
         stream: servers.VirtualStream,
     ) -> None:
-        outcome = await self._daemon.serve_peer(request)
+        try:
+            outcome = await self._daemon.serve_peer(request)
+        except Exception as error:
+            self._evidence.defects.append(repr(error))
+            outcome = outcomes.Unknown(outcomes.Reason.INTERNAL, "")
         stream.answer(
             rendering.render(
                 outcome,
@@ -167,28 +174,55 @@
         self.pool = _VirtualPool(fleet, options.name, options.ip)
         self.requests: dict[asyncio.Task[outcomes.Outcome], None] = {}
         super().__init__(fleet, options, self.pool)
+        self.request_path.handover._pool = _VirtualPool(
+            fleet, options.name, options.ip
+        )
         self._tasks.append(asyncio.ensure_future(self._run_pool_limits()))
 
     async def serve(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
         """Serves a request of a caller, as the gateway does."""
-        retry_after = self.request_path.crash_detector.quarantine_seconds(
-            request
-        )
-        if retry_after is not None:
-            return outcomes.NotRun(
-                outcomes.Reason.QUARANTINED,
-                "servers crashed on this request",
-                retry_after,
-            )
+        refusal = self._check_quarantine(request)
+        if refusal is not None:
+            return refusal
         return await self.request_path.dispatcher.serve(request)
 
     async def serve_peer(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
         """Serves a request of a peer, as the gateway does."""
-        return outcomes.Answered(404, (), b"")
+        terms = handovers.decode_terms(request.fields[headers.HANDOVER])
+        self.handle_reachability_notice(ids.DaemonId(terms.sender), True)
+        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        if outcome is None:
+            dispatcher = self.request_path.dispatcher
+            outcome = await dispatcher.serve_for_peer(request, terms)
+        result = handovers.make_result(
+            terms.number,
+            outcome,
+            is_cut_off=not self.request_path.monitor.is_reachable,
+        )
+        fields = ((headers.HANDOVER, handovers.encode(result)),)
+        if isinstance(outcome, outcomes.Answered):
+            return outcomes.Answered(
+                outcome.status, outcome.headers + fields, outcome.body
+            )
+        return outcomes.Answered(200, fields, b"")
+
+    def _check_quarantine(
+        self, request: caller_requests.CallerRequest
+    ) -> outcomes.NotRun | None:
+        retry_after = self.request_path.crash_detector.quarantine_seconds(
+            request
+        )
+        if retry_after is None:
+            return None
+        return outcomes.NotRun(
+            outcomes.Reason.QUARANTINED,
+            "servers crashed on this request",
+            retry_after,
+        )
 
     def kill(self) -> None:
         """Cancels all tasks of the daemon and closes its connections."""
@@ -237,6 +271,9 @@
             server.address: server for server in self.servers
         }
         self._ips = sorted(self._options)
+        self.evidence.daemons = frozenset(
+            options.name for options in self._options.values()
+        )
         self.server_links = {ip: servers.Link() for ip in self._ips}
         self.peer_links = {ip: servers.Link() for ip in self._ips}
         self._version = 0
@@ -456,6 +493,11 @@
         if task.cancelled():
             attempt.status = 0
             return attempt, RETRY_PAUSE_SECONDS
+        error = task.exception()
+        if error is not None:
+            self.evidence.defects.append(repr(error))
+            attempt.status = outcomes.Reason.INTERNAL.status
+            return attempt, RETRY_PAUSE_SECONDS
         outcome = task.result()
         if isinstance(outcome, outcomes.Answered):
             attempt.status = outcome.status
--- a/packages/standins/src/hyssopwind/standins/partitions/judging.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/judging.py
@@ -123,6 +123,7 @@
 
     Attributes:
         latency_target_seconds: latency target of all routes.
+        daemons: names of all daemons.
         attempts: attempts of callers by id.
         arrivals: requests that reached servers.
         forwards: requests that daemons passed on.
@@ -130,9 +131,11 @@
         down_periods: start, end and service of each time in which no server of
             a service ran.
         killed: names of the daemons that were killed.
+        defects: unexpected exceptions in daemons.
     """
 
     latency_target_seconds: float
+    daemons: frozenset[str] = frozenset()
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     forwards: list[Forward] = dataclasses.field(default_factory=list)
@@ -141,6 +144,7 @@
         default_factory=list
     )
     killed: set[str] = dataclasses.field(default_factory=set)
+    defects: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,11 +303,34 @@
 
 
 def max_peer_share(evidence: Evidence) -> float:
-    """Returns how many times its equal share the busiest peer got."""
-    counts = collections.Counter(each.receiver for each in evidence.forwards)
-    if not counts:
-        return 0.0
-    return max(counts.values()) * len(counts) / counts.total()
+    """Returns how many times its equal share the busiest peer got.
+
+    The shares are those of the daemons that are not cut off; the value is the
+    largest of all cuts.
+    """
+    largest = 0.0
+    for cut in evidence.cuts:
+        counts = collections.Counter(
+            forward.receiver
+            for forward in evidence.forwards
+            if cut.starts_at <= forward.at < cut.ends_at + HEAL_SECONDS
+        )
+        peer_count = len(evidence.daemons - cut.daemons)
+        if counts:
+            share = max(counts.values()) * peer_count / counts.total()
+            largest = max(largest, share)
+    return largest
+
+
+def find_circles(evidence: Evidence) -> list[str]:
+    """Returns the ids of attempts that a peer passed on once more."""
+    receivers: dict[str, set[str]] = collections.defaultdict(set)
+    found = []
+    for forward in evidence.forwards:
+        if forward.sender in receivers[forward.request_id]:
+            found.append(forward.request_id)
+        receivers[forward.request_id].add(forward.receiver)
+    return found
 
 
 def arrival_ratio(evidence: Evidence) -> float:
@@ -382,7 +409,9 @@
         broken_promises=len(find_broken_promises(evidence)),
         excess_attempts=len(find_excess_attempts(evidence)),
         long_deadlines=len(find_long_deadlines(evidence)),
+        defects=len(evidence.defects),
         forwards=len(evidence.forwards),
+        circles=len(find_circles(evidence)),
         forwarded_again=len(find_forwarded_again(evidence)),
         late_forwards=len(find_late_forwards(evidence)),
         max_peer_share=round(max_peer_share(evidence), 2),
--- a/packages/standins/src/hyssopwind/standins/tests/test_unreachable_servers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_unreachable_servers.py
@@ -98,13 +98,15 @@
         ]
         self.assertEqual(len(judging.find_late_forwards(evidence)), 2)
         self.assertEqual(judging.find_forwarded_again(evidence), ["r"])
+        self.assertEqual(judging.find_circles(evidence), ["r"])
 
     def test_busiest_peer_is_found(self):
         evidence = self.make_evidence()
+        evidence.daemons = frozenset("defgh")
         for number, peer in enumerate("eeeeeeef"):
             forward = judging.Forward(5.0, "d", peer, f"r{number}")
             evidence.forwards.append(forward)
-        self.assertAlmostEqual(judging.max_peer_share(evidence), 16 / 9)
+        self.assertAlmostEqual(judging.max_peer_share(evidence), 8 * 4 / 9)
 
 
 class PartitionTest(unittest.TestCase):
@@ -197,6 +199,18 @@
                 self.assertEqual(judging.find_long_deadlines(evidence), [])
 
     # Daemons without a way to the servers sent requests in a circle.
+    def test_peers_pass_no_request_on(self):
+        for name, evidence in run_all(CUTS + WITHOUT_SERVERS):
+            with self.subTest(name):
+                self.assertEqual(judging.find_circles(evidence), [])
+
+    # An exception ended a request that a peer had handed over.
+    def test_daemons_have_no_unexpected_exceptions(self):
+        for name, evidence in run_all(CUTS + WITHOUT_SERVERS):
+            with self.subTest(name):
+                self.assertEqual(evidence.defects, [])
+
+    # Daemons without a way to the servers passed requests on in vain.
     def test_requests_are_passed_on_at_most_once(self):
         for name, evidence in run_all(CUTS + WITHOUT_SERVERS):
             with self.subTest(name):
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -351,6 +351,12 @@
         """Handles a notice that a server is leaving."""
         self.request_path.handle_leaving_notice(instance)
 
+    def handle_reachability_notice(
+        self, sender: ids.DaemonId, is_cut_off: bool
+    ) -> None:
+        """Handles a notice whether a peer reaches servers."""
+        self.request_path.handover.handle_notice(sender, is_cut_off=is_cut_off)
+
     def leaving_servers(self) -> frozenset[ids.InstanceId]:
         """Returns the servers that are leaving."""
         return self.request_path.withdrawals.leaving_servers()
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -147,6 +147,7 @@
             daemon.handle_leaving_notice,
             daemon.leaving_servers,
             random.Random(fleet.random_source.random()),
+            daemon.handle_reachability_notice,
         )
         self._virtual_fleet = fleet
         self._daemon = daemon
@@ -234,6 +235,11 @@
     def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
         """Ignores that a server is leaving; this model sends no requests."""
 
+    def handle_reachability_notice(
+        self, sender: ids.DaemonId, is_cut_off: bool
+    ) -> None:
+        """Ignores whether a peer reaches servers; this model has none."""
+
     def leaving_servers(self) -> frozenset[ids.InstanceId]:
         """Returns the servers that are leaving, of which it knows none."""
         return frozenset()
