--- a/packages/core/src/hyssopwind/core/fleet/peer_choice.py
+++ b/packages/core/src/hyssopwind/core/fleet/peer_choice.py
@@ -1,8 +1,10 @@
 """Chooses the peer to which a daemon hands a request that it cannot serve.
 
-Peers of the own data centre are preferred until they have many requests of this
-daemon. Of two random peers the one with fewer of them is taken, so that many
-daemons that are cut off at once do not all send to the same few peers.
+A partition often concerns many daemons of a data centre, and the notices of
+some may not have arrived. So only half of the requests go to peers of the own
+data centre, and fewer if more of its daemons are cut off than are left to serve
+for them. Of two random peers the one with fewer requests of this daemon is
+taken.
 """
 
 import collections
@@ -13,10 +15,10 @@
 from hyssopwind.core import ids
 from hyssopwind.core.fleet import fleet_members
 
-# Requests of this daemon at one peer, beyond which peers of other data centres
-# are taken too, and beyond which the peer gets no more.
-MAX_IN_FLIGHT_LOCAL = 6
-MAX_IN_FLIGHT = 32
+MAX_IN_FLIGHT = 32  # requests of this daemon at one peer
+# Ratio of the requests that go to peers of the own data centre, if any others
+# can serve too.
+LOCAL_RATIO = 0.5
 # A notice of a peer that is cut off is repeated every second.
 CUT_OFF_MEMORY_SECONDS = 3.0
 # The same for a peer to which no connection could be made.
@@ -48,23 +50,27 @@
             random_source: source of randomness.
             now: monotonic time in seconds.
         """
-        usable = [
-            peer
-            for peer in peers
-            if not peer.is_leaving
-            and peer.name not in tried
-            and now >= self._avoided_until.get(peer.name, now)
-            and self._in_flight[peer.name] < MAX_IN_FLIGHT
-        ]
-        local = [
-            peer
-            for peer in usable
-            if peer.data_centre == self._data_centre
-            and self._in_flight[peer.name] < MAX_IN_FLIGHT_LOCAL
-        ]
-        eligible = local or usable
-        if not eligible:
+        local: list[fleet_members.Peer] = []
+        remote: list[fleet_members.Peer] = []
+        local_cut_off_count = 1  # this daemon
+        for peer in peers:
+            is_local = peer.data_centre == self._data_centre
+            if now < self._avoided_until.get(peer.name, now):
+                local_cut_off_count += is_local
+                continue
+            if (
+                peer.is_leaving
+                or peer.name in tried
+                or self._in_flight[peer.name] >= MAX_IN_FLIGHT
+            ):
+                continue
+            (local if is_local else remote).append(peer)
+        if not local and not remote:
             return None
+        local_ratio = LOCAL_RATIO * min(1.0, len(local) / local_cut_off_count)
+        if not remote:
+            local_ratio = 1.0
+        eligible = local if random_source.random() < local_ratio else remote
         drawn = random_source.sample(eligible, min(2, len(eligible)))
         return min(drawn, key=lambda peer: self._in_flight[peer.name])
 
