--- a/packages/standins/src/hyssopwind/standins/partitions/fleet.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/fleet.py
@@ -271,6 +271,12 @@
             server.address: server for server in self.servers
         }
         self._ips = sorted(self._options)
+        for ip in self._ips:
+            self._options[ip] = dataclasses.replace(
+                self._options[ip],
+                probe_rate=limited_fleet.PROBES_PER_SECOND,
+                retry_slack=scenario.retry_slack,
+            )
         self.evidence.daemons = frozenset(
             options.name for options in self._options.values()
         )
--- a/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
@@ -78,6 +78,7 @@
         faults: other faults.
         popular_ratio: ratio of the requests that are equal to many others.
         reports_load: whether servers report their load.
+        retry_slack: retries of all daemons in a window beyond the ratio.
         seconds: length of the traffic.
     """
 
@@ -85,6 +86,7 @@
     faults: tuple[FaultStep, ...] = ()
     popular_ratio: float = 0.4
     reports_load: bool = True
+    retry_slack: float = 58.0
     seconds: float = 14.0
 
 
@@ -175,6 +177,15 @@
     )
 
 
+@SCENARIOS.register("cut with few retries")
+def make_cut_with_few_retries() -> Scenario:
+    """The budget of retries is used up when a cut begins."""
+    return Scenario(
+        cuts=(Cut(3.0, 9.0, CutKind.RESET, CutScope.HALF),),
+        retry_slack=5.0,
+    )
+
+
 @UNAVAILABLE.register("service down")
 def make_service_down() -> Scenario:
     """All servers of one service end."""
