--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -88,6 +88,7 @@
             initial_settings.ip,
             initial_settings.data_centre,
             boot_clock.now(),
+            initial_settings.link_mbps,
         )
         self._store_client = store.StoreClient(initial_settings.store_address)
         self._store_reader = store_reader.StoreReader(
@@ -119,6 +120,7 @@
             self._platform_state,
             lambda: not self._store_reader.is_failing,
             lambda: self._store_reader.is_reading,
+            lambda: self._store_client.is_receiving,
             self._crash_detector.handle_notice,
             self._request_path.permits.handle,
             self._request_path.handle_leaving_notice,
@@ -128,7 +130,7 @@
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready,
-            self._gossip.changes_after,
+            self._gossip.transfers.answer,
             self._metrics.render,
             self._serve_handover,
         )
@@ -446,6 +448,8 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            transfer_counts=lambda: self._gossip.transfers.counts,
+            transfer_bytes=lambda: self._gossip.transfers.byte_counts,
             daemons=self._member_list.fleet_size,
             connections=lambda: self._pool.opened_count,
             checks=lambda: (
