--- a/packages/standins/src/hyssopwind/standins/partitions/judging.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/judging.py
@@ -19,8 +19,6 @@
 AFTERMATH_SECONDS = 5.0
 # Ratio of the latency target for which a refused request costs nothing.
 FREE_HOLD_RATIO = 1 / 8
-# Difference between the readings of the clock at both ends of a connection.
-DEADLINE_SLACK_SECONDS = 0.005
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +122,8 @@
     Attributes:
         latency_target_seconds: latency target of all routes.
         daemons: names of all daemons.
+        transit_seconds: longest way of a request to a daemon and on to a
+            server, by which the stated time may be longer than what is left.
         attempts: attempts of callers by id.
         arrivals: requests that reached servers.
         forwards: requests that daemons passed on.
@@ -136,6 +136,7 @@
 
     latency_target_seconds: float
     daemons: frozenset[str] = frozenset()
+    transit_seconds: float = 0.005
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     forwards: list[Forward] = dataclasses.field(default_factory=list)
@@ -276,7 +277,7 @@
         if not arrival.was_held
         and arrival.deadline
         > evidence.attempts[arrival.request_id].deadline
-        + DEADLINE_SLACK_SECONDS
+        + evidence.transit_seconds
     ]
 
 
--- a/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
@@ -91,14 +91,11 @@
 
 
 MakeScenario: TypeAlias = Callable[[], Scenario]
+Scenarios: TypeAlias = registry.Registry[str, MakeScenario]
 
-SCENARIOS: "registry.Registry[str, MakeScenario]" = registry.Registry(
-    "scenario"
-)
+SCENARIOS: Scenarios = registry.Registry("scenario")
 # Scenarios in which no server can be reached by any daemon.
-UNAVAILABLE: "registry.Registry[str, MakeScenario]" = registry.Registry(
-    "scenario without servers"
-)
+UNAVAILABLE: Scenarios = registry.Registry("scenario without servers")
 
 
 def _register_cut(kind: CutKind, scope: CutScope) -> None:
