--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -32,10 +32,9 @@
 # Longest wait of a request for the first configuration after the start.
 START_WAIT_SECONDS = 0.2
 NOT_READY_RETRY_AFTER_SECONDS = 0.5  # a daemon is configured within a second
-# Peers to which one request is handed at most, and how many of them may say
-# that they are cut off from the servers themselves.
+# Peers to which one request is handed at most. It is handed to no further one
+# once a peer has said that it is cut off from the servers itself.
 MAX_PEERS = 3
-MAX_CUT_OFF_PEERS = 1
 
 _log = logbook.Logger("request")
 
@@ -367,12 +366,10 @@
         )
         failure = self._unreachable_outcome(context)
         tried_peers: set[ids.DaemonId] = set()
-        cut_off_count = 0
         while (
             context.terms is None
             and attempts_left > 0
             and len(tried_peers) < MAX_PEERS
-            and cut_off_count <= MAX_CUT_OFF_PEERS
             and context.deadline - boot_clock.now()
             > retry_policy.MIN_USEFUL_SECONDS
         ):
@@ -395,8 +392,7 @@
                 continue
             assert handed.outcome is not None
             if handed.result is handovers.HandoverResult.CUT_OFF:
-                cut_off_count += 1
-                continue
+                break
             if (
                 isinstance(handed.outcome, outcomes.NotRun)
                 and handed.outcome.reason in handovers.PEER_REASONS
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -9,6 +9,7 @@
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
+from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.limits import permit_issuer
@@ -25,6 +26,7 @@
 MAX_DENIAL_SECONDS = 1.0
 # Ratio of the latency target over which the ends of a quiet are spread.
 QUIET_END_SPREAD_RATIO = 0.5
+_UNREACHABLE = server_selection.Refuse("no server can be reached")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,9 +64,11 @@
         withdrawals: server_withdrawals.ServerWithdrawals,
         selection_settings: tuning.SelectionSettings,
         random_source: random.Random,
-        is_cut_off: Callable[[], bool] = lambda: False,
+        reachability: Callable[[], server_reachability.Reachability] = (
+            lambda: server_reachability.Reachability.REACHABLE
+        ),
     ):
-        self._is_cut_off = is_cut_off
+        self._reachability = reachability
         self._initial_settings = initial_settings
         self._catalogue = server_catalogue
         self._passive_health = passive_health
@@ -90,8 +94,9 @@
         include_remote = False
         is_first = True
         while True:
-            if self._is_cut_off():
-                return server_selection.Refuse("no server can be reached")
+            state = self._reachability()
+            if state is server_reachability.Reachability.CUT_OFF:
+                return _UNREACHABLE
             now = boot_clock.now()
             quiet_ends_at = self._quiet_end(request, now)
             if quiet_ends_at is not None:
@@ -117,6 +122,8 @@
                 include_remote = True
                 continue
             if isinstance(decision, server_selection.Wait):
+                if not candidates and self._is_unreachable():
+                    return _UNREACHABLE
                 await asyncio.sleep(decision.seconds)
                 continue
             if isinstance(decision, server_selection.Refuse):
@@ -151,6 +158,11 @@
                 return decision
         return None
 
+    def _is_unreachable(self) -> bool:
+        """Whether new connections fail, so that a wait cannot help."""
+        state = self._reachability()
+        return state is not server_reachability.Reachability.REACHABLE
+
     def _request_timing(
         self, request: SelectionRequest, now: float
     ) -> server_selection.RequestTiming:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
@@ -70,13 +70,17 @@
         """Whether servers can be reached on new connections."""
         return self._reachability.is_reachable
 
+    @property
+    def state(self) -> server_reachability.Reachability:
+        """Whether servers can be reached on any connection."""
+        if self._reachability.is_reachable:
+            return server_reachability.Reachability.REACHABLE
+        return self._reachability.state(boot_clock.now())
+
     @property
     def is_cut_off(self) -> bool:
         """Whether servers answer neither on new nor on open connections."""
-        if self._reachability.is_reachable:
-            return False
-        state = self._reachability.state(boot_clock.now())
-        return state is server_reachability.Reachability.CUT_OFF
+        return self.state is server_reachability.Reachability.CUT_OFF
 
     def record_answer(self) -> None:
         """Records bytes of any server."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -121,7 +121,7 @@
             self.withdrawals,
             gateway_tuning.choosing,
             random_source,
-            lambda: self.monitor.is_cut_off,
+            lambda: self.monitor.state,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
