--- a/packages/operator/src/hyssopwind/operator/tests/test_request_history.py
+++ b/packages/operator/src/hyssopwind/operator/tests/test_request_history.py
@@ -56,6 +56,36 @@
             request_history.parse_lines(self.texts), request
         )
 
+    # The history of a request that a peer served lacked one of the daemons.
+    def test_history_has_the_lines_of_both_daemons_of_a_handover(self):
+        self.texts += [
+            log_line(
+                20.0, logger="reachability", message="cut off from all servers"
+            ),
+            log_line(
+                20.2,
+                "front-2 ",
+                logger="request",
+                message="answered",
+                request="r3",
+                servers=["i-3"],
+                handed_by="front-1",
+            ),
+            log_line(
+                20.3,
+                logger="handover",
+                message="handed to a peer",
+                request="r3",
+                peer="front-2",
+                result="answered",
+            ),
+        ]
+        history = self.describe_request("r3")
+        self.assertEqual(len(history), 3)
+        self.assertIn("cut off from all servers", history[0])
+        self.assertIn("handed_by front-1", history[1])
+        self.assertIn("peer front-2", history[2])
+
     def test_history_has_the_decisions_and_the_related_changes(self):
         history = self.describe_request("r1")
         self.assertEqual(len(history), 5)
