Send on no new connection while new ones fail

A connection that is accepted and reset with a request on it leaves its outcome unknown. While the daemon knows that new connections fail it uses the open ones only. The peer counts a request as idempotent only if both daemons' configurations say so, and refuses one that may have run and may not be repeated.

--- a/packages/core/src/hyssopwind/core/fleet/handovers.py
+++ b/packages/core/src/hyssopwind/core/fleet/handovers.py
@@ -22,6 +22,7 @@
         number: number of the handover, which the result repeats.
         remaining_ms: time until the caller or the route times out.
         waited_ms: time since the caller first sent the request.
+        is_idempotent: whether the sender's route lets it run more than once.
         is_caller_retry: whether the caller retries it after a refusal.
         attempts_left: number of servers that it may be sent to.
         tried_servers: servers that it was sent to before.
@@ -33,6 +34,7 @@
     number: int
     remaining_ms: int
     waited_ms: int
+    is_idempotent: bool
     is_caller_retry: bool
     attempts_left: int
     tried_servers: list[str] = []
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -100,6 +100,9 @@
 ) -> _RequestContext:
     """Returns the state of a request that a peer handed over."""
     tried_servers = {ids.ServerId(server) for server in terms.tried_servers}
+    # The configurations of the two daemons may differ.
+    is_idempotent = route.is_idempotent and terms.is_idempotent
+    route = dataclasses.replace(route, is_idempotent=is_idempotent)
     return _RequestContext(
         request,
         route,
@@ -230,6 +233,18 @@
         context = self._create_context(request, route, terms)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
+        if (
+            terms is not None
+            and terms.may_have_run
+            and not context.route.is_idempotent
+        ):
+            return self._log_outcome(
+                request,
+                context,
+                outcomes.Unknown(
+                    outcomes.Reason.SERVER_FAILED, "it may have run before"
+                ),
+            )
         try:
             async with asyncio.timeout(
                 max(0.0, context.deadline - boot_clock.now())
@@ -429,6 +444,7 @@
             number=0,
             remaining_ms=0,
             waited_ms=self._waited_ms(context),
+            is_idempotent=context.route.is_idempotent,
             is_caller_retry=context.is_caller_retry,
             attempts_left=attempts_left,
             # The others failed for lack of a way to them, which the peer has.
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -113,7 +113,7 @@
         self, attempt_request: AttemptRequest, started_at: float
     ) -> attempt_results.AttemptResult:
         try:
-            server_connection = await self._pool.acquire(
+            server_connection = await self._connect(
                 attempt_request.entry.address
             )
         except connection.ExchangeError as error:
@@ -176,6 +176,23 @@
             quiet_seconds,
         )
 
+    async def _connect(self, address: str) -> connection.ClientConnection:
+        """Returns a connection to a server.
+
+        Raises:
+            ExchangeError: no connection could be opened.
+        """
+        if self._monitor.is_reachable:
+            return await self._pool.acquire(address)
+        # A new one may be accepted, only to be reset with the request on it.
+        idle = self._pool.take_idle(address)
+        if idle is None:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.NOT_CONNECTED,
+                "new connections fail",
+            )
+        return idle
+
     def _record_result(
         self,
         attempt_request: AttemptRequest,
--- a/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
@@ -16,6 +16,11 @@
 PEER_IP = "127.0.0.2"
 
 
+class ResettingProtocol(asyncio.Protocol):
+    def connection_made(self, transport):
+        transport.abort()
+
+
 class HandoverTest(site_gateway_case.GatewayTestCase):
     """Two daemons of one data centre, one of which is partitioned."""
 
@@ -76,10 +81,10 @@
         if not keeps_open:
             pool.retain(set())
 
-    async def hang(self, daemon):
-        """Gives a daemon connections on which nothing is answered."""
+    async def misdirect(self, daemon, protocol):
+        """Gives a daemon connections to something that is no server."""
         listener = await asyncio.get_running_loop().create_server(
-            asyncio.Protocol, PEER_IP, 0
+            protocol, PEER_IP, 0
         )
         self.addCleanup(listener.close)
         host, port = listener.sockets[0].getsockname()[:2]
@@ -154,7 +159,7 @@
             )
         for number in range(4):
             await self.call("/safe/a", request_id=f"w{number}")
-        await self.hang(self.daemon)
+        await self.misdirect(self.daemon, asyncio.Protocol)
         for number in range(5):
             started_at = boot_clock.now()
             status, _, _ = await self.call("/safe/a", request_id=f"h{number}")
@@ -162,6 +167,42 @@
             seconds = boot_clock.now() - started_at
             self.assertLess(seconds, 0.2 if number else 0.9)
 
+    # Requests were sent on new connections that were reset with them.
+    async def test_new_connections_that_are_reset(self):
+        for number in range(5):
+            await self.call("/safe/a", request_id=f"w{number}")
+        self.daemon._pool.retain(set())
+        await self.misdirect(self.daemon, ResettingProtocol)
+        # It may be sent before the daemon knows; only a safe one survives that.
+        status, _, _ = await self.call("/safe/a", request_id="first")
+        self.assertEqual(status, 200)
+        for number in range(20):
+            status, _, _ = await self.call(
+                "/unsafe/a", "POST", b"12", request_id=f"u{number}"
+            )
+            self.assertEqual(status, 200)
+        self.assertEqual(self.count_executions(), 26)
+
+    # A peer that stopped dropped the requests that were handed to it.
+    async def test_stopping_peer_finishes_what_it_was_handed(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.6
+        call = asyncio.create_task(self.call("/unsafe/a", request_id="late"))
+        await self.wait_until(
+            lambda: any(each.running_count for each in self.servers)
+        )
+        self.peer._request_stop()
+        status, _, _ = await call
+        self.assertEqual(status, 200)
+        status, fields, _ = await self.call("/unsafe/a", request_id="refused")
+        self.assertEqual(status, 503)
+        self.assertEqual(fields["hyssopwind-outcome"], "not-run")
+        self.assertEqual(
+            sum(each.executions["refused"] for each in self.servers), 0
+        )
+
     # Ejections by probes that could not be answered outlasted the partition.
     async def test_daemon_serves_at_once_after_the_partition(self):
         self.cut_off(self.daemon)
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -59,6 +59,13 @@
         Raises:
             ExchangeError: no connection could be opened.
         """
+        pooled = self.take_idle(address)
+        if pooled is not None:
+            return pooled
+        return await self._open(address)
+
+    def take_idle(self, address: str) -> connection.ClientConnection | None:
+        """Returns an idle connection, or `None` if there is none."""
         idle = self._idle.get(address, [])
         while idle:
             pooled = idle.pop()
@@ -67,7 +74,7 @@
             ):
                 return pooled
             pooled.abort()
-        return await self._open(address)
+        return None
 
     def release(self, client_connection: connection.ClientConnection) -> None:
         """Returns a connection to the pool, or closes one not to be reused."""
