--- a/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
@@ -189,24 +189,32 @@
         """Probes servers and tells the peers, until a server answers."""
         next_notice_at = float("-inf")
         while not self._reachability.is_reachable:
-            now = boot_clock.now()
-            if now >= next_notice_at:
-                self._announce(True)
-                next_notice_at = now + NOTICE_INTERVAL_SECONDS
-            # A daemon that is cut off sends no other probes.
-            allowed_count = self._probe_budget.try_acquire(
-                server_reachability.CUT_PROBE_SAMPLE,
-                server_count=self._catalogue.server_count,
-                daemon_count=self._member_list.fleet_size(),
-                now=now,
-            )
-            sample = self._choose_sample(max(1, allowed_count))
-            if not sample:
-                self._end_cut()
-            elif not await self._probe_any(sample):
-                await asyncio.sleep(
-                    server_reachability.CUT_PROBE_INTERVAL_SECONDS
+            try:
+                if boot_clock.now() >= next_notice_at:
+                    next_notice_at = boot_clock.now() + NOTICE_INTERVAL_SECONDS
+                    self._announce(True)
+                if await self._probe_in_cut():
+                    return
+            except Exception as error:  # The state would never end.
+                _log.error(
+                    "cut could not be watched", extra={"error": repr(error)}
                 )
+            await asyncio.sleep(server_reachability.CUT_PROBE_INTERVAL_SECONDS)
+
+    async def _probe_in_cut(self) -> bool:
+        """Probes a few servers; returns whether the cut has ended."""
+        # A daemon that is cut off sends no other probes.
+        allowed_count = self._probe_budget.try_acquire(
+            server_reachability.CUT_PROBE_SAMPLE,
+            server_count=self._catalogue.server_count,
+            daemon_count=self._member_list.fleet_size(),
+            now=boot_clock.now(),
+        )
+        sample = self._choose_sample(max(1, allowed_count))
+        if sample:
+            return await self._probe_any(sample)
+        self._end_cut()
+        return True
 
     async def _probe_any(
         self, listed_servers: Sequence[catalogue.ListedServer]
