Use open connections while only new ones fail

When all daemons were cut off from new connections no request was sent on the open ones: without answers they counted as cut off altogether. A daemon now also probes one open connection each 0.25 s, and relies on its answer for 0.6 s.

--- a/packages/core/src/hyssopwind/core/dispatch/server_reachability.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_reachability.py
@@ -37,6 +37,10 @@
 # Probes of a daemon that is cut off.
 CUT_PROBE_INTERVAL_SECONDS = 0.25
 CUT_PROBE_SAMPLE = 2
+# Servers among which one with an open connection is looked for, and the time
+# for which its answer is relied on; the next probe follows sooner.
+OPEN_CONNECTION_SAMPLE = 8
+OPEN_ANSWER_SECONDS = 0.6
 
 
 def overdue_seconds(estimated_seconds: float) -> float:
@@ -92,6 +96,7 @@
     def __init__(self) -> None:
         self._is_cut_off = False
         self._last_answer_at = float("-inf")
+        self._open_until = float("-inf")
         self._verified_at = float("-inf")
         # Times of the last failures by server: those since the last answer, and
         # those to connect in the window.
@@ -119,7 +124,8 @@
         """Returns the state at a monotonic time."""
         if not self._is_cut_off:
             return Reachability.REACHABLE
-        if now - self._last_answer_at < ANSWER_SILENCE_SECONDS:
+        is_silent = now - self._last_answer_at >= ANSWER_SILENCE_SECONDS
+        if not is_silent or now < self._open_until:
             return Reachability.NO_NEW_CONNECTIONS
         return Reachability.CUT_OFF
 
@@ -133,6 +139,11 @@
         if not self._connect_failures:
             self._first_failure_at = None
 
+    def record_open_connection_answer(self, now: float) -> None:
+        """Records the answer to a probe on an open connection."""
+        self.record_answer(now)
+        self._open_until = now + OPEN_ANSWER_SECONDS
+
     def record_failure(
         self, server: ids.ServerId, now: float, *, is_connect: bool = False
     ) -> None:
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_server_reachability.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_server_reachability.py
@@ -69,6 +69,15 @@
         expected = server_reachability.Reachability.CUT_OFF
         self.assertIs(self.state(2.0), expected)
 
+    # A cut daemon did not use connections that were open, as it sent nothing.
+    def test_answer_to_a_probe_on_an_open_connection_is_relied_on(self):
+        self.reachability.record_unanswered_verification([C], 1.0)
+        self.reachability.record_open_connection_answer(2.0)
+        expected = server_reachability.Reachability.NO_NEW_CONNECTIONS
+        self.assertIs(self.state(2.5), expected)
+        expected = server_reachability.Reachability.CUT_OFF
+        self.assertIs(self.state(2.7), expected)
+
     # A dead service made a daemon verify its own links all the time.
     def test_verification_that_found_a_server_is_not_repeated_at_once(self):
         for server in (A, B):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reachability.py
@@ -211,10 +211,36 @@
             now=boot_clock.now(),
         )
         sample = self._choose_sample(max(1, allowed_count))
-        if sample:
-            return await self._probe_any(sample)
-        self._end_cut()
-        return True
+        if not sample:
+            self._end_cut()
+            return True
+        has_answered, _ = await asyncio.gather(
+            self._probe_any(sample), self._probe_open_connection()
+        )
+        return has_answered
+
+    async def _probe_open_connection(self) -> None:
+        """Probes one server on an open connection, which may live on."""
+        for listed_server in self._choose_sample(
+            server_reachability.OPEN_CONNECTION_SAMPLE
+        ):
+            entry = listed_server.entry
+            idle = self._pool.take_idle(entry.address)
+            if idle is None:
+                continue
+            self._probe_count += 1
+            path = self._health_path(entry.service)
+            head = f"GET {path} HTTP/1.1\r\nHost: {entry.address}\r\n\r\n"
+            try:
+                async with asyncio.timeout(self._probe_timeout_seconds):
+                    await idle.exchange(
+                        head.encode(), "GET", probe_answers.is_probe_answer
+                    )
+            except (connection.ExchangeError, TimeoutError):
+                return
+            self._pool.release(idle)
+            self._reachability.record_open_connection_answer(boot_clock.now())
+            return
 
     async def _probe_any(
         self, listed_servers: Sequence[catalogue.ListedServer]
