--- a/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
@@ -1,11 +1,13 @@
 """The replicated state: pulls of peers, and servers that are removed."""
 
+import asyncio
 import json
 import random
 import unittest
 from unittest import mock
 
 from hyssopwind.core import ids
+from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import items
 from hyssopwind.core.fleet import change_encoding
 from hyssopwind.core.fleet import fleet_members
@@ -14,6 +16,7 @@
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.standins.site import documents
 from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
 
 KEY = "servers/i-1"
 
@@ -27,17 +30,77 @@
         self.platform_state.apply_delta(
             items.Delta((item,), 5, True), boot_clock.now(), "store"
         )
+        self.fetch = mock.AsyncMock()
+        self.member_list = fleet_members.MemberList(
+            ids.DaemonId("a"), "127.0.0.1", ids.DataCentreId("north"), 0.0
+        )
         self.transfers = change_transfers.ChangeTransfers(
             "127.0.0.1",
             self.platform_state,
-            fleet_members.MemberList(
-                ids.DaemonId("a"), "127.0.0.1", ids.DataCentreId("north"), 0.0
-            ),
-            mock.AsyncMock(),
+            self.member_list,
+            self.fetch,
             mock.Mock(),
             random.Random(1),
         )
 
+    # A daemon asked a dead peer several hundred times a second while no other
+    # peer had announced the revision.
+    async def test_only_peer_is_asked_again_after_a_pause(self):
+        self.fetch.side_effect = connection.ExchangeError(
+            attempt_results.FailureKind.TIMED_OUT, "refused"
+        )
+        self.transfers.handle_announcement("127.0.0.2", 7)
+        await asyncio.sleep(0.3)
+        self.transfers.stop()
+        self.assertIn(self.fetch.call_count, range(2, 8))
+
+    # A pull that ended with an unexpected error counted as running for ever;
+    # after two of them a daemon pulled nothing any more.
+    async def test_pulls_continue_after_an_unexpected_error(self):
+        self.fetch.side_effect = RuntimeError
+        self.transfers.handle_announcement("127.0.0.2", 7)
+        await asyncio.sleep(0.3)
+        self.transfers.stop()
+        self.assertIn(self.fetch.call_count, range(2, 8))
+
+    def add_peer(self, ip, data_centre="north", *, is_leaving=False):
+        heartbeat = gossip_messages.Heartbeat(
+            ip, ip, data_centre, 6, 0, True, is_leaving, 0
+        )
+        self.member_list.handle_heartbeat(heartbeat, 0.0)
+        self.transfers.handle_announcement(ip, 6)
+
+    async def pull_large_change(self):
+        """Pulls as three daemons; returns the locations of their answers."""
+        value = random.Random(1).randbytes(20_000)
+        self.platform_state.apply_delta(
+            items.Delta((items.Item("op/config", value, 6),), 6, False),
+            boot_clock.now(),
+            "store",
+        )
+        found = []
+        for number in range(3):
+            answer = await self.transfers.answer(
+                f"/changes?after=0&held=&ip=127.0.1.{number}"
+            )
+            found.append(dict(answer.headers).get("Location"))
+        return found
+
+    async def test_waiting_daemon_is_referred_to_a_peer(self):
+        self.add_peer("127.0.0.2")
+        found = await self.pull_large_change()
+        self.assertEqual(found[-1], "//127.0.0.2/changes")
+
+    # Daemons that waited for a large change were referred to peers that were
+    # stopping or no longer there, and to the leaders of other data centres.
+    async def test_no_daemon_is_referred_to_a_peer_that_cannot_serve_it(self):
+        self.add_peer("127.0.0.2", is_leaving=True)
+        self.add_peer("127.0.0.3", "south")
+        self.add_peer("127.0.0.4")
+        self.member_list.remove_expired(60.0)
+        self.transfers.drop_dead_peers()
+        self.assertEqual(await self.pull_large_change(), [None] * 3)
+
     async def test_daemon_of_an_earlier_release_gets_the_earlier_format(self):
         answer = await self.transfers.answer("/changes?after=0")
         delta, _ = gossip_messages.decode_delta(answer.body)
