Random scenarios of partitions, and daemons that start behind a cut

A kill excuses a daemon's requests only until 1.5 s after its start, not for the whole run, and requests that a later cut hits no longer count for the others of an earlier cut ("repeated cuts" had counted them). `--random` runs cuts and faults that the seed decides.

--- a/packages/standins/src/hyssopwind/standins/partitions/__main__.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/__main__.py
@@ -51,11 +51,30 @@
     return lines
 
 
+def run_random(seed: int) -> list[dict[str, object]]:
+    """Runs a random scenario and returns its figures."""
+    started_at = time.monotonic()
+    evidence = fleet.run_in_virtual_time(scenarios.make_random(seed), seed)
+    line = {
+        "scenario": "random",
+        "seed": seed,
+        **judging.make_report(evidence),
+        "seconds": round(time.monotonic() - started_at, 1),
+    }
+    print(json.dumps(line), flush=True)
+    return [line]
+
+
 def main() -> int:
     """Runs the scenarios; returns 1 if a safety property was violated."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-3", help="such as 1-3,7")
     parser.add_argument("--scenario", default="", help="part of their names")
+    parser.add_argument(
+        "--random",
+        action="store_true",
+        help="one scenario of random cuts and faults for each seed",
+    )
     parser.add_argument(
         "--fleet",
         choices=("virtual", "processes"),
@@ -95,7 +114,10 @@
 
         lines = []
         for seed in stops_main.parse_seeds(arguments.seeds):
-            lines += run_all(run, registries, names, seed)
+            if arguments.random:
+                lines += run_random(seed)
+            else:
+                lines += run_all(run, registries, names, seed)
     if arguments.report:
         with arguments.report.open("a") as stream:
             stream.writelines(json.dumps(line) + "\n" for line in lines)
--- a/packages/standins/src/hyssopwind/standins/partitions/fleet.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import random
 from unittest import mock
 
@@ -285,6 +286,7 @@
         self._version = 0
         self._request_count = 0
         self._down_since: dict[str, float] = {}
+        self._killed_at: dict[str, float] = {}
 
     def find_server(self, address: str) -> servers.VirtualServer | None:
         """Returns the server at an address, whether or not it runs."""
@@ -292,14 +294,26 @@
 
     def start(self, ip: str) -> None:
         """Starts a daemon; one that ran before starts without its state."""
+        name = self._options[ip].name
         self.daemons[ip] = PartitionedDaemon(self, self._options[ip])
+        if name in self._killed_at:
+            self.evidence.kills.remove((name, self._killed_at[name], math.inf))
+            self.evidence.kills.append(
+                (
+                    name,
+                    self._killed_at.pop(name),
+                    boot_clock.now() + judging.START_SECONDS,
+                )
+            )
         self._options[ip] = dataclasses.replace(
             self._options[ip], first_start=False
         )
 
     def kill(self, ip: str) -> None:
         """Ends a daemon; its connections are reset."""
-        self.evidence.killed.add(self._options[ip].name)
+        name = self._options[ip].name
+        self._killed_at[name] = boot_clock.now()
+        self.evidence.kills.append((name, boot_clock.now(), math.inf))
         super().kill(ip)
         for link in (self.server_links[ip], self.peer_links[ip]):
             for stream in list(link.streams):
@@ -387,9 +401,11 @@
             await self._sleep_until(step.at)
             ip = self._ips[step.daemon]
             if step.kind is scenarios.FaultKind.KILL:
-                self.kill(ip)
+                if ip in self.daemons:
+                    self.kill(ip)
             elif step.kind is scenarios.FaultKind.START:
-                self.start(ip)
+                if ip not in self.daemons:
+                    self.start(ip)
             elif step.kind is scenarios.FaultKind.CONFIGURE:
                 self._configure()
             elif step.kind is scenarios.FaultKind.SERVICE_DOWN:
--- a/packages/standins/src/hyssopwind/standins/partitions/judging.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/judging.py
@@ -13,6 +13,8 @@
 # From this time on after the start of a cut the rule holds, and a smaller one.
 CONTACT_SECONDS = 3.0
 EARLY_SECONDS = 1.0
+# Time in which a daemon that starts has the configuration and its peers.
+START_SECONDS = 1.5
 # Time after a cut in which its daemons use their own links again.
 HEAL_SECONDS = 1.0
 # Time after a cut in which the other daemons are still watched.
@@ -130,7 +132,8 @@
         cuts: partitions.
         down_periods: start, end and service of each time in which no server of
             a service ran.
-        killed: names of the daemons that were killed.
+        kills: daemon, time of its kill and time from which it has served
+            again for each kill.
         defects: unexpected exceptions in daemons.
     """
 
@@ -144,7 +147,9 @@
     down_periods: list[tuple[float, float, str]] = dataclasses.field(
         default_factory=list
     )
-    killed: set[str] = dataclasses.field(default_factory=set)
+    kills: list[tuple[str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
     defects: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -173,11 +178,30 @@
 
 def _first_tries(evidence: Evidence) -> Iterator[Attempt]:
     for attempt in evidence.attempts.values():
-        # A caller whose connection a kill closed saw that kill.
-        if attempt.is_first and attempt.daemon not in evidence.killed:
+        if attempt.is_first and not _is_hit_by_kill(evidence, attempt):
             yield attempt
 
 
+def _is_hit_by_kill(evidence: Evidence, attempt: Attempt) -> bool:
+    """Whether its daemon is killed before the answer, or has just started."""
+    for daemon, killed_at, serves_at in evidence.kills:
+        if attempt.daemon != daemon:
+            continue
+        if attempt.at < serves_at and killed_at <= attempt.ended_at:
+            return True
+    return False
+
+
+def _is_hit_by_cut(evidence: Evidence, attempt: Attempt) -> bool:
+    """Whether its daemon is cut off before the answer."""
+    for cut in evidence.cuts:
+        if attempt.daemon not in cut.daemons:
+            continue
+        if attempt.at < cut.ends_at and cut.starts_at <= attempt.ended_at:
+            return True
+    return False
+
+
 def count_at_cut(evidence: Evidence, after_seconds: float) -> ServedCount:
     """Counts first tries at daemons that are cut off.
 
@@ -210,6 +234,8 @@
     found = {}
     for cut in evidence.cuts:
         for attempt in _first_tries(evidence):
+            if _is_hit_by_cut(evidence, attempt):
+                continue
             if attempt.daemon in cut.daemons:
                 continue
             if cut.starts_at <= attempt.at < cut.ends_at + AFTERMATH_SECONDS:
@@ -329,6 +355,7 @@
     The load are the requests of its callers and of daemons that are cut off;
     the value is the largest of all cuts.
     """
+    killed = {daemon for daemon, _, _ in evidence.kills}
     largest = 0.0
     for cut in evidence.cuts:
         counts = collections.Counter(
@@ -342,8 +369,7 @@
             if cut.starts_at <= attempt.at < cut.ends_at
         )
         loads = [
-            counts[daemon]
-            for daemon in evidence.daemons - cut.daemons - evidence.killed
+            counts[daemon] for daemon in evidence.daemons - cut.daemons - killed
         ]
         if sum(loads):
             largest = max(largest, max(loads) * len(loads) / sum(loads))
--- a/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import random
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -174,6 +175,19 @@
     )
 
 
+@SCENARIOS.register("start in a cut")
+def make_start_in_cut() -> Scenario:
+    """Daemons are killed and start behind a cut that goes on."""
+    return Scenario(
+        cuts=(Cut(2.0, 10.0, CutKind.HANG, CutScope.ALL_BUT_ONE),),
+        faults=tuple(
+            FaultStep(at, kind, daemon)
+            for daemon in (1, 5, 9)
+            for at, kind in ((3.0, FaultKind.KILL), (4.0, FaultKind.START))
+        ),
+    )
+
+
 @SCENARIOS.register("cut with few retries")
 def make_cut_with_few_retries() -> Scenario:
     """The budget of retries is used up when a cut begins."""
@@ -203,3 +217,42 @@
             FaultStep(9.0, FaultKind.SERVERS_UP),
         )
     )
+
+
+def make_random(seed: int) -> Scenario:
+    """Returns a scenario of random cuts and other faults."""
+    random_source = random.Random(seed)
+    cuts = []
+    at = random_source.uniform(1.0, 3.0)
+    while at < 14.0:
+        ends_at = at + random_source.choice((0.3, 1.0, 4.0, 6.0))
+        scope = random_source.choice(list(CutScope))
+        cuts.append(
+            Cut(at, ends_at, random_source.choice(list(CutKind)), scope)
+        )
+        at = ends_at + random_source.choice((0.1, 0.5, 2.0, 5.0))
+    faults = []
+    for _ in range(random_source.randrange(4)):
+        daemon = random_source.randrange(15)
+        killed_at = random_source.uniform(1.0, 14.0)
+        faults.append(FaultStep(killed_at, FaultKind.KILL, daemon))
+        started_at = killed_at + random_source.uniform(0.5, 3.0)
+        faults.append(FaultStep(started_at, FaultKind.START, daemon))
+    for _ in range(random_source.randrange(4)):
+        configured_at = random_source.uniform(1.0, 14.0)
+        faults.append(FaultStep(configured_at, FaultKind.CONFIGURE))
+    if random_source.random() < 0.3:
+        down_at = random_source.uniform(1.0, 12.0)
+        kind = random_source.choice(
+            (FaultKind.SERVICE_DOWN, FaultKind.ALL_DOWN)
+        )
+        faults.append(FaultStep(down_at, kind))
+        faults.append(FaultStep(down_at + 3.0, FaultKind.SERVERS_UP))
+    return Scenario(
+        tuple(cuts),
+        tuple(sorted(faults, key=lambda step: step.at)),
+        popular_ratio=random_source.choice((0.0, 0.4, 0.9)),
+        reports_load=random_source.random() < 0.8,
+        retry_slack=random_source.choice((5.0, 58.0)),
+        seconds=max(cuts[-1].ends_at, 14.0) + 4.0,
+    )
--- a/packages/standins/src/hyssopwind/standins/tests/test_unreachable_servers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_unreachable_servers.py
@@ -20,6 +20,7 @@
     "cut beside kills",
     "cut beside configurations",
     "cut with few retries",
+    "start in a cut",
 )
 WITHOUT_SERVERS = ("all, hang", "all, refuse new", "service down", "all down")
 # Ratio of what the other daemons serve that cut ones serve at least.
