--- a/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/internal_listeners.py
@@ -13,10 +13,14 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.routing import tables
+from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
 
-_LIMITS = tables.CallerLimits()
+# Above all limits for callers, since requests of peers have fields of our own.
+_LIMITS = tables.CallerLimits(
+    max_header_bytes=131_072, max_body_bytes=67_108_864
+)
 
 _Handler: TypeAlias = Callable[
     [caller_requests.CallerRequest], Coroutine[Any, Any, outcomes.Outcome]
@@ -31,10 +35,12 @@
         is_ready: Callable[[], bool],
         answer_peer: Callable[[str], Awaitable[outcomes.Answered]],
         render_metrics: Callable[[], bytes],
+        serve_handover: _Handler,
     ):
         self._is_ready = is_ready
         self._answer_peer = answer_peer
         self._render_metrics = render_metrics
+        self._serve_handover = serve_handover
         self._servers: list[asyncio.Server] = []
         self._connections: set[caller_connection.CallerConnection] = set()
 
@@ -86,6 +92,8 @@
     async def _handle_peer(
         self, request: caller_requests.CallerRequest
     ) -> outcomes.Outcome:
+        if headers.HANDOVER in request.fields:
+            return await self._serve_handover(request)
         return await self._answer_peer(request.target)
 
     async def _handle_metrics(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -11,6 +11,7 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import server_health
+from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import server_notices
@@ -20,6 +21,7 @@
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import gateway_metrics
 from hyssopwind.daemon.gateway import notice_recorder
+from hyssopwind.daemon.gateway import reachability
 from hyssopwind.platform import field_names
 from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
@@ -63,6 +65,7 @@
         recorder: notice_recorder.NoticeRecorder,
         limits: rate_limits.RateLimits,
         health_path: Callable[[ids.ServiceId], str],
+        monitor: reachability.ReachabilityMonitor,
     ):
         self._pool = connection_pool
         self._passive_health = passive_health
@@ -71,6 +74,14 @@
         self._recorder = recorder
         self._limits = limits
         self._health_path = health_path
+        self._monitor = monitor
+        # Connections with idempotent requests, which may be sent elsewhere.
+        self._repeatable: set[connection.ClientConnection] = set()
+
+    def break_off_idempotent(self) -> None:
+        """Ends the attempts that may be repeated, as no answer can come."""
+        for server_connection in list(self._repeatable):
+            server_connection.abort()
 
     async def send(
         self, attempt_request: AttemptRequest
@@ -79,12 +90,21 @@
         server = attempt_request.entry.id
         started_at = boot_clock.now()
         self._passive_health.record_start(server)
+        overdue_timer = asyncio.get_running_loop().call_later(
+            server_reachability.overdue_seconds(
+                attempt_request.selection.estimated_seconds
+            ),
+            self._monitor.record_overdue,
+            server,
+            started_at,
+        )
         try:
             result = await self._exchange(attempt_request, started_at)
         except asyncio.CancelledError:
             self._record_cancellation(attempt_request, started_at)
             raise
         finally:
+            overdue_timer.cancel()
             self._passive_health.record_end(server)
         self._record_result(attempt_request, result, started_at)
         return result
@@ -93,7 +113,7 @@
         self, attempt_request: AttemptRequest, started_at: float
     ) -> attempt_results.AttemptResult:
         try:
-            server_connection = await self._pool.acquire(
+            server_connection = await self._connect(
                 attempt_request.entry.address
             )
         except connection.ExchangeError as error:
@@ -121,6 +141,8 @@
             # statement that the server did not run this request.
             return answer.fields.get(field_names.REQUEST_ID, "") == request_id
 
+        if attempt_request.route.is_idempotent:
+            self._repeatable.add(server_connection)
         try:
             async with asyncio.timeout(
                 remaining_seconds + LATE_ANSWER_GRACE_SECONDS
@@ -132,6 +154,8 @@
             return attempt_results.Failed(error.kind)
         except TimeoutError:
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
+        finally:
+            self._repeatable.discard(server_connection)
         self._pool.release(server_connection)
         quiet_seconds = 0.0
         if _is_from_server(answer):
@@ -152,6 +176,23 @@
             quiet_seconds,
         )
 
+    async def _connect(self, address: str) -> connection.ClientConnection:
+        """Returns a connection to a server.
+
+        Raises:
+            ExchangeError: no connection could be opened.
+        """
+        if self._monitor.is_reachable:
+            return await self._pool.acquire(address)
+        # A new one may be accepted, only to be reset with the request on it.
+        idle = self._pool.take_idle(address)
+        if idle is None:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.NOT_CONNECTED,
+                "new connections fail",
+            )
+        return idle
+
     def _record_result(
         self,
         attempt_request: AttemptRequest,
@@ -160,6 +201,16 @@
     ) -> None:
         now = boot_clock.now()
         server = attempt_request.entry.id
+        if isinstance(result, attempt_results.Failed) and result.kind in (
+            attempt_results.FailureKind.NOT_CONNECTED,
+            attempt_results.FailureKind.BROKEN,
+            attempt_results.FailureKind.TIMED_OUT,
+        ):
+            self._monitor.record_failure(server, result.kind)
+        elif result != attempt_results.Failed(
+            attempt_results.FailureKind.WITHHELD
+        ):
+            self._monitor.record_answer()
         answer_fields: dict[str, object] = {}
         result_label = "shed"
         if isinstance(result, attempt_results.WholeAnswer):
