Count copies of one request at the same crash once, over all daemons

Cause: a daemon counts a crash only if the attempt was sent after the last one that was counted, but the notices of other daemons did not say when their attempts were sent, and each was added. Notices carry that now, and the same rule holds for them.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -409,9 +409,9 @@
         )
 
     def _announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int
+        self, fingerprint: ids.Fingerprint, crash_count: int, sent_at: float
     ) -> None:
-        self._gossip.announce_crash(fingerprint, crash_count)
+        self._gossip.announce_crash(fingerprint, crash_count, sent_at)
 
     def _announce_leaving(self, instance: ids.InstanceId) -> None:
         self._gossip.announce_leaving(instance)
