Count the receipt of a long answer towards the age of the replica

A 404, or a server kept through an outage, was decided by an age that was up to 0.7 s too young after a change of 350 KB on a link of 5 Mbit/s: the changes were taken to be as of 0.25 s before the end of their receipt. Found by review. The next call is shorter by the same time, so that other daemons do not read.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -51,6 +51,7 @@
         self._live_settings = live_settings
         self._must_list = False
         self._has_merged_changes = False
+        self._receipt_seconds = 0.0
         self._is_reading = False
         self._failure_count = 0
 
@@ -115,7 +116,8 @@
         self._log_large_answer(delta, sent_at)
         # The answer holds all changes up to the time at which the store made
         # it, which is the end of the wait if there are none.
-        now = boot_clock.now()
+        self._receipt_seconds = self._store_client.receipt_seconds
+        now = boot_clock.now() - self._receipt_seconds
         waited_to_end = not delta.items and now >= sent_at + wait_seconds
         as_of = (
             sent_at + wait_seconds
@@ -129,8 +131,7 @@
             await asyncio.sleep(
                 max(
                     0.0,
-                    self._reading_settings.merge_delay
-                    - self._store_client.receipt_seconds,
+                    self._reading_settings.merge_delay - self._receipt_seconds,
                 )
             )
 
@@ -140,14 +141,14 @@
             WATCH_WAIT_RATIO * self._live_settings.current.change_bound_seconds
         )
         wait_seconds = min(self._reading_settings.watch_wait, max_wait_seconds)
-        # The delay that merged changes counts towards the time until the
-        # replica is confirmed again.
+        # The delay that merged changes, or the receipt of a long answer, counts
+        # towards the time until the replica is confirmed again.
+        spent_seconds = self._receipt_seconds
         if self._has_merged_changes:
-            return max(
-                MIN_WATCH_WAIT_SECONDS,
-                wait_seconds - self._reading_settings.merge_delay,
+            spent_seconds = max(
+                spent_seconds, self._reading_settings.merge_delay
             )
-        return wait_seconds
+        return max(MIN_WATCH_WAIT_SECONDS, wait_seconds - spent_seconds)
 
     async def _list(self) -> None:
         sent_at = boot_clock.now()
