--- a/packages/core/src/hyssopwind/core/fleet/change_encoding.py
+++ b/packages/core/src/hyssopwind/core/fleet/change_encoding.py
@@ -97,6 +97,8 @@
 
     def __init__(self, replica: items.ItemReplica):
         self._replica = replica
+        # Generation of the replica, and the revision as of it.
+        self._newest_large = (-1, 0)
         self._values: collections.OrderedDict[
             tuple[str, int, int], _LargeValue
         ] = collections.OrderedDict()
@@ -104,6 +106,14 @@
             tuple[int, int, int, frozenset[int]], tuple[bool, bytes]
         ] = collections.OrderedDict()
 
+    def newest_large_revision(self) -> int:
+        """Returns the newest revision of a large value; 0 without any."""
+        generation = self._replica.generation
+        if self._newest_large[0] != generation:
+            newest = max(large_revisions(self._replica), default=0)
+            self._newest_large = (generation, newest)
+        return self._newest_large[1]
+
     def encode(
         self, revision: int, held_revisions: Collection[int], age_ms: int
     ) -> bytes:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -161,12 +161,9 @@
         try:
             while True:
                 # Small changes after the last large one can be pulled later.
-                large_revisions = change_encoding.large_revisions(
-                    self._platform_state.replica
-                )
                 decision = self._queue.poll(
                     ip,
-                    max(large_revisions, default=0),
+                    self._encoder.newest_large_revision(),
                     boot_clock.now(),
                     may_refer=may_refer,
                 )
