--- a/packages/standins/src/hyssopwind/standins/links/rig.py
+++ b/packages/standins/src/hyssopwind/standins/links/rig.py
@@ -317,11 +317,14 @@
         }
 
     async def find_reader(self) -> int:
-        """Returns the gateway that has received most bytes of the store."""
-        all_counters = await self._read_all_counters()
+        """Returns the gateway that receives most bytes of the store."""
+        before = await self._read_all_counters()
+        await asyncio.sleep(QUIET_SECONDS)
+        after = await self._read_all_counters()
         received = [
-            counters["received"]["bytes"].get(self.store.address, 0)
-            for counters in all_counters
+            second["received"]["bytes"].get(self.store.address, 0)
+            - first["received"]["bytes"].get(self.store.address, 0)
+            for first, second in zip(before, after, strict=True)
         ]
         return received.index(max(received))
 
