Select another port for the metrics of a gateway than its listeners have

A run of 15 real gateways did not start: the port for metrics was searched on 127.0.0.1, where the ports that all gateways have on their own addresses are free, and was that for callers (address already in use, 127.0.192.8:25571).

--- a/packages/standins/src/hyssopwind/standins/site/ports.py
+++ b/packages/standins/src/hyssopwind/standins/site/ports.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from collections.abc import Collection
 
 # The range lies below the ephemeral ports, so that no outgoing connection takes
 # a port between its selection and its use.
@@ -10,12 +11,19 @@
 _RANDOM = random.SystemRandom()
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns ports that are currently free for TCP and UDP."""
+def find_free_ports(count: int, excluded: Collection[int] = ()) -> list[int]:
+    """Returns ports that are currently free for TCP and UDP.
+
+    Args:
+        count: number of ports.
+        excluded: ports that may be free now and are not returned.
+    """
     free: list[int] = []
     while len(free) < count:
         port = _RANDOM.randint(FIRST_PORT, LAST_PORT)
-        if port not in free and _is_free(port):
+        if port in free or port in excluded:
+            continue
+        if _is_free(port):
             free.append(port)
     return free
 
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -144,11 +144,17 @@
             name: _fill_placeholders(text, self._settings)
             for name, text in role["env"].items()
         }
+        # The ports of the listeners are free on 127.0.0.1, which is searched.
+        listen_ports = {
+            int(address.rpartition(":")[2])
+            for address in self._settings["listen"].values()
+        }
+        (metrics_port,) = ports.find_free_ports(1, listen_ports)
         environment |= {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(self._root / "target/deps"),
             "HYSSOPWIND_BOOT": str(self._settings_path),
-            "HYSSOPWIND_METRICS_PORT": str(ports.find_free_ports(1)[0]),
+            "HYSSOPWIND_METRICS_PORT": str(metrics_port),
         }
         environment |= self._extra_environment()
         with self.log_path.open("ab") as stream:
