End a request that waits at a peer when its caller leaves

A request that must not be repeated went on waiting at the peer after its caller had closed the connection, and was sent to a server up to its deadline later. The daemon kept the connection to the peer open for these requests, since it cannot know whether a server has one. The peer does: it now sees the connection close for all requests, drops those that it has not sent, and lets an attempt that must not be repeated run to its end, as for callers of its own.

Failing test: test_request_that_waits_at_the_peer_ends_with_its_caller (a server ran the request 0.4 s after the caller had left).

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from typing import Any
 
 import logbook
 
@@ -453,19 +452,12 @@
             ),
             may_have_run=bool(context.may_have_run) or might_have_run,
         )
-        task = asyncio.create_task(
-            self._handover.hand_over(
-                peer, context.request, terms, context.deadline
-            )
-        )
-        self._attempts.add(task)
-        task.add_done_callback(self._attempts.discard)
         context.may_have_run_elsewhere = True
-        try:
-            await asyncio.wait({task})
-        finally:
-            self._cancel_if_idempotent(context, task)
-        handed = task.result()
+        # If the caller leaves, the connection to the peer is closed. The peer
+        # then decides, as it alone knows whether a server has the request.
+        handed = await self._handover.hand_over(
+            peer, context.request, terms, context.deadline
+        )
         has_run_nowhere = handed.result in (
             handovers.HandoverResult.NOT_CONNECTED,
             handovers.HandoverResult.CUT_OFF,
@@ -601,7 +593,7 @@
     def _cancel_if_idempotent(
         self,
         context: _RequestContext,
-        task: "asyncio.Task[Any]",
+        task: "asyncio.Task[attempt_results.AttemptResult]",
     ) -> None:
         # An attempt of a non-idempotent request runs to its end: its effect is
         # wanted even when nobody waits for the answer.
--- a/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
@@ -278,6 +278,45 @@
             lambda: not any(each.running_count for each in self.servers), 0.4
         )
 
+    # A peer sent requests to servers long after their callers had left.
+    async def test_request_that_waits_at_the_peer_ends_with_its_caller(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        picker = self.peer._dispatcher._picker
+        pick = picker.pick
+
+        async def pick_late(request):
+            await asyncio.sleep(0.4)
+            return await pick(request)
+
+        picker.pick = pick_late
+        _, writer = await self.connect()
+        writer.write(self.request("/unsafe/a", "POST", request_id="left"))
+        await self.wait_until(lambda: self.peer._dispatcher._received_count)
+        writer.close()
+        await asyncio.sleep(0.6)
+        self.assertEqual(
+            sum(each.executions["left"] for each in self.servers), 0
+        )
+
+    # The effect of an unsafe request is wanted also if its caller has left.
+    async def test_unsafe_attempt_of_the_peer_outlasts_its_caller(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        for stand_in in self.servers:
+            stand_in.options.work_seconds = 0.4
+        _, writer = await self.connect()
+        writer.write(self.request("/unsafe/a", "POST", request_id="left"))
+        await self.wait_until(
+            lambda: any(each.running_count for each in self.servers)
+        )
+        writer.close()
+        await asyncio.sleep(0.2)
+        self.assertEqual(sum(each.running_count for each in self.servers), 1)
+        await self.wait_until(
+            lambda: not any(each.running_count for each in self.servers), 1.0
+        )
+
     # Breaks of connections by a partition quarantined requests in the fleet.
     async def test_partition_confirms_no_crash(self):
         for stand_in in self.servers:
