Answer handed-over requests at the end of a peer's stop

A daemon whose stop reached its deadline ended its process at once when only requests of peers were left: it waited for its own callers alone. The daemon that had handed them over saw the connection break, and answered 502 for requests that had not run and that another peer could have served. The stop now waits for the statements on these requests too, within the same deadline.

Failing test: test_peer_at_the_end_of_its_stop_answers_what_it_was_handed (the stop ended with one request of a peer not answered).

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -166,7 +166,12 @@
 
         A request that a peer handed over counts until it ends.
         """
-        return bool(self._attempts) or self._received_count > 0
+        return bool(self._attempts) or self.has_received_requests
+
+    @property
+    def has_received_requests(self) -> bool:
+        """Whether a request that a peer handed over has not ended."""
+        return self._received_count > 0
 
     def start_stop(self, plan: stop_plan.StopPlan) -> None:
         """Refuses, from now on, requests that would outlast a planned stop."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -332,7 +332,7 @@
             "the daemon stopped before it had read the request",
             stop_plan.RETRY_AFTER_SECONDS,
         )
-        while self._connections:
+        while self._connections or self._dispatcher.has_received_requests:
             for connection in list(self._connections):
                 connection.end_input(failure)
             # At least once, also if the loop is late: the requests end and
--- a/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import os
 
 from hyssopwind.core import ids
@@ -317,6 +318,34 @@
             lambda: not any(each.running_count for each in self.servers), 1.0
         )
 
+    # A peer that ended with its time gave no statement about its requests.
+    async def test_peer_at_the_end_of_its_stop_answers_what_it_was_handed(self):
+        self.cut_off(self.daemon)
+        await self.call("/safe/a", request_id="first")
+        self.peer._live_settings.replace(
+            dataclasses.replace(self.peer._live_settings.current, grace=1.0)
+        )
+        picker = self.peer._dispatcher._picker
+
+        async def pick_never(request):
+            await asyncio.sleep(5.0)
+
+        picker.pick = pick_never
+        left = []
+        self.peer_task.add_done_callback(
+            lambda _: left.append(self.peer._dispatcher._received_count)
+        )
+        call = asyncio.create_task(
+            self.call("/unsafe/a", "POST", b"12", request_id="held")
+        )
+        await self.wait_until(lambda: self.peer._dispatcher._received_count)
+        self.peer._request_stop()
+        status, fields, _ = await call
+        self.assertEqual(status, 503)
+        self.assertEqual(fields["hyssopwind-outcome"], "not-run")
+        await asyncio.wait({self.peer_task}, timeout=1.0)
+        self.assertEqual(left, [0])
+
     # Breaks of connections by a partition quarantined requests in the fleet.
     async def test_partition_confirms_no_crash(self):
         for stand_in in self.servers:
