--- a/packages/core/src/hyssopwind/core/fleet/change_encoding.py
+++ b/packages/core/src/hyssopwind/core/fleet/change_encoding.py
@@ -18,7 +18,7 @@
 
 # Smaller messages are not deflated as a whole.
 MIN_DEFLATED_BYTES = 1_024
-# Fast, and within a tenth of the smallest result for configurations.
+# Fast, and within a sixth of the smallest result for configurations.
 DEFLATE_LEVEL = 1
 MAX_INFLATED_BYTES = 64_000_000
 MAX_CACHED_VALUES = 8
