Revert "Count copies of one request at the same crash once, over all daemons"

With the time of the receipt of a notice as the time of the crash, a third daemon did not count a second crash of a request that was sent between the crash and the notice.

--- a/packages/core/src/hyssopwind/core/attempts/quarantine.py
+++ b/packages/core/src/hyssopwind/core/attempts/quarantine.py
@@ -10,7 +10,6 @@
 
 import collections
 import dataclasses
-import math
 
 from hyssopwind.core import ids
 
@@ -81,11 +80,7 @@
         return True
 
     def handle_notice(
-        self,
-        fingerprint: ids.Fingerprint,
-        crash_count: int,
-        now: float,
-        sent_at: float = math.inf,
+        self, fingerprint: ids.Fingerprint, crash_count: int, now: float
     ) -> None:
         """Handles a notice from another daemon.
 
@@ -93,12 +88,7 @@
             fingerprint: fingerprint of the request.
             crash_count: number of crashes; 0 if a server survived the request.
             now: monotonic time in seconds.
-            sent_at: monotonic time at which the other daemon sent the attempt,
-                in seconds; infinite if it is not known.
         """
-        record = self._find_recent(fingerprint, now)
-        if record is not None and sent_at < record.last_crash_at:
-            return
         if crash_count == 0:
             self._crash_records.pop(fingerprint, None)
             return
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -95,14 +95,12 @@
         fingerprint: fingerprint of the request.
         crash_count: number of crashes; 0 if a server survived the request.
         notice_number: number of the notice, by which repeated ones are ignored.
-        sent_age_ms: time since the attempt was sent; -1 if it is not known.
     """
 
     sender: str
     fingerprint: str
     crash_count: int
     notice_number: int
-    sent_age_ms: int = -1
 
 
 class LimitStatement(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
@@ -33,7 +33,7 @@
         self,
         probe_client: health_client.ProbeClient,
         monitor: reachability.ReachabilityMonitor,
-        announce_crash: Callable[[ids.Fingerprint, int, float], None],
+        announce_crash: Callable[[ids.Fingerprint, int], None],
     ):
         self._probe_client = probe_client
         self._monitor = monitor
@@ -54,11 +54,11 @@
         return self._quarantine.remaining_seconds(fingerprint, now)
 
     def handle_notice(
-        self, fingerprint: ids.Fingerprint, crash_count: int, sent_at: float
+        self, fingerprint: ids.Fingerprint, crash_count: int
     ) -> None:
         """Handles a notice of another daemon about crashes on a request."""
         self._quarantine.handle_notice(
-            fingerprint, crash_count, boot_clock.now(), sent_at
+            fingerprint, crash_count, boot_clock.now()
         )
 
     def record_completed(
@@ -71,7 +71,7 @@
         if self._quarantine.record_completed(
             fingerprint, sent_at, boot_clock.now()
         ):
-            self._announce_crash(fingerprint, 0, sent_at)
+            self._announce_crash(fingerprint, 0)
 
     def check_for_crash(
         self,
@@ -113,7 +113,7 @@
             "server crashed on a request",
             extra={"server": entry.id, "fingerprint": fingerprint},
         )
-        self._announce_crash(fingerprint, 1, sent_at)
+        self._announce_crash(fingerprint, 1)
 
 
 def _fingerprint(request: caller_requests.CallerRequest) -> ids.Fingerprint:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -409,9 +409,9 @@
         )
 
     def _announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int, sent_at: float
+        self, fingerprint: ids.Fingerprint, crash_count: int
     ) -> None:
-        self._gossip.announce_crash(fingerprint, crash_count, sent_at)
+        self._gossip.announce_crash(fingerprint, crash_count)
 
     def _announce_leaving(self, instance: ids.InstanceId) -> None:
         self._gossip.announce_leaving(instance)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import collections
-import math
 import random
 import typing
 from collections.abc import Callable
@@ -77,7 +76,7 @@
         can_read_store: Callable[[], bool],
         is_reading_store: Callable[[], bool],
         is_receiving: Callable[[], bool],
-        on_crash_notice: Callable[[ids.Fingerprint, int, float], None],
+        on_crash_notice: Callable[[ids.Fingerprint, int], None],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
         on_leaving_notice: Callable[[ids.InstanceId], None],
         leaving_servers: Callable[[], Iterable[ids.InstanceId]],
@@ -167,22 +166,15 @@
             self._send_heartbeats(include_remote=True)
 
     def announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int, sent_at: float
+        self, fingerprint: ids.Fingerprint, crash_count: int
     ) -> None:
-        """Announces to all peers that servers crashed on a request.
-
-        Args:
-            fingerprint: fingerprint of the request.
-            crash_count: number of crashes; 0 if a server survived the request.
-            sent_at: monotonic time at which the attempt was sent, in seconds.
-        """
+        """Announces to all peers that servers crashed on a request."""
         self._notice_number += 1
         notice = gossip_messages.CrashNotice(
             self._initial_settings.name,
             fingerprint,
             crash_count,
             self._notice_number,
-            gossip_messages.encode_age(boot_clock.now() - sent_at),
         )
         self._send_repeatedly(notice)
 
@@ -479,9 +471,6 @@
         self._handled_notices[key] = None
         while len(self._handled_notices) > MAX_REMEMBERED_NOTICES:
             self._handled_notices.popitem(last=False)
-        sent_at = math.inf
-        if notice.sent_age_ms >= 0:
-            sent_at = boot_clock.now() - notice.sent_age_ms / 1000
         self._on_crash_notice(
-            ids.Fingerprint(notice.fingerprint), notice.crash_count, sent_at
+            ids.Fingerprint(notice.fingerprint), notice.crash_count
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -53,7 +53,7 @@
         member_list: fleet_members.MemberList,
         pool: connection_pools.ConnectionPool,
         metrics: gateway_metrics.GatewayMetrics,
-        announce_crash: Callable[[ids.Fingerprint, int, float], None],
+        announce_crash: Callable[[ids.Fingerprint, int], None],
         announce_leaving: Callable[[ids.InstanceId], None],
         send_permit_message: permits.SendMessage,
         announce_reachability: Callable[[bool], None],
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -283,7 +283,7 @@
         ]
 
     def handle_crash_notice(
-        self, fingerprint: ids.Fingerprint, crashes: int, sent_at: float
+        self, fingerprint: ids.Fingerprint, crashes: int
     ) -> None:
         """Records a crash notice."""
         self.crash_notices.append((fingerprint, crashes))
