Count crashes that several daemons report by the time of sending

A daemon counts a crash only if the attempt was sent after the last one that it counted, so copies of a request that break together count once. Notices of others lacked the time, and each of them was added. A notice now states how long ago the attempt was sent and its connection broke, and receivers apply the same rule. Notices of daemons that do not state it count as before.

--- a/packages/core/src/hyssopwind/core/attempts/quarantine.py
+++ b/packages/core/src/hyssopwind/core/attempts/quarantine.py
@@ -20,6 +20,19 @@
 MAX_FINGERPRINTS = 10_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashTimes:
+    """Monotonic times of one crash in seconds.
+
+    Attributes:
+        sent_at: time at which the attempt was sent.
+        crashed_at: time at which the connection broke.
+    """
+
+    sent_at: float
+    crashed_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashRecord:
     """Consecutive crashes of one request.
@@ -80,7 +93,11 @@
         return True
 
     def handle_notice(
-        self, fingerprint: ids.Fingerprint, crash_count: int, now: float
+        self,
+        fingerprint: ids.Fingerprint,
+        crash_count: int,
+        now: float,
+        times: CrashTimes | None = None,
     ) -> None:
         """Handles a notice from another daemon.
 
@@ -88,10 +105,15 @@
             fingerprint: fingerprint of the request.
             crash_count: number of crashes; 0 if a server survived the request.
             now: monotonic time in seconds.
+            times: times of the crash, if the notice states them. It then counts
+                like a crash that this daemon observed.
         """
         if crash_count == 0:
             self._crash_records.pop(fingerprint, None)
             return
+        if times is not None:
+            self.record_crash(fingerprint, times.sent_at, times.crashed_at)
+            return
         self._add_crashes(fingerprint, crash_count, now)
 
     def record_completed(
--- a/packages/core/src/hyssopwind/core/attempts/tests/test_quarantine.py
+++ b/packages/core/src/hyssopwind/core/attempts/tests/test_quarantine.py
@@ -15,6 +15,17 @@
             self.quarantine.record_crash(FINGERPRINT, sent_at=0.5, now=1.0)
         self.assertFalse(self.quarantine.is_quarantined(FINGERPRINT, 1.0))
 
+    # Notices of servers that ended together added up to a quarantine.
+    def test_notices_of_one_failure_count_once(self):
+        self.quarantine.record_crash(FINGERPRINT, sent_at=0.5, now=1.0)
+        for received_at in (1.1, 1.2, 1.3, 1.4):
+            times = quarantine.CrashTimes(sent_at=0.6, crashed_at=1.0)
+            self.quarantine.handle_notice(FINGERPRINT, 1, received_at, times)
+        self.assertFalse(self.quarantine.is_quarantined(FINGERPRINT, 1.5))
+        times = quarantine.CrashTimes(sent_at=1.05, crashed_at=1.2)
+        self.quarantine.handle_notice(FINGERPRINT, 1, 1.5, times)
+        self.assertTrue(self.quarantine.is_quarantined(FINGERPRINT, 1.5))
+
     def test_second_attempt_that_crashes_is_quarantined(self):
         self.quarantine.record_crash(FINGERPRINT, sent_at=0.5, now=1.0)
         self.quarantine.record_crash(FINGERPRINT, sent_at=1.1, now=1.5)
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -95,12 +95,16 @@
         fingerprint: fingerprint of the request.
         crash_count: number of crashes; 0 if a server survived the request.
         notice_number: number of the notice, by which repeated ones are ignored.
+        sent_ms_ago: time since the attempt was sent; `None` if not stated.
+        crashed_ms_ago: time since the connection broke; `None` if not stated.
     """
 
     sender: str
     fingerprint: str
     crash_count: int
     notice_number: int
+    sent_ms_ago: int | None = None
+    crashed_ms_ago: int | None = None
 
 
 class LimitStatement(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/crash_detection.py
@@ -33,7 +33,9 @@
         self,
         probe_client: health_client.ProbeClient,
         monitor: reachability.ReachabilityMonitor,
-        announce_crash: Callable[[ids.Fingerprint, int], None],
+        announce_crash: Callable[
+            [ids.Fingerprint, int, quarantine.CrashTimes | None], None
+        ],
     ):
         self._probe_client = probe_client
         self._monitor = monitor
@@ -54,11 +56,14 @@
         return self._quarantine.remaining_seconds(fingerprint, now)
 
     def handle_notice(
-        self, fingerprint: ids.Fingerprint, crash_count: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crash_count: int,
+        times: quarantine.CrashTimes | None = None,
     ) -> None:
         """Handles a notice of another daemon about crashes on a request."""
         self._quarantine.handle_notice(
-            fingerprint, crash_count, boot_clock.now()
+            fingerprint, crash_count, boot_clock.now(), times
         )
 
     def record_completed(
@@ -71,7 +76,7 @@
         if self._quarantine.record_completed(
             fingerprint, sent_at, boot_clock.now()
         ):
-            self._announce_crash(fingerprint, 0)
+            self._announce_crash(fingerprint, 0, None)
 
     def check_for_crash(
         self,
@@ -113,7 +118,9 @@
             "server crashed on a request",
             extra={"server": entry.id, "fingerprint": fingerprint},
         )
-        self._announce_crash(fingerprint, 1)
+        self._announce_crash(
+            fingerprint, 1, quarantine.CrashTimes(sent_at, broken_at)
+        )
 
 
 def _fingerprint(request: caller_requests.CallerRequest) -> ids.Fingerprint:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -13,6 +13,7 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
@@ -409,9 +410,12 @@
         )
 
     def _announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crash_count: int,
+        times: quarantine.CrashTimes | None,
     ) -> None:
-        self._gossip.announce_crash(fingerprint, crash_count)
+        self._gossip.announce_crash(fingerprint, crash_count, times)
 
     def _announce_leaving(self, instance: ids.InstanceId) -> None:
         self._gossip.announce_leaving(instance)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from hyssopwind.core import ids
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
@@ -76,7 +77,9 @@
         can_read_store: Callable[[], bool],
         is_reading_store: Callable[[], bool],
         is_receiving: Callable[[], bool],
-        on_crash_notice: Callable[[ids.Fingerprint, int], None],
+        on_crash_notice: Callable[
+            [ids.Fingerprint, int, quarantine.CrashTimes | None], None
+        ],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
         on_leaving_notice: Callable[[ids.InstanceId], None],
         leaving_servers: Callable[[], Iterable[ids.InstanceId]],
@@ -166,7 +169,10 @@
             self._send_heartbeats(include_remote=True)
 
     def announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crash_count: int,
+        times: quarantine.CrashTimes | None = None,
     ) -> None:
         """Announces to all peers that servers crashed on a request."""
         self._notice_number += 1
@@ -176,6 +182,13 @@
             crash_count,
             self._notice_number,
         )
+        if times is not None:
+            now = boot_clock.now()
+            notice = msgspec.structs.replace(
+                notice,
+                sent_ms_ago=round((now - times.sent_at) * 1000),
+                crashed_ms_ago=round((now - times.crashed_at) * 1000),
+            )
         self._send_repeatedly(notice)
 
     def announce_leaving(self, instance: ids.InstanceId) -> None:
@@ -471,6 +484,13 @@
         self._handled_notices[key] = None
         while len(self._handled_notices) > MAX_REMEMBERED_NOTICES:
             self._handled_notices.popitem(last=False)
+        times = None
+        if notice.sent_ms_ago is not None and notice.crashed_ms_ago is not None:
+            now = boot_clock.now()
+            times = quarantine.CrashTimes(
+                now - notice.sent_ms_ago / 1000,
+                now - notice.crashed_ms_ago / 1000,
+            )
         self._on_crash_notice(
-            ids.Fingerprint(notice.fingerprint), notice.crash_count
+            ids.Fingerprint(notice.fingerprint), notice.crash_count, times
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from hyssopwind.core import ids
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import probe_budgets
 from hyssopwind.core.dispatch import server_health
@@ -53,7 +54,9 @@
         member_list: fleet_members.MemberList,
         pool: connection_pools.ConnectionPool,
         metrics: gateway_metrics.GatewayMetrics,
-        announce_crash: Callable[[ids.Fingerprint, int], None],
+        announce_crash: Callable[
+            [ids.Fingerprint, int, quarantine.CrashTimes | None], None
+        ],
         announce_leaving: Callable[[ids.InstanceId], None],
         send_permit_message: permits.SendMessage,
         announce_reachability: Callable[[bool], None],
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -18,6 +18,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.settings import tuning
@@ -339,11 +340,16 @@
         ]
 
     def handle_crash_notice(
-        self, fingerprint: ids.Fingerprint, crashes: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crashes: int,
+        times: quarantine.CrashTimes | None = None,
     ) -> None:
         """Handles a crash notice."""
-        super().handle_crash_notice(fingerprint, crashes)
-        self.request_path.crash_detector.handle_notice(fingerprint, crashes)
+        super().handle_crash_notice(fingerprint, crashes, times)
+        self.request_path.crash_detector.handle_notice(
+            fingerprint, crashes, times
+        )
 
     def handle_permit_message(
         self, message: gossip_messages.PermitMessage
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -14,6 +14,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
@@ -283,7 +284,10 @@
         ]
 
     def handle_crash_notice(
-        self, fingerprint: ids.Fingerprint, crashes: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crashes: int,
+        times: quarantine.CrashTimes | None = None,
     ) -> None:
         """Records a crash notice."""
         self.crash_notices.append((fingerprint, crashes))
