Leave the probes of daemons that are cut off to the others

Cause: it serves the callers of the whole fleet with a fifteenth of the fleet's probes. When these are spent, few servers are known, and the estimate of the best one is too late. Daemons that are cut off probe little, so the budget is shared by the others and a quarter of these.

--- a/packages/core/src/hyssopwind/core/dispatch/probe_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/probe_budgets.py
@@ -5,13 +5,35 @@
 wait for a good server.
 """
 
+import math
+
 # Ratio of the budget that is spent; the rest covers differences between the
 # shares of the daemons.
 SPENT_RATIO = 0.8
+# Ratio of its share that a daemon that is cut off from the servers spends.
+CUT_OFF_SPENT_RATIO = 0.25
 # Time whose share of the budget may be spent at once.
 BURST_SECONDS = 10.0
 
 
+def sharing_daemon_count(fleet_size: int, cut_off_count: int) -> int:
+    """Returns by how many daemons the budget is shared.
+
+    Daemons that are cut off from the servers leave the most of their shares to
+    those that serve their callers.
+
+    Args:
+        fleet_size: number of all daemons.
+        cut_off_count: number of daemons that are cut off.
+
+    Examples:
+        >>> sharing_daemon_count(15, 0), sharing_daemon_count(15, 14)
+        (15, 5)
+    """
+    unspent = (1.0 - CUT_OFF_SPENT_RATIO) * cut_off_count
+    return max(1, math.ceil(fleet_size - unspent))
+
+
 class ProbeBudget:
     """Counts the load probes of one daemon.
 
--- a/packages/core/src/hyssopwind/core/fleet/peer_choice.py
+++ b/packages/core/src/hyssopwind/core/fleet/peer_choice.py
@@ -31,6 +31,7 @@
     def __init__(self, data_centre: ids.DataCentreId):
         self._data_centre = data_centre
         self._avoided_until: dict[ids.DaemonId, float] = {}
+        self._cut_off_until: dict[ids.DaemonId, float] = {}
         self._in_flight: collections.Counter[ids.DaemonId] = (
             collections.Counter()
         )
@@ -90,8 +91,17 @@
         """Records whether a peer is cut off from the servers."""
         if is_cut_off:
             self._avoided_until[name] = now + CUT_OFF_MEMORY_SECONDS
+            self._cut_off_until[name] = now + CUT_OFF_MEMORY_SECONDS
         else:
             self._avoided_until.pop(name, None)
+            self._cut_off_until.pop(name, None)
+
+    def cut_off_count(self, now: float) -> int:
+        """Returns the number of peers that are cut off from the servers."""
+        for name, ends_at in list(self._cut_off_until.items()):
+            if ends_at <= now:
+                del self._cut_off_until[name]
+        return len(self._cut_off_until)
 
     def record_unconnected(self, name: ids.DaemonId, now: float) -> None:
         """Records that no connection to a peer could be made."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
@@ -76,6 +76,11 @@
             sender, boot_clock.now(), is_cut_off=is_cut_off
         )
 
+    @property
+    def cut_off_count(self) -> int:
+        """Number of peers that are cut off from the servers."""
+        return self._choice.cut_off_count(boot_clock.now())
+
     def choose_peer(
         self,
         request: caller_requests.CallerRequest,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
@@ -65,12 +66,14 @@
         probe_client: health_client.ProbeClient,
         member_list: fleet_members.MemberList,
         probe_budget: probe_budgets.ProbeBudget,
+        cut_off_count: Callable[[], int] = lambda: 0,
     ):
         self._catalogue = server_catalogue
         self._passive_health = passive_health
         self._probe_client = probe_client
         self._member_list = member_list
         self._probe_budget = probe_budget
+        self._cut_off_count = cut_off_count
         self._no_load_until: dict[ids.ServiceId, float] = {}
         self._reporting_services: set[ids.ServiceId] = set()
         self._recent_results: dict[ids.ServerId, _TimedResult] = {}
@@ -111,7 +114,7 @@
         allowed_count = self._probe_budget.try_acquire(
             len(unprobed),
             server_count=self._catalogue.server_count,
-            daemon_count=self._member_list.fleet_size(),
+            daemon_count=self._sharing_daemon_count(),
             now=now,
         )
         await self._probe_all(unprobed[:allowed_count], probed_servers)
@@ -155,6 +158,11 @@
                 if server not in servers:
                     del table[server]
 
+    def _sharing_daemon_count(self) -> int:
+        return probe_budgets.sharing_daemon_count(
+            self._member_list.fleet_size(), self._cut_off_count()
+        )
+
     async def _probe_all(
         self,
         listed_servers: list[catalogue.ListedServer],
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -113,6 +113,7 @@
             self.probe_client,
             member_list,
             probe_budget,
+            lambda: self.handover.cut_off_count,
         )
         server_picker = picker.Picker(
             gateway_settings,
