--- a/packages/core/src/hyssopwind/core/attempts/quarantine.py
+++ b/packages/core/src/hyssopwind/core/attempts/quarantine.py
@@ -10,7 +10,6 @@
 
 import collections
 import dataclasses
-import math
 
 from hyssopwind.core import ids
 
@@ -21,6 +20,19 @@
 MAX_FINGERPRINTS = 10_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashTimes:
+    """Monotonic times of one crash in seconds.
+
+    Attributes:
+        sent_at: time at which the attempt was sent.
+        crashed_at: time at which the connection broke.
+    """
+
+    sent_at: float
+    crashed_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashRecord:
     """Consecutive crashes of one request.
@@ -85,7 +97,7 @@
         fingerprint: ids.Fingerprint,
         crash_count: int,
         now: float,
-        sent_at: float = math.inf,
+        times: CrashTimes | None = None,
     ) -> None:
         """Handles a notice from another daemon.
 
@@ -93,15 +105,15 @@
             fingerprint: fingerprint of the request.
             crash_count: number of crashes; 0 if a server survived the request.
             now: monotonic time in seconds.
-            sent_at: monotonic time at which the other daemon sent the attempt,
-                in seconds; infinite if it is not known.
+            times: times of the crash, if the notice states them. It then counts
+                like a crash that this daemon observed.
         """
-        record = self._find_recent(fingerprint, now)
-        if record is not None and sent_at < record.last_crash_at:
-            return
         if crash_count == 0:
             self._crash_records.pop(fingerprint, None)
             return
+        if times is not None:
+            self.record_crash(fingerprint, times.sent_at, times.crashed_at)
+            return
         self._add_crashes(fingerprint, crash_count, now)
 
     def record_completed(
