--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -95,12 +95,16 @@
         fingerprint: fingerprint of the request.
         crash_count: number of crashes; 0 if a server survived the request.
         notice_number: number of the notice, by which repeated ones are ignored.
+        sent_ms_ago: time since the attempt was sent; `None` if not stated.
+        crashed_ms_ago: time since the connection broke; `None` if not stated.
     """
 
     sender: str
     fingerprint: str
     crash_count: int
     notice_number: int
+    sent_ms_ago: int | None = None
+    crashed_ms_ago: int | None = None
 
 
 class LimitStatement(msgspec.Struct, array_like=True, frozen=True):
@@ -215,6 +219,20 @@
     instance: str
 
 
+class ReachabilityNotice(msgspec.Struct, array_like=True, tag="u", frozen=True):
+    """A notice whether the sender has a way to the servers.
+
+    It is sent when a cut begins and ends, and repeated in between.
+
+    Attributes:
+        sender: name of the daemon.
+        is_cut_off: whether it reaches no server.
+    """
+
+    sender: str
+    is_cut_off: bool
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True):
     """Items of the platform that a replica at an earlier revision lacks.
 
@@ -236,7 +254,12 @@
 
 PermitMessage: TypeAlias = LimitNotice | ShareLoan | PermitRequest | PermitReply
 Datagram: TypeAlias = (
-    Heartbeat | MemberListPage | CrashNotice | LeavingNotice | PermitMessage
+    Heartbeat
+    | MemberListPage
+    | CrashNotice
+    | LeavingNotice
+    | ReachabilityNotice
+    | PermitMessage
 )
 
 _DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram | DeflatedPage] = (
@@ -246,6 +269,7 @@
         | DeflatedPage
         | CrashNotice
         | LeavingNotice
+        | ReachabilityNotice
         | LimitNotice
         | ShareLoan
         | PermitRequest
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from hyssopwind.core import ids
+from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
@@ -43,6 +44,8 @@
 # narrowest link of 5 Mbit/s, whose queue a burst would overflow.
 MEMBER_LIST_BATCH_DATAGRAMS = 10
 MEMBER_LIST_BATCH_INTERVAL_SECONDS = 0.05
+# Interval at which a daemon checks whether it has become the leader.
+LEADER_POLL_SECONDS = 0.2
 # Rounds after the start in which the seeds get heartbeats.
 SEED_CONTACT_ROUNDS = 6
 # Rounds between later heartbeats to the seeds, which are sent while the member
@@ -74,11 +77,16 @@
         can_read_store: Callable[[], bool],
         is_reading_store: Callable[[], bool],
         is_receiving: Callable[[], bool],
-        on_crash_notice: Callable[[ids.Fingerprint, int], None],
+        on_crash_notice: Callable[
+            [ids.Fingerprint, int, quarantine.CrashTimes | None], None
+        ],
         on_permit_message: Callable[[gossip_messages.PermitMessage], None],
         on_leaving_notice: Callable[[ids.InstanceId], None],
         leaving_servers: Callable[[], Iterable[ids.InstanceId]],
         random_source: random.Random,
+        on_reachability_notice: Callable[[ids.DaemonId, bool], None] = (
+            lambda _sender, _is_cut_off: None
+        ),
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -91,6 +99,7 @@
         self._on_crash_notice = on_crash_notice
         self._on_permit_message = on_permit_message
         self._on_leaving_notice = on_leaving_notice
+        self._on_reachability_notice = on_reachability_notice
         self._leaving_servers = leaving_servers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -98,6 +107,7 @@
         self._peers_port = initial_settings.peers_address.rpartition(":")[2]
         self._round_number = 0
         self._announced_revision = 0
+        self._was_leader = False
         self._is_stopping = False
         self.transfers = change_transfers.ChangeTransfers(
             initial_settings.ip,
@@ -133,7 +143,12 @@
         """Sends heartbeats and member lists until it is cancelled."""
         while True:
             self._run_round()
-            await asyncio.sleep(fleet_members.HEARTBEAT_INTERVAL_SECONDS)
+            ends_at = (
+                boot_clock.now() + fleet_members.HEARTBEAT_INTERVAL_SECONDS
+            )
+            while (remaining := ends_at - boot_clock.now()) > 0.0:
+                await asyncio.sleep(min(remaining, LEADER_POLL_SECONDS))
+                self._contact_remote_leaders()
 
     def stop(self) -> None:
         """Closes the UDP socket and the connections to peers."""
@@ -154,7 +169,10 @@
             self._send_heartbeats(include_remote=True)
 
     def announce_crash(
-        self, fingerprint: ids.Fingerprint, crash_count: int
+        self,
+        fingerprint: ids.Fingerprint,
+        crash_count: int,
+        times: quarantine.CrashTimes | None = None,
     ) -> None:
         """Announces to all peers that servers crashed on a request."""
         self._notice_number += 1
@@ -164,12 +182,26 @@
             crash_count,
             self._notice_number,
         )
+        if times is not None:
+            now = boot_clock.now()
+            notice = msgspec.structs.replace(
+                notice,
+                sent_ms_ago=round((now - times.sent_at) * 1000),
+                crashed_ms_ago=round((now - times.crashed_at) * 1000),
+            )
         self._send_repeatedly(notice)
 
     def announce_leaving(self, instance: ids.InstanceId) -> None:
         """Announces to all peers that a server is about to stop."""
         self._send_repeatedly(self._make_leaving_notice(instance))
 
+    def announce_reachability(self, is_cut_off: bool) -> None:
+        """Announces to all peers whether this daemon reaches servers."""
+        notice = gossip_messages.ReachabilityNotice(
+            self._initial_settings.name, is_cut_off
+        )
+        self._send_all(notice, self._member_list.peers())
+
     def send_permit_message(
         self, message: gossip_messages.PermitMessage, ip: str
     ) -> None:
@@ -222,6 +254,10 @@
             self._handle_crash_notice(message)
         elif isinstance(message, gossip_messages.LeavingNotice):
             self._on_leaving_notice(ids.InstanceId(message.instance))
+        elif isinstance(message, gossip_messages.ReachabilityNotice):
+            self._on_reachability_notice(
+                ids.DaemonId(message.sender), message.is_cut_off
+            )
         else:
             self._on_permit_message(message)
 
@@ -232,8 +268,11 @@
     def _run_round(self) -> None:
         self._round_number += 1
         now = boot_clock.now()
-        for name in self._member_list.remove_expired(now):
+        expired = self._member_list.remove_expired(now)
+        for name in expired:
             _log.info("peer daemon expired", extra={"daemon": name})
+        if expired:
+            self.transfers.drop_dead_peers()
         self._contact_seeds()
         include_remote = self._round_number % REMOTE_HEARTBEAT_ROUNDS == 0
         self._send_heartbeats(include_remote=include_remote)
@@ -249,7 +288,22 @@
             )
         if self._round_number % REMOTE_MEMBER_LIST_ROUNDS == 0:
             members = self._member_list.list_members(now, local_only=True)
-            self._send_member_list(members, self._member_list.remote_leaders())
+            self._send_member_list(
+                members, self._member_list.remote_leaders(now)
+            )
+
+    def _contact_remote_leaders(self) -> None:
+        """Sends a heartbeat to the other leaders if this daemon is a new one.
+
+        They announce the changes that this daemon lacks in return.
+        """
+        is_leader = self._member_list.is_leader(boot_clock.now())
+        if is_leader and not self._was_leader:
+            self._send_all(
+                self._make_heartbeat(),
+                self._member_list.remote_leaders(boot_clock.now()),
+            )
+        self._was_leader = is_leader
 
     def _contact_seeds(self) -> None:
         is_only_local_daemon = not any(
@@ -282,7 +336,9 @@
             return
         self._send_all(heartbeat, self._member_list.local_peers())
         if include_remote:
-            self._send_all(heartbeat, self._member_list.remote_leaders())
+            self._send_all(
+                heartbeat, self._member_list.remote_leaders(boot_clock.now())
+            )
 
     def _make_heartbeat(self) -> gossip_messages.Heartbeat:
         return gossip_messages.Heartbeat(
@@ -404,6 +460,12 @@
         self.transfers.handle_announcement(heartbeat.ip, heartbeat.revision)
         if heartbeat.revision > self._platform_state.replica.revision:
             return
+        if (
+            heartbeat.revision < self._platform_state.replica.revision
+            and heartbeat.data_centre != self._initial_settings.data_centre
+            and self._member_list.is_leader(now)
+        ):
+            self._send_all(self._make_heartbeat(), matching_peers)
         if heartbeat.revision and heartbeat.age_ms < gossip_messages.MAX_AGE_MS:
             self._confirm_freshness(heartbeat.age_ms, now)
 
@@ -422,6 +484,13 @@
         self._handled_notices[key] = None
         while len(self._handled_notices) > MAX_REMEMBERED_NOTICES:
             self._handled_notices.popitem(last=False)
+        times = None
+        if notice.sent_ms_ago is not None and notice.crashed_ms_ago is not None:
+            now = boot_clock.now()
+            times = quarantine.CrashTimes(
+                now - notice.sent_ms_ago / 1000,
+                now - notice.crashed_ms_ago / 1000,
+            )
         self._on_crash_notice(
-            ids.Fingerprint(notice.fingerprint), notice.crash_count
+            ids.Fingerprint(notice.fingerprint), notice.crash_count, times
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -3,11 +3,13 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
+from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.limits import permit_issuer
@@ -24,6 +26,7 @@
 MAX_DENIAL_SECONDS = 1.0
 # Ratio of the latency target over which the ends of a quiet are spread.
 QUIET_END_SPREAD_RATIO = 0.5
+_UNREACHABLE = server_selection.Refuse("no server can be reached")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +64,11 @@
         withdrawals: server_withdrawals.ServerWithdrawals,
         selection_settings: tuning.SelectionSettings,
         random_source: random.Random,
+        reachability: Callable[[], server_reachability.Reachability] = (
+            lambda: server_reachability.Reachability.REACHABLE
+        ),
     ):
+        self._reachability = reachability
         self._initial_settings = initial_settings
         self._catalogue = server_catalogue
         self._passive_health = passive_health
@@ -87,6 +94,9 @@
         include_remote = False
         is_first = True
         while True:
+            state = self._reachability()
+            if state is server_reachability.Reachability.CUT_OFF:
+                return _UNREACHABLE
             now = boot_clock.now()
             quiet_ends_at = self._quiet_end(request, now)
             if quiet_ends_at is not None:
@@ -112,10 +122,14 @@
                 include_remote = True
                 continue
             if isinstance(decision, server_selection.Wait):
+                if not candidates and self._is_unreachable():
+                    return _UNREACHABLE
                 await asyncio.sleep(decision.seconds)
                 continue
             if isinstance(decision, server_selection.Refuse):
-                return decision
+                return dataclasses.replace(
+                    decision, answered_count=len(candidates)
+                )
             if not await self._try_reserve(decision.server, request):
                 continue
             return decision
@@ -144,6 +158,11 @@
                 return decision
         return None
 
+    def _is_unreachable(self) -> bool:
+        """Whether new connections fail, so that a wait cannot help."""
+        state = self._reachability()
+        return state is not server_reachability.Reachability.REACHABLE
+
     def _request_timing(
         self, request: SelectionRequest, now: float
     ) -> server_selection.RequestTiming:
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -61,6 +61,13 @@
         Raises:
             ExchangeError: no connection could be opened.
         """
+        pooled = self.take_idle(address)
+        if pooled is not None:
+            return pooled
+        return await self._open(address)
+
+    def take_idle(self, address: str) -> connection.ClientConnection | None:
+        """Returns an idle connection, or `None` if there is none."""
         idle = self._idle.get(address, [])
         while idle:
             pooled = idle.pop()
@@ -69,7 +76,7 @@
             ):
                 return pooled
             pooled.abort()
-        return await self._open(address)
+        return None
 
     def release(self, client_connection: connection.ClientConnection) -> None:
         """Returns a connection to the pool, or closes one not to be reused."""
@@ -184,6 +191,37 @@
             self.release(client_connection)
             return answer
 
+    async def get_on_new_connection(
+        self,
+        address: str,
+        target: str,
+        timeout_seconds: float,
+        is_expected: connection.AnswerPredicate = lambda _: True,
+    ) -> answers.Answer:
+        """Sends a GET on a new connection, once, and returns the answer.
+
+        Args:
+            address: IP address and port.
+            target: path and query.
+            timeout_seconds: seconds for the whole call.
+            is_expected: whether an answer is for this request.
+
+        Raises:
+            ExchangeError: no whole answer was received in time.
+        """
+        head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                opened = await self._open(address)
+                answer = await opened.exchange(head, "GET", is_expected)
+        except TimeoutError as error:
+            raise connection.ExchangeError(
+                attempt_results.FailureKind.TIMED_OUT,
+                f"after {timeout_seconds} s",
+            ) from error
+        self.release(opened)
+        return answer
+
     async def _open(self, address: str) -> connection.ClientConnection:
         host, _, port = address.rpartition(":")
         self._opened_count += 1
