--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -19,6 +19,8 @@
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import tracing
 
+RUNS_ALONE = True  # real sockets and times
+
 TEAM_SETTINGS = """
 [data_centres.chicago]
 [services.ledger]
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_log_output.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_log_output.py
@@ -7,6 +7,8 @@
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon import log_output
 
+RUNS_ALONE = True  # real sockets and times
+
 
 class BoundedStreamTest(unittest.TestCase):
     """Log lines beyond the rate, and a pipe that nobody reads."""
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_prefix_watcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_prefix_watcher.py
@@ -9,6 +9,8 @@
 from hyssopwind.daemon import metrics
 from hyssopwind.daemon import prefix_watcher
 
+RUNS_ALONE = True  # real sockets and times
+
 
 def encode_base64(text):
     return base64.b64encode(text.encode()).decode()
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_store_reader.py
@@ -7,6 +7,8 @@
 from hyssopwind.daemon.gateway import store_reader
 from hyssopwind.transport import boot_clock
 
+RUNS_ALONE = True  # real sockets and times
+
 
 class LongAnswerTest(unittest.IsolatedAsyncioTestCase):
     # The age of a replica left out the time for which the changes had been
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
@@ -10,6 +10,8 @@
 from hyssopwind.core.requests import classification
 from hyssopwind.daemon import upstream
 
+RUNS_ALONE = True  # real sockets and times
+
 WHOLE_ANSWER = (
     b"HTTP/1.1 200 OK\r\nServer-Start: a\r\nConnection: keep-alive, X-Once\r\n"
     b"X-Once: 1\r\nContent-Length: 5\r\n\r\nwhole"
--- a/packages/operator/src/hyssopwind/operator/tests/test_main.py
+++ b/packages/operator/src/hyssopwind/operator/tests/test_main.py
@@ -7,6 +7,8 @@
 
 from hyssopwind.operator import main
 
+RUNS_ALONE = True  # connects to addresses without listeners
+
 VALID_SETTINGS = """
 [data_centres.chicago]
 state = "in"
--- a/packages/standins/src/hyssopwind/standins/tests/test_daemon_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_daemon_stops.py
@@ -17,6 +17,8 @@
 from hyssopwind.standins import processes
 from hyssopwind.standins import server
 
+RUNS_ALONE = True  # real sockets and times
+
 PATH = "/team/ledger/search"
 DAEMON = "entry-chicago-1"
 SMALL_RECEIVE_BUFFER_BYTES = 32_768
--- a/packages/standins/src/hyssopwind/standins/tests/test_free_ports.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_free_ports.py
@@ -4,6 +4,8 @@
 
 from hyssopwind.standins.site import ports
 
+RUNS_ALONE = True  # real sockets and times
+
 
 class FreePortsTest(unittest.TestCase):
     # A gateway on 127.0.X.Y got a port for its metrics that its own listener
--- a/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_handovers.py
@@ -14,6 +14,8 @@
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import connection
 
+RUNS_ALONE = True  # real sockets and times
+
 PEER_IP = "127.0.0.2"
 
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_malformed_messages.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_malformed_messages.py
@@ -10,6 +10,8 @@
 from hyssopwind.standins.site import documents
 from hyssopwind.standins.tests import site_gateway_case
 
+RUNS_ALONE = True  # real sockets and times
+
 HUGE = 2**62
 FUZZED_MESSAGES = 3_000
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_narrow_links.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_narrow_links.py
@@ -14,6 +14,8 @@
 from hyssopwind.standins.links import rig
 from hyssopwind.standins.stops import rig as stop_rig
 
+RUNS_ALONE = True  # real sockets and times
+
 SEED = 1
 GATEWAYS = 8
 NARROW_MBPS = 5.0
--- a/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_server_limits.py
@@ -200,6 +200,8 @@
 class LoneDaemonTest(site_gateway_case.GatewayTestCase):
     """A daemon has no peers, so that it issues its own permits."""
 
+    RUNS_ALONE = True
+
     async def state_limits(self, limit):
         for stand_in in self.servers:
             stand_in.options.limit = limit
@@ -229,6 +231,8 @@
 class ProcessLimitTest(LimitCase):
     """A server in need gets more requests than it takes from real daemons."""
 
+    RUNS_ALONE = True
+
     @classmethod
     def setUpClass(cls):
         directory = tempfile.TemporaryDirectory()
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_deployment.py
@@ -17,6 +17,8 @@
 from hyssopwind.standins.site import server
 from hyssopwind.standins.site import store
 
+RUNS_ALONE = True  # real sockets and times
+
 ROOT = pathlib.Path(__file__).resolve().parents[6]
 BUILD_TIMEOUT_SECONDS = 600.0  # The platform's limit is fifteen minutes.
 BUILD_INPUTS = ("deploy", "packages", "platform")
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -13,6 +13,8 @@
 from hyssopwind.standins.site import store
 from hyssopwind.standins.tests import site_gateway_case
 
+RUNS_ALONE = True  # real sockets and times
+
 
 class ForwardingTest(site_gateway_case.GatewayTestCase):
     async def test_request_and_answer_pass_unchanged(self):
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_replicated_state.py
@@ -20,6 +20,8 @@
 from hyssopwind.transport import connection
 from hyssopwind.transport import heads
 
+RUNS_ALONE = True  # real sockets and times
+
 KEY = "servers/i-1"
 
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -9,6 +9,8 @@
 from hyssopwind.transport import connection
 from hyssopwind.transport import connection_pools
 
+RUNS_ALONE = True  # real sockets and times
+
 REQUEST = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
 WHOLE = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_signals.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_signals.py
@@ -12,6 +12,8 @@
 from hyssopwind.standins.site import ports
 from hyssopwind.standins.site import store
 
+RUNS_ALONE = True  # real sockets and times
+
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 15.0
 HANGUP_INTERVAL_SECONDS = 0.005
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
@@ -10,6 +10,8 @@
 from hyssopwind.standins.tests import site_gateway_case
 from hyssopwind.transport import boot_clock
 
+RUNS_ALONE = True  # real sockets and times
+
 LARGE_BODY_BYTES = 16_000_000  # more than socket buffers hold
 
 GRACE_SECONDS = 4.0  # as in the settings file of the stand-ins
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -12,6 +12,8 @@
 from hyssopwind.standins.stops import rig
 from hyssopwind.standins.stops import scenarios
 
+RUNS_ALONE = True  # real sockets and times
+
 TERMINATED_AT = 100.0
 BOUNDS = judging.Bounds()
 
