--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/hangs/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets whose servers never answer some requests."""
--- a/packages/standins/src/hyssopwind/standins/partitions/fleet.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/fleet.py
@@ -38,8 +38,8 @@
 STARTUP_SECONDS = 5.0  # until all daemons have each other in their lists
 SERVICE_COUNT = 3
 SERVERS_PER_SERVICE = 6
-RATE = 60.0  # first tries of all callers per second
 SAFE_RATIO = 0.7
+HANGING_SERVICE = "s1"  # its requests may be sent to two servers
 POPULAR_COUNT = 2  # requests of each route that many callers send
 LATENCY_TARGET_SECONDS = 0.6
 ROUTE_TIMEOUT_SECONDS = 2.0
@@ -329,6 +329,8 @@
         disturbances = [
             asyncio.ensure_future(self._run_cuts()),
             asyncio.ensure_future(self._run_faults()),
+            asyncio.ensure_future(self._run_hangs()),
+            asyncio.ensure_future(self._run_herds()),
         ]
         callers = await self._run_callers()
         await asyncio.gather(*disturbances, *callers)
@@ -415,6 +417,50 @@
             else:
                 self._start_servers()
 
+    async def _run_hangs(self) -> None:
+        for hang in self.scenario.hangs:
+            hung_servers = [
+                server
+                for server in self.servers
+                if server.service == HANGING_SERVICE
+            ][: hang.server_count]
+            await self._sleep_until(hang.starts_at)
+            for server in hung_servers:
+                server.is_hanging = True
+            await self._sleep_until(hang.ends_at)
+            for server in hung_servers:
+                server.is_hanging = False
+
+    async def _run_herds(self) -> None:
+        herd = self.scenario.herd
+        if herd is None:
+            return
+        callers = []
+        at = herd.period_seconds
+        while at < self.scenario.seconds:
+            await self._sleep_until(at)
+            at += herd.period_seconds
+            for number in range(herd.size):
+                ip = self._ips[number % len(self._ips)]
+                deadline = boot_clock.now() + max(DEADLINES_SECONDS)
+                target = f"/safe/0/n{self._request_count}"
+                callers.append(
+                    asyncio.ensure_future(
+                        self._call(ip, target, deadline, is_first=True)
+                    )
+                )
+                # A task begins before the next request is numbered.
+                await asyncio.sleep(0)
+        await asyncio.gather(*callers)
+
+    def _request_rate(self) -> float:
+        elapsed_seconds = boot_clock.now() - self.traffic_started_at
+        rate = self.scenario.rate
+        for burst in self.scenario.bursts:
+            if burst.starts_at <= elapsed_seconds < burst.ends_at:
+                rate *= burst.factor
+        return rate
+
     def _stop_servers(self, services: set[str]) -> None:
         for server in self.servers:
             if server.service in services:
@@ -439,7 +485,9 @@
         end = boot_clock.now() + self.scenario.seconds
         tasks = []
         while boot_clock.now() < end:
-            await asyncio.sleep(self.random_source.expovariate(RATE))
+            await asyncio.sleep(
+                self.random_source.expovariate(self._request_rate())
+            )
             tasks.append(asyncio.ensure_future(self._run_caller()))
         return tasks
 
--- a/packages/standins/src/hyssopwind/standins/partitions/judging.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/judging.py
@@ -72,6 +72,7 @@
         deadline: monotonic time until which the server may work on it.
         was_held: whether a cut held it back on its way.
         has_run: whether the server began to run it.
+        has_hung: whether the server ignored it.
     """
 
     at: float
@@ -81,6 +82,7 @@
     deadline: float
     was_held: bool
     has_run: bool = False
+    has_hung: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/scenarios.py
@@ -70,6 +70,49 @@
     daemon: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """A time with more requests.
+
+    Attributes:
+        starts_at: seconds from the start of traffic.
+        ends_at: seconds from the start of traffic.
+        factor: factor on the rate of the requests.
+    """
+
+    starts_at: float
+    ends_at: float
+    factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Herd:
+    """Requests for the first service that arrive at the same moment.
+
+    Attributes:
+        size: number of requests, spread evenly over the daemons.
+        period_seconds: time between two herds.
+    """
+
+    size: int
+    period_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HangPeriod:
+    """A time in which servers of the second service answer only probes.
+
+    Attributes:
+        starts_at: seconds from the start of traffic.
+        ends_at: seconds from the start of traffic.
+        server_count: number of servers that hang.
+    """
+
+    starts_at: float
+    ends_at: float
+    server_count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """One scenario. Times are seconds from the start of traffic.
@@ -81,6 +124,13 @@
         reports_load: whether servers report their load.
         retry_slack: retries of all daemons in a window beyond the ratio.
         seconds: length of the traffic.
+        rate: first tries of all callers per second.
+        bursts: times with more requests.
+        herd: requests that arrive together, beside the others.
+        hangs: times in which servers hang; those of one scenario do not
+            overlap.
+        hangs_when_full: whether servers never answer requests that they cannot
+            queue, and no later ones on the same connection; others refuse them.
     """
 
     cuts: tuple[Cut, ...] = ()
@@ -89,6 +139,11 @@
     reports_load: bool = True
     retry_slack: float = 58.0
     seconds: float = 14.0
+    rate: float = 60.0
+    bursts: tuple[Burst, ...] = ()
+    herd: Herd | None = None
+    hangs: tuple[HangPeriod, ...] = ()
+    hangs_when_full: bool = False
 
 
 MakeScenario: TypeAlias = Callable[[], Scenario]
--- a/packages/standins/src/hyssopwind/standins/partitions/servers.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/servers.py
@@ -201,6 +201,7 @@
         address: its address.
         data_centre: its data centre.
         is_listening: whether it runs.
+        is_hanging: whether it ignores all requests but probes.
     """
 
     def __init__(
@@ -216,6 +217,7 @@
         self.data_centre = f"dc-{number % 3}"
         self.address = f"10.{number % 3}.64.{number}:80"
         self.is_listening = True
+        self.is_hanging = False
         self._scenario = scenario
         self._evidence = evidence
         self._random = random_source
@@ -225,6 +227,8 @@
         )
         self._streams: dict[VirtualStream, None] = {}
         self._runs: dict[VirtualStream, asyncio.Task[None]] = {}
+        # Streams with an ignored request, on which nothing is answered.
+        self._hung_streams: set[VirtualStream] = set()
 
     def entry(self) -> bytes:
         """Returns its entry in the store."""
@@ -253,7 +257,7 @@
         self, request: caller_requests.CallerRequest, stream: VirtualStream
     ) -> None:
         """Answers a probe, or runs a request."""
-        if not self.is_listening:
+        if not self.is_listening or stream in self._hung_streams:
             return
         if request.path == "/health":
             stream.answer(_encode(200, self._common_fields()))
@@ -265,6 +269,7 @@
     def handle_close(self, stream: VirtualStream) -> None:
         """Drops, mostly, the request of a connection that ended."""
         self._streams.pop(stream, None)
+        self._hung_streams.discard(stream)
         run = self._runs.get(stream)
         if run is not None and self._random.random() >= CONTINUES_RATIO:
             run.cancel()
@@ -289,7 +294,13 @@
             fields[field_names.SERVER_ID] = self.id
             stream.answer(_encode(421, fields))
             return
+        if self.is_hanging:
+            self._ignore(arrival, stream)
+            return
         if not await self._acquire_slot(arrival.deadline):
+            if self._scenario.hangs_when_full and now == boot_clock.now():
+                self._ignore(arrival, stream)
+                return
             fields[field_names.NOT_RUN] = "1"
             stream.answer(_encode(503, fields))
             return
@@ -306,6 +317,10 @@
         status = 504 if work_seconds > left_seconds else 200
         stream.answer(_encode(status, {**fields, **self._common_fields()}))
 
+    def _ignore(self, arrival: judging.Arrival, stream: VirtualStream) -> None:
+        arrival.has_hung = True
+        self._hung_streams.add(stream)
+
     async def _acquire_slot(self, deadline: float) -> bool:
         if self._running_count < SLOTS:
             self._running_count += 1
--- a/packages/standins/src/hyssopwind/standins/virtual/site_load.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_load.py
@@ -374,12 +374,12 @@
     ) -> bool:
         sent_at = boot_clock.now()
         passive_health = daemon.passive_health
-        passive_health.record_start(picked.server)
+        passive_health.record_start(picked.server, sent_at)
         try:
             await asyncio.sleep(ROUND_TRIP_SECONDS)
             is_accepted = await self.servers[picked.server].run(work_seconds)
         finally:
-            passive_health.record_end(picked.server)
+            passive_health.record_end(picked.server, sent_at)
         if is_accepted:
             passive_health.record_success(
                 self._route,
