Wait for servers in one line a service, and leave a margin in their queues

What callers saw: servers that hang when they are full never answered requests that were sent to them all the same.

Now one request of a line looks for a server. It is woken when a server answers, since the answer reports the load. A request that would wait too long is refused at once. Old results replace probes where the budget is spent; a queue is used up to one request a slot; a request that the load does not include counts for two. A probe follows when a request is overdue, and a server that reports fewer requests than this daemon has sent to it is ejected.

--- a/packages/core/src/hyssopwind/core/dispatch/probe_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/probe_budgets.py
@@ -14,6 +14,8 @@
 CUT_OFF_SPENT_RATIO = 0.25
 # Time whose share of the budget may be spent at once.
 BURST_SECONDS = 10.0
+# Ratio of that above which rounds of probes are spread over time.
+PACED_SPENT_RATIO = 0.5
 
 
 def sharing_daemon_count(fleet_size: int, cut_off_count: int) -> int:
@@ -52,6 +54,22 @@
         self._spent_count = 0.0
         self._updated_at = now
 
+    def pause_seconds(
+        self, probe_count: int, *, server_count: int, daemon_count: int
+    ) -> float:
+        """Returns the pause after a round of probes that keeps a reserve.
+
+        Args:
+            probe_count: number of probes of a round.
+            server_count: number of listed servers.
+            daemon_count: number of daemons that share the budget.
+        """
+        share_per_second = self._share_per_second(server_count, daemon_count)
+        burst_count = share_per_second * BURST_SECONDS
+        if self._spent_count <= PACED_SPENT_RATIO * burst_count:
+            return 0.0
+        return probe_count / share_per_second
+
     def try_acquire(
         self,
         requested_count: int,
@@ -68,12 +86,7 @@
             daemon_count: number of daemons that share the budget.
             now: monotonic time in seconds.
         """
-        share_per_second = (
-            SPENT_RATIO
-            * self._probes_per_second
-            * server_count
-            / max(1, daemon_count)
-        )
+        share_per_second = self._share_per_second(server_count, daemon_count)
         elapsed_seconds = max(0.0, now - self._updated_at)
         self._updated_at = max(self._updated_at, now)
         self._spent_count = max(
@@ -88,3 +101,11 @@
         )
         self._spent_count += allowed_count
         return allowed_count
+
+    def _share_per_second(self, server_count: int, daemon_count: int) -> float:
+        return (
+            SPENT_RATIO
+            * self._probes_per_second
+            * server_count
+            / max(1, daemon_count)
+        )
--- a/packages/core/src/hyssopwind/core/dispatch/server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_health.py
@@ -10,6 +10,7 @@
 import math
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.routing import tables
 
 # A crashed server restarts within some seconds, so ejections are short.
@@ -31,6 +32,8 @@
 # Bounds to which ratios of observed to expected durations are clipped.
 MIN_DURATION_RATIO = 0.5
 MAX_DURATION_RATIO = 10.0
+# Age from which on a request is included in the load of its server.
+MIN_IGNORED_SECONDS = 0.05
 # Ratios up to this are the typical spread of work and cause no penalty.
 TYPICAL_DURATION_RATIO = 1.8
 # Time in which a penalty decays by half.
@@ -44,7 +47,13 @@
     failed_at: float = float("-inf")
     penalty_ratio: float = 1.0
     penalty_updated_at: float = 0.0
-    in_flight_count: int = 0
+    sent_at: list[float] = dataclasses.field(default_factory=list)
+    ignored_count: int = 0
+
+    @property
+    def in_flight_count(self) -> int:
+        """Number of requests that are at the server."""
+        return len(self.sent_at)
 
 
 class PassiveHealth:
@@ -102,14 +111,49 @@
             and state.in_flight_count > 0
         )
 
-    def record_start(self, server: ids.ServerId) -> None:
+    def record_start(self, server: ids.ServerId, now: float) -> None:
         """Records that a request is sent to a server."""
-        self._find_or_add(server).in_flight_count += 1
+        self._find_or_add(server).sent_at.append(now)
 
-    def record_end(self, server: ids.ServerId) -> None:
+    def record_end(self, server: ids.ServerId, started_at: float) -> None:
         """Records that a request is no longer at a server."""
         state = self._find_or_add(server)
-        state.in_flight_count = max(0, state.in_flight_count - 1)
+        if started_at in state.sent_at:
+            state.sent_at.remove(started_at)
+        state.ignored_count = min(state.ignored_count, state.in_flight_count)
+
+    def record_load(
+        self,
+        server: ids.ServerId,
+        load: probe_results.Load,
+        probed_at: float,
+        now: float,
+    ) -> bool:
+        """Records the load that a probe has just reported.
+
+        A server that reports fewer requests than this daemon has sent to it
+        ignores some of them, or their answers are lost. Such a server is
+        ejected.
+
+        Args:
+            server: the server.
+            load: its load.
+            probed_at: monotonic time at which the probe was sent.
+            now: monotonic time in seconds.
+
+        Returns:
+            Whether more requests are ignored than before.
+        """
+        state = self._find_or_add(server)
+        latest_start = probed_at - MIN_IGNORED_SECONDS
+        sent_count = sum(sent_at <= latest_start for sent_at in state.sent_at)
+        ignored_count = sent_count - load.running - load.waiting
+        if ignored_count <= state.ignored_count:
+            return False
+        state.ignored_count = ignored_count
+        state.failure_count = max(state.failure_count, FAILURES_TO_EJECT - 1)
+        self.record_failure(server, now)
+        return True
 
     def record_success(
         self,
--- a/packages/core/src/hyssopwind/core/dispatch/server_selection.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_selection.py
@@ -20,8 +20,14 @@
 
 # Ratio of occupied slots above which some servers slow down.
 CONGESTED_SLOT_RATIO = 0.8
-# Requests per slot that may wait at a server before it refuses more.
-MAX_QUEUED_PER_SLOT = 2.0
+# Requests per slot that may wait at a server. Servers queue a few more, which
+# leaves room for the requests that other daemons send at the same moment; some
+# servers never answer a request that they cannot queue.
+MAX_QUEUED_PER_SLOT = 1.0
+# Requests that are assumed to be on their way to a server for each one that
+# this daemon has sent since the load was reported: requests that arrive
+# together reach several daemons, each of which sees the same load.
+UNREPORTED_WEIGHT = 2
 # Ratio of occupied slots below which a server may get a late request.
 SPARE_SLOT_RATIO = 0.5
 # Wait steps between two rounds of probes for a retry by the caller: its answer
@@ -36,7 +42,7 @@
 MIN_TIME_LEFT_RATIO = 0.5
 # Ratio of the latency target for which a request may wait when all servers are
 # full, so that the caller still has time to retry after a refusal.
-MAX_WAIT_WHEN_FULL_RATIO = 0.12
+MAX_WAIT_WHEN_FULL_RATIO = 0.125
 # Ratio of the latency target for which a request may wait for a permit.
 MAX_PERMIT_WAIT_RATIO = 0.25
 
@@ -72,7 +78,8 @@
         """Number of requests at the server or on their way to it."""
         if self.load is None:
             return self.in_flight_count
-        return self.load.running + self.load.waiting + self.in_flight_count
+        unreported_count = UNREPORTED_WEIGHT * self.in_flight_count
+        return self.load.running + self.load.waiting + unreported_count
 
     @property
     def slot_count(self) -> int:
@@ -208,13 +215,24 @@
     return max(0.0, min(longest, timing.remaining_seconds - work_seconds))
 
 
+def max_useful_wait_seconds(
+    timing: RequestTiming, settings: tuning.SelectionSettings
+) -> float:
+    """Returns for how long a request may wait and still meet its target."""
+    return (
+        timing.latency_target_seconds
+        - timing.waited_seconds
+        - settings.good_factor * timing.work_seconds
+    )
+
+
 def has_queue_capacity(candidate: Candidate) -> bool:
     """Returns whether a server is likely to accept one more request."""
     load = candidate.load
     if load is None:
         return True
-    waiting_count = load.waiting + candidate.in_flight_count
-    return waiting_count < max(2.0, MAX_QUEUED_PER_SLOT * load.slots)
+    waiting_count = candidate.outstanding_count - load.slots
+    return waiting_count < MAX_QUEUED_PER_SLOT * load.slots
 
 
 def decide(
@@ -305,10 +323,8 @@
         )
         if has_spare_slot and estimated_seconds <= timing.remaining_seconds:
             return _make_send(best, timing)
-    if (
-        timing.waited_seconds
-        < MAX_WAIT_WHEN_FULL_RATIO * timing.latency_target_seconds
-    ):
+    max_wait_seconds = MAX_WAIT_WHEN_FULL_RATIO * timing.latency_target_seconds
+    if timing.waited_seconds + settings.wait_step <= max_wait_seconds:
         return Wait(settings.wait_step)
     shortest_seconds = (
         settings.good_factor * timing.work_seconds + settings.wait_step
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_server_health.py
@@ -1,6 +1,7 @@
 import unittest
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.routing import tables
 
@@ -38,18 +39,46 @@
             self.passive_health.record_failure(SERVER, 0.0)
         after_end = server_health.FIRST_EJECTION_SECONDS + 0.1
         self.assertFalse(self.passive_health.is_ejected(SERVER, after_end))
-        self.passive_health.record_start(SERVER)
+        self.passive_health.record_start(SERVER, 3.0)
         self.assertTrue(self.passive_health.is_ejected(SERVER, after_end))
-        self.passive_health.record_end(SERVER)
+        self.passive_health.record_end(SERVER, 3.0)
         self.assertFalse(self.passive_health.is_ejected(SERVER, after_end))
 
     def test_success_resets_failures(self):
         for _ in range(3):
             self.passive_health.record_failure(SERVER, 0.0)
         self.record_success(0.2, 0.2, now=3.0)
-        self.passive_health.record_start(SERVER)
+        self.passive_health.record_start(SERVER, 3.0)
         self.assertFalse(self.passive_health.is_ejected(SERVER, 3.0))
 
+    def report_load(self, running, probed_at):
+        load = probe_results.Load(running, 0, 4, 1.0)
+        return self.passive_health.record_load(
+            SERVER, load, probed_at, probed_at + 0.001
+        )
+
+    def test_server_that_reports_fewer_requests_than_sent_is_ejected(self):
+        self.passive_health.record_start(SERVER, 1.0)
+        self.assertTrue(self.report_load(running=0, probed_at=1.2))
+        self.assertTrue(self.passive_health.is_ejected(SERVER, 1.3))
+
+    def test_request_that_the_probe_overtook_does_not_eject(self):
+        self.passive_health.record_start(SERVER, 1.0)
+        self.assertFalse(self.report_load(running=0, probed_at=1.01))
+
+    def test_reported_requests_of_other_daemons_do_not_eject(self):
+        self.passive_health.record_start(SERVER, 1.0)
+        self.assertFalse(self.report_load(running=2, probed_at=1.5))
+        self.assertFalse(self.passive_health.is_ejected(SERVER, 1.6))
+
+    def test_ignored_request_ejects_once(self):
+        self.passive_health.record_start(SERVER, 1.0)
+        self.assertTrue(self.report_load(running=0, probed_at=1.2))
+        self.assertFalse(self.report_load(running=0, probed_at=1.4))
+        self.passive_health.record_end(SERVER, 1.0)
+        self.passive_health.record_start(SERVER, 2.0)
+        self.assertTrue(self.report_load(running=0, probed_at=2.2))
+
     def test_slow_server_with_passing_probes_gets_decaying_penalty(self):
         """Probes succeed, yet requests take seven times longer."""
         for _ in range(3):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -506,6 +506,7 @@
                     {first_attempt}, timeout=delay_seconds
                 )
                 if not done:
+                    self._picker.check_server(selected.server)
                     hedge = await self._start_hedge(context, first_attempt)
                     if hedge is not None:
                         running.append(hedge)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -9,6 +9,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import logbook
+
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.dispatch import probe_budgets
@@ -25,6 +27,13 @@
 NO_LOAD_REPROBE_SECONDS = 20.0
 # One probe result is shared by the requests that arrive within this time.
 PROBE_RESULT_LIFETIME_SECONDS = 0.002
+# Time for which a result keeps requests from a full server where the probe
+# budget is spent.
+STALE_RESULT_LIFETIME_SECONDS = 0.5
+# Age up to which a request may not be included in the load in an answer.
+ANSWER_DELAY_SECONDS = 0.005
+
+_log = logbook.Logger("probes")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,8 +43,8 @@
     Attributes:
         listed_server: the server.
         load: its load by a recent probe; `None` if there is no report.
-        in_flight: requests of this daemon that the load does not include, or
-            all of them where `load` is `None`.
+        in_flight: all requests of this daemon at the server where `load` is
+            `None`.
     """
 
     listed_server: catalogue.ListedServer
@@ -118,6 +127,8 @@
             now=now,
         )
         await self._probe_all(unprobed[:allowed_count], probed_servers)
+        if service in self._reporting_services:
+            self._add_stale_results(unprobed[allowed_count:], probed_servers)
         if probed_servers or (
             allowed_count and service in self._reporting_services
         ):
@@ -132,6 +143,66 @@
             for listed_server in listed_servers
         ]
 
+    def count_unreported(self, probed_server: ProbedServer) -> int:
+        """Returns the requests of this daemon that a load does not include.
+
+        Other requests may have been sent since the probes of a round ended.
+        """
+        if probed_server.load is None:
+            return probed_server.in_flight
+        return len(self._sent_at.get(probed_server.listed_server.entry.id, ()))
+
+    def check_server(self, listed_server: catalogue.ListedServer) -> None:
+        """Probes a server at which a request takes longer than expected."""
+        allowed_count = self._probe_budget.try_acquire(
+            1,
+            server_count=self._catalogue.server_count,
+            daemon_count=self._sharing_daemon_count(),
+            now=boot_clock.now(),
+        )
+        if allowed_count and (
+            listed_server.entry.service in self._reporting_services
+        ):
+            self._start_probe(listed_server)
+
+    def pause_seconds(self, probe_count: int) -> float:
+        """Returns the pause between rounds of probes that the budget needs."""
+        return self._probe_budget.pause_seconds(
+            probe_count,
+            server_count=self._catalogue.server_count,
+            daemon_count=self._sharing_daemon_count(),
+        )
+
+    def record_answer_load(
+        self, server: ids.ServerId, load: probe_results.Load, now: float
+    ) -> None:
+        """Records the load that a server reports in an answer to a request."""
+        recent = self._recent_results.get(server)
+        if (
+            recent is not None
+            and now - recent.received_at <= STALE_RESULT_LIFETIME_SECONDS
+            and (recent.result is None or not recent.result.is_healthy)
+        ):
+            return
+        sent_later = [
+            sent_at
+            for sent_at in self._sent_at.pop(server, ())
+            if sent_at >= now - ANSWER_DELAY_SECONDS
+        ]
+        if sent_later:
+            self._sent_at[server] = sent_later
+        self._recent_results[server] = _TimedResult(
+            now, probe_results.ProbeResult(server, True, load, 0.0)
+        )
+
+    def find_recent(
+        self, listed_server: catalogue.ListedServer
+    ) -> list[ProbedServer]:
+        """Returns a server with its latest load, if that is recent."""
+        probed_servers: list[ProbedServer] = []
+        self._add_stale_results([listed_server], probed_servers)
+        return probed_servers
+
     def health_path(self, service: ids.ServiceId) -> str:
         """Returns the path at which the servers of a service are probed."""
         service_settings = self._catalogue.service_settings(service)
@@ -158,6 +229,22 @@
                 if server not in servers:
                     del table[server]
 
+    def _add_stale_results(
+        self,
+        listed_servers: list[catalogue.ListedServer],
+        probed_servers: list[ProbedServer],
+    ) -> None:
+        now = boot_clock.now()
+        for listed_server in listed_servers:
+            recent = self._recent_results.get(listed_server.entry.id)
+            if recent is None or (
+                now - recent.received_at > STALE_RESULT_LIFETIME_SECONDS
+            ):
+                continue
+            self._add_probed_server(
+                probed_servers, listed_server, recent.result
+            )
+
     def _sharing_daemon_count(self) -> int:
         return probe_budgets.sharing_daemon_count(
             self._member_list.fleet_size(), self._cut_off_count()
@@ -216,6 +303,18 @@
         now = boot_clock.now()
         if result is None:
             self._passive_health.record_unanswered_probe(server, now)
+        elif result.load is not None and self._passive_health.record_load(
+            server, result.load, sent_at, now
+        ):
+            _log.info(
+                "server ignores requests",
+                extra={
+                    "server": server,
+                    "running": result.load.running,
+                    "waiting": result.load.waiting,
+                    "in_flight": self._passive_health.in_flight_count(server),
+                },
+            )
         # The result includes requests sent before the probe, not later ones.
         sent_later = [t for t in self._sent_at.pop(server, ()) if t >= sent_at]
         if sent_later:
@@ -239,10 +338,7 @@
             probed_servers.append(self._make_server_without_load(listed_server))
             return
         self._reporting_services.add(entry.service)
-        not_included_count = len(self._sent_at.get(entry.id, ()))
-        probed_servers.append(
-            ProbedServer(listed_server, result.load, not_included_count)
-        )
+        probed_servers.append(ProbedServer(listed_server, result.load, 0))
 
     def _make_server_without_load(
         self, listed_server: catalogue.ListedServer
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -7,6 +7,8 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
+from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_reachability
@@ -20,6 +22,7 @@
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import load_probes
 from hyssopwind.daemon.gateway import permits
+from hyssopwind.daemon.gateway import waiting_lines
 from hyssopwind.transport import boot_clock
 
 # Longest time for which the denial of a permit is relied on.
@@ -27,6 +30,7 @@
 # Ratio of the latency target over which the ends of a quiet are spread.
 QUIET_END_SPREAD_RATIO = 0.5
 _UNREACHABLE = server_selection.Refuse("no server can be reached")
+_OVERFULL = server_selection.Refuse("too many requests wait for a server")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +54,23 @@
     is_caller_retry: bool
 
 
+@dataclasses.dataclass(slots=True)
+class _Search:
+    """The search of one request for a server.
+
+    Attributes:
+        includes_remote: whether remote servers are probed too.
+        is_first_round: whether no server has been probed yet.
+        probe_count: number of servers that answered in the last round.
+        answered_server: a server that has just answered another request.
+    """
+
+    includes_remote: bool = False
+    is_first_round: bool = True
+    probe_count: int = 0
+    answered_server: ids.ServerId | None = None
+
+
 class Picker:
     """Picks servers by their load, which it probes for each request."""
 
@@ -82,6 +103,16 @@
         self._no_permit_until: dict[ids.InstanceId, float] = {}
         self._service_no_permit_until: dict[ids.ServiceId, float] = {}
         self._random = random_source
+        self._lines: dict[ids.ServiceId, waiting_lines.WaitingLine] = {}
+
+    def handle_answer_load(
+        self, entry: entries.ServerEntry, load: probe_results.Load
+    ) -> None:
+        """Handles the load that a server reports in an answer to a request."""
+        self._prober.record_answer_load(entry.id, load, boot_clock.now())
+        line = self._lines.get(entry.service)
+        if line is not None:
+            line.handle_answer(entry.id)
 
     async def pick(
         self, request: SelectionRequest
@@ -91,48 +122,151 @@
         Waits and probes again as long as the answer can still be in time. The
         request counts as sent to the server that is returned.
         """
-        include_remote = False
-        is_first = True
-        while True:
-            state = self._reachability()
-            if state is server_reachability.Reachability.CUT_OFF:
-                return _UNREACHABLE
-            now = boot_clock.now()
-            quiet_ends_at = self._quiet_end(request, now)
-            if quiet_ends_at is not None:
-                return self._refuse_until(quiet_ends_at, request, now)
-            if self._needs_permit(request, now):
-                selected = await self._wait_for_permit(request)
-                if selected is None:
+        line = self._lines.setdefault(
+            request.service, waiting_lines.WaitingLine()
+        )
+        search = _Search()
+        place: waiting_lines.Place | None = None
+        try:
+            while True:
+                refusal = self._refuse_at_once(request)
+                if refusal is not None:
+                    return refusal
+                if self._needs_permit(request, boot_clock.now()):
+                    selected = await self._wait_for_permit(request)
+                    if selected is None:
+                        continue
+                    return selected
+                useful_seconds = self._useful_wait_seconds(request)
+                wait_step = self._selection_settings.wait_step
+                joins_line = (
+                    place is None
+                    and not line.is_empty
+                    and useful_seconds > wait_step
+                )
+                decision = (
+                    server_selection.Wait(wait_step)
+                    if joins_line
+                    else await self._run_round(request, search)
+                )
+                if decision is None:
+                    continue
+                if not isinstance(decision, server_selection.Wait):
+                    return decision
+                useful_seconds = self._useful_wait_seconds(request)
+                if useful_seconds <= decision.seconds:
+                    # Its answer would be late; requests in the line come first.
+                    if place is not None:
+                        line.leave(place)
+                        place = None
+                    if self._is_overfull(line, request):
+                        return _OVERFULL
+                    await asyncio.sleep(decision.seconds)
                     continue
-                return selected
+                if place is None:
+                    if not line.has_room(useful_seconds):
+                        return _OVERFULL
+                    place = line.join()
+                search.answered_server = await place.wait(
+                    max(decision.seconds, useful_seconds - decision.seconds)
+                    if place.first_since is None
+                    else max(
+                        decision.seconds,
+                        self._prober.pause_seconds(search.probe_count),
+                    )
+                )
+        finally:
+            if place is not None:
+                line.leave(place)
+
+    def _refuse_at_once(
+        self, request: SelectionRequest
+    ) -> server_selection.Refuse | None:
+        """Returns a refusal if no server can or may be sent to now."""
+        state = self._reachability()
+        if state is server_reachability.Reachability.CUT_OFF:
+            return _UNREACHABLE
+        now = boot_clock.now()
+        quiet_ends_at = self._quiet_end(request, now)
+        if quiet_ends_at is not None:
+            return self._refuse_until(quiet_ends_at, request, now)
+        return None
+
+    async def _run_round(
+        self, request: SelectionRequest, search: "_Search"
+    ) -> (
+        server_selection.Send
+        | server_selection.Wait
+        | server_selection.Refuse
+        | None
+    ):
+        """Probes servers, if none has just answered, and decides.
+
+        Returns:
+            The decision; `None` if the next round must follow at once.
+        """
+        answered_server = search.answered_server
+        search.answered_server = None
+        if answered_server is None:
             candidates = await self._probe(
-                request, include_remote=include_remote, is_first=is_first
+                request,
+                include_remote=search.includes_remote,
+                is_first=search.is_first_round,
             )
-            is_first = False
-            now = boot_clock.now()
-            timing = self._request_timing(request, now)
-            decision = server_selection.decide(
-                candidates,
-                timing,
+            search.is_first_round = False
+            search.probe_count = len(candidates)
+        else:
+            candidates = self._find_answered(request, answered_server)
+        decision = server_selection.decide(
+            candidates,
+            self._request_timing(request, boot_clock.now()),
+            self._selection_settings,
+            has_probed_remote=search.includes_remote,
+        )
+        if isinstance(decision, server_selection.ProbeRemote):
+            search.includes_remote = True
+            return None
+        if isinstance(decision, server_selection.Wait):
+            if not candidates and self._is_unreachable():
+                return _UNREACHABLE
+            return decision
+        if isinstance(decision, server_selection.Refuse):
+            return dataclasses.replace(decision, answered_count=len(candidates))
+        if not await self._try_reserve(decision.server, request):
+            return None
+        return decision
+
+    def _find_answered(
+        self, request: SelectionRequest, server: ids.ServerId
+    ) -> list[server_selection.Candidate]:
+        """Returns a server that has just answered, if it may be picked."""
+        for listed_server in self._eligible_servers(request, boot_clock.now()):
+            if listed_server.entry.id != server:
+                continue
+            return [
+                self._make_candidate(probed_server)
+                for probed_server in self._prober.find_recent(listed_server)
+            ]
+        return []
+
+    def _is_overfull(
+        self, line: waiting_lines.WaitingLine, request: SelectionRequest
+    ) -> bool:
+        """Whether even a request that has just arrived would wait too long."""
+        timing = self._request_timing(request, boot_clock.now())
+        return not line.has_room(
+            server_selection.max_useful_wait_seconds(
+                dataclasses.replace(timing, waited_seconds=0.0),
                 self._selection_settings,
-                has_probed_remote=include_remote,
             )
-            if isinstance(decision, server_selection.ProbeRemote):
-                include_remote = True
-                continue
-            if isinstance(decision, server_selection.Wait):
-                if not candidates and self._is_unreachable():
-                    return _UNREACHABLE
-                await asyncio.sleep(decision.seconds)
-                continue
-            if isinstance(decision, server_selection.Refuse):
-                return dataclasses.replace(
-                    decision, answered_count=len(candidates)
-                )
-            if not await self._try_reserve(decision.server, request):
-                continue
-            return decision
+        )
+
+    def _useful_wait_seconds(self, request: SelectionRequest) -> float:
+        """Returns for how long a request may wait and still meet its target."""
+        return server_selection.max_useful_wait_seconds(
+            self._request_timing(request, boot_clock.now()),
+            self._selection_settings,
+        )
 
     async def find_good_server(
         self, request: SelectionRequest
@@ -158,6 +292,12 @@
                 return decision
         return None
 
+    def check_server(self, server: ids.ServerId) -> None:
+        """Probes a server at which a request takes longer than expected."""
+        listed_server = self._catalogue.find(server)
+        if listed_server is not None:
+            self._prober.check_server(listed_server)
+
     def _is_unreachable(self) -> bool:
         """Whether new connections fail, so that a wait cannot help."""
         state = self._reachability()
@@ -448,7 +588,7 @@
             is_local=entry.data_centre == self._initial_settings.data_centre,
             load=probed_server.load,
             listed_slot_count=entry.slots,
-            in_flight_count=probed_server.in_flight,
+            in_flight_count=self._prober.count_unreported(probed_server),
             penalty_ratio=self._passive_health.penalty_ratio(
                 entry.id, boot_clock.now()
             ),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import TypeAlias
 
 import logbook
 
@@ -10,6 +11,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
@@ -23,6 +25,7 @@
 from hyssopwind.daemon.gateway import notice_recorder
 from hyssopwind.daemon.gateway import reachability
 from hyssopwind.platform import field_names
+from hyssopwind.platform import probe_answers
 from hyssopwind.transport import answers
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import connection
@@ -33,6 +36,9 @@
 
 _log = logbook.Logger("attempt")
 
+# Called with a server and the load that it reports in an answer to a request.
+OnLoad: TypeAlias = Callable[[entries.ServerEntry, probe_results.Load], None]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRequest:
@@ -66,7 +72,9 @@
         limits: rate_limits.RateLimits,
         health_path: Callable[[ids.ServiceId], str],
         monitor: reachability.ReachabilityMonitor,
+        on_load: OnLoad,
     ):
+        self._on_load = on_load
         self._pool = connection_pool
         self._passive_health = passive_health
         self._crash_detector = crash_detector
@@ -89,7 +97,7 @@
         """Sends an attempt and returns its result."""
         server = attempt_request.entry.id
         started_at = boot_clock.now()
-        self._passive_health.record_start(server)
+        self._passive_health.record_start(server, started_at)
         overdue_timer = asyncio.get_running_loop().call_later(
             server_reachability.overdue_seconds(
                 attempt_request.selection.estimated_seconds
@@ -105,7 +113,7 @@
             raise
         finally:
             overdue_timer.cancel()
-            self._passive_health.record_end(server)
+            self._passive_health.record_end(server, started_at)
         self._record_result(attempt_request, result, started_at)
         return result
 
@@ -169,6 +177,11 @@
                 answer.fields,
             )
             quiet_seconds = notices.quiet_seconds
+            load = probe_answers.decode_load(
+                answer.fields.get(field_names.LOAD, "")
+            )
+            if load is not None:
+                self._on_load(attempt_request.entry, load)
         return _judge_answer(
             answer,
             attempt_request.request.method,
