--- a/packages/core/src/hyssopwind/core/dispatch/server_selection.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_selection.py
@@ -24,10 +24,6 @@
 # leaves room for the requests that other daemons send at the same moment; some
 # servers never answer a request that they cannot queue.
 MAX_QUEUED_PER_SLOT = 1.0
-# Requests that are assumed to be on their way to a server for each one that
-# this daemon has sent since the load was reported: requests that arrive
-# together reach several daemons, each of which sees the same load.
-UNREPORTED_WEIGHT = 2
 # Ratio of occupied slots below which a server may get a late request.
 SPARE_SLOT_RATIO = 0.5
 # Wait steps between two rounds of probes for a retry by the caller: its answer
@@ -57,8 +53,8 @@
         load: its load; `None` if the service does not report it.
         listed_slot_count: number of requests that it can process at a time, as
             listed.
-        in_flight_count: number of requests of this daemon that are at the
-            server and not yet in `load`; all of them if `load` is `None`.
+        in_flight_count: number of requests that are at the server or on their
+            way and not yet in `load`; all of this daemon if `load` is `None`.
         penalty_ratio: how many times longer than expected its answers took
             recently.
         congestion_ratio: how many times longer work takes on a congested
@@ -78,8 +74,7 @@
         """Number of requests at the server or on their way to it."""
         if self.load is None:
             return self.in_flight_count
-        unreported_count = UNREPORTED_WEIGHT * self.in_flight_count
-        return self.load.running + self.load.waiting + unreported_count
+        return self.load.running + self.load.waiting + self.in_flight_count
 
     @property
     def slot_count(self) -> int:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -27,9 +27,15 @@
 NO_LOAD_REPROBE_SECONDS = 20.0
 # One probe result is shared by the requests that arrive within this time.
 PROBE_RESULT_LIFETIME_SECONDS = 0.002
+# The same for the requests of a waiting line, one of which follows another.
+LINE_RESULT_LIFETIME_SECONDS = 0.01
 # Time for which a result keeps requests from a full server where the probe
 # budget is spent.
 STALE_RESULT_LIFETIME_SECONDS = 0.5
+# Requests of peers that are assumed to be on their way to a server to which
+# this daemon has sent one since the load was reported: requests that arrive
+# together reach several daemons, each of which sees the same load.
+CONCURRENT_COUNT = 1
 # Age up to which a request may not be included in the load in an answer.
 ANSWER_DELAY_SECONDS = 0.005
 
@@ -95,11 +101,17 @@
         self,
         service: ids.ServiceId,
         listed_servers: list[catalogue.ListedServer],
+        max_age_seconds: float = PROBE_RESULT_LIFETIME_SECONDS,
     ) -> list[ProbedServer]:
         """Probes servers and returns those that accept requests.
 
         Where the service reports no load, or the probe budget is spent, all
         servers are returned without a load.
+
+        Args:
+            service: the service.
+            listed_servers: servers of the service.
+            max_age_seconds: age up to which a result is used again.
         """
         now = boot_clock.now()
         if now < self._no_load_until.get(service, 0.0):
@@ -111,15 +123,19 @@
         unprobed: list[catalogue.ListedServer] = []
         for listed_server in listed_servers:
             recent = self._recent_results.get(listed_server.entry.id)
-            if (
-                recent is None
-                or now - recent.received_at >= PROBE_RESULT_LIFETIME_SECONDS
-            ):
+            if recent is None or now - recent.received_at >= max_age_seconds:
                 unprobed.append(listed_server)
                 continue
             self._add_probed_server(
                 probed_servers, listed_server, recent.result
             )
+        if probed_servers:
+            # A server that has not answered yet delays no further request.
+            unprobed = [
+                each
+                for each in unprobed
+                if each.entry.id not in self._running_probes
+            ]
         allowed_count = self._probe_budget.try_acquire(
             len(unprobed),
             server_count=self._catalogue.server_count,
@@ -144,13 +160,17 @@
         ]
 
     def count_unreported(self, probed_server: ProbedServer) -> int:
-        """Returns the requests of this daemon that a load does not include.
+        """Returns the number of requests that a load does not include.
 
         Other requests may have been sent since the probes of a round ended.
         """
         if probed_server.load is None:
             return probed_server.in_flight
-        return len(self._sent_at.get(probed_server.listed_server.entry.id, ()))
+        sent_at = self._sent_at.get(probed_server.listed_server.entry.id)
+        if not sent_at:
+            return 0
+        has_peers = self._member_list.fleet_size() > 1
+        return len(sent_at) + (CONCURRENT_COUNT if has_peers else 0)
 
     def check_server(self, listed_server: catalogue.ListedServer) -> None:
         """Probes a server at which a request takes longer than expected."""
@@ -261,7 +281,9 @@
             for listed_server in listed_servers
         }
         pending = set(tasks)
-        timeout = None
+        # Recent results count as answers, so that a server without one delays
+        # no request that could go to another.
+        timeout = STRAGGLER_WAIT_SECONDS if probed_servers else None
         while pending:
             done, pending = await asyncio.wait(
                 pending,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -105,14 +105,15 @@
         self._random = random_source
         self._lines: dict[ids.ServiceId, waiting_lines.WaitingLine] = {}
 
-    def handle_answer_load(
-        self, entry: entries.ServerEntry, load: probe_results.Load
+    def handle_answer(
+        self, entry: entries.ServerEntry, load: probe_results.Load | None
     ) -> None:
-        """Handles the load that a server reports in an answer to a request."""
-        self._prober.record_answer_load(entry.id, load, boot_clock.now())
+        """Handles an answer to a request, after which a slot may be free."""
+        if load is not None:
+            self._prober.record_answer_load(entry.id, load, boot_clock.now())
         line = self._lines.get(entry.service)
         if line is not None:
-            line.handle_answer(entry.id)
+            line.handle_answer(None if load is None else entry.id)
 
     async def pick(
         self, request: SelectionRequest
@@ -569,7 +570,11 @@
         sample = self._sample_servers(eligible, include_remote, is_first)
         candidates = []
         probed_servers = await self._prober.probe_servers(
-            request.service, sample
+            request.service,
+            sample,
+            load_probes.PROBE_RESULT_LIFETIME_SECONDS
+            if is_first
+            else load_probes.LINE_RESULT_LIFETIME_SECONDS,
         )
         # Equally good servers get the same number of requests.
         self._random.shuffle(probed_servers)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -141,7 +141,7 @@
             self.limits,
             self._prober.health_path,
             self.monitor,
-            server_picker.handle_answer_load,
+            server_picker.handle_answer,
         )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -36,8 +36,10 @@
 
 _log = logbook.Logger("attempt")
 
-# Called with a server and the load that it reports in an answer to a request.
-OnLoad: TypeAlias = Callable[[entries.ServerEntry, probe_results.Load], None]
+# Called with a server and the load in its answer to a request, if it has one.
+OnAnswer: TypeAlias = Callable[
+    [entries.ServerEntry, probe_results.Load | None], None
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,9 +74,9 @@
         limits: rate_limits.RateLimits,
         health_path: Callable[[ids.ServiceId], str],
         monitor: reachability.ReachabilityMonitor,
-        on_load: OnLoad,
+        on_answer: OnAnswer,
     ):
-        self._on_load = on_load
+        self._on_answer = on_answer
         self._pool = connection_pool
         self._passive_health = passive_health
         self._crash_detector = crash_detector
@@ -180,8 +182,7 @@
             load = probe_answers.decode_load(
                 answer.fields.get(field_names.LOAD, "")
             )
-            if load is not None:
-                self._on_load(attempt_request.entry, load)
+            self._on_answer(attempt_request.entry, load)
         return _judge_answer(
             answer,
             attempt_request.request.method,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
@@ -2,7 +2,7 @@
 
 Only the first request of a line looks for a server, so that the probes of a
 daemon do not grow with the number of its waiting requests. It is woken when a
-server answers another request, since a slot may then be free.
+server answers another request of the service, since a slot may then be free.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
         """Waits until the place is first, a server answers, or time is up.
 
         Returns:
-            The server that answered, if one did.
+            The server that answered, if its answer reports its load.
         """
         self._wake_up = asyncio.get_running_loop().create_future()
         try:
@@ -83,8 +83,12 @@
         self._head_times.record(now - place.first_since, now)
         self._update_first()
 
-    def handle_answer(self, server: ids.ServerId) -> None:
-        """Lets the first request consider a server that has just answered."""
+    def handle_answer(self, server: ids.ServerId | None) -> None:
+        """Lets the first request look for a server again after an answer.
+
+        Args:
+            server: the server that answered, if its answer reports its load.
+        """
         if self._places:
             self._places[0].wake_up(server)
 
