--- a/packages/standins/src/hyssopwind/standins/hangs/scenarios.py
+++ b/packages/standins/src/hyssopwind/standins/hangs/scenarios.py
@@ -30,7 +30,7 @@
 
 @SCENARIOS.register("burst")
 def make_burst() -> scenarios.Scenario:
-    """Returns a scenario with 2.5 times the requests that servers can run."""
+    """Returns a scenario with 2.4 times the requests that servers can run."""
     return scenarios.Scenario(
         hangs_when_full=True,
         bursts=(scenarios.Burst(BURST_STARTS_AT, BURST_ENDS_AT, 7.0),),
