--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -49,8 +49,8 @@
     Attributes:
         listed_server: the server.
         load: its load by a recent probe; `None` if there is no report.
-        in_flight: all requests of this daemon at the server where `load` is
-            `None`.
+        in_flight: requests that the load does not include, or all requests of
+            this daemon at the server where `load` is `None`.
     """
 
     listed_server: catalogue.ListedServer
@@ -159,19 +159,6 @@
             for listed_server in listed_servers
         ]
 
-    def count_unreported(self, probed_server: ProbedServer) -> int:
-        """Returns the number of requests that a load does not include.
-
-        Other requests may have been sent since the probes of a round ended.
-        """
-        if probed_server.load is None:
-            return probed_server.in_flight
-        sent_at = self._sent_at.get(probed_server.listed_server.entry.id)
-        if not sent_at:
-            return 0
-        has_peers = self._member_list.fleet_size() > 1
-        return len(sent_at) + (CONCURRENT_COUNT if has_peers else 0)
-
     def check_server(self, listed_server: catalogue.ListedServer) -> None:
         """Probes a server at which a request takes longer than expected."""
         allowed_count = self._probe_budget.try_acquire(
@@ -360,7 +347,19 @@
             probed_servers.append(self._make_server_without_load(listed_server))
             return
         self._reporting_services.add(entry.service)
-        probed_servers.append(ProbedServer(listed_server, result.load, 0))
+        probed_servers.append(
+            ProbedServer(
+                listed_server, result.load, self._count_unreported(entry.id)
+            )
+        )
+
+    def _count_unreported(self, server: ids.ServerId) -> int:
+        """Returns the number of requests that a load does not include."""
+        sent_at = self._sent_at.get(server)
+        if not sent_at:
+            return 0
+        has_peers = self._member_list.fleet_size() > 1
+        return len(sent_at) + (CONCURRENT_COUNT if has_peers else 0)
 
     def _make_server_without_load(
         self, listed_server: catalogue.ListedServer
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -593,7 +593,7 @@
             is_local=entry.data_centre == self._initial_settings.data_centre,
             load=probed_server.load,
             listed_slot_count=entry.slots,
-            in_flight_count=self._prober.count_unreported(probed_server),
+            in_flight_count=probed_server.in_flight,
             penalty_ratio=self._passive_health.penalty_ratio(
                 entry.id, boot_clock.now()
             ),
