Review case 1: a planned stop ends with an exception when callers leave

Cause: CallerConnection._close lets the OSError of write_eof through, and the drain of the gateway calls it for all idle connections in a row.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,138 +1,143 @@
-"""The store comes back from a copy; a later configuration is never applied."""
+"""A planned stop while consumers leave: the process ends in the drain."""
 
 import asyncio
 import pathlib
+import random
+import signal
+import socket
+import struct
 import sys
 import time
 
 from standins import rig
 from standins import store
 
-SERVICES = ["ledger-old", "ledger-new", "lookbook"]
-STORM_GAP_SECONDS = 0.33
-AWAY_SECONDS = 1.0
-# `config_apply_s`, and `max_skew_s` by which an unstable store may stretch it.
-BOUND_SECONDS = 2.0 + 5.0
-CALLS_SECONDS = 8.0
+SERVICES = ["ledger", "lookbook"]
+CONSUMERS = 20
+CONNECTIONS = 10
+LEDGER_WORK_SECONDS = 2.0
+LOOKBOOK_WORK_SECONDS = 0.02
+REQUESTS = 6
 
 
-def make_configuration(version: int, ledger: str, timeout: float) -> dict:
-    return rig.configuration(
-        version,
-        [
-            rig.route("deposit", "/deposit/", ledger, kind="unsafe"),
-            rig.route("look", "/look/", "lookbook", timeout_s=timeout),
-        ],
-        SERVICES,
+def reset(raw_socket: socket.socket) -> None:
+    raw_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
+    raw_socket.close()
+
+
+class Consumer:
+    """A consumer with a pool of open connections, which it has used before.
+
+    When the gateway closes one of them, it gives up the pool and resets the rest,
+    unless `waits` is set: then it closes each one after the gateway has.
+    """
+
+    def __init__(self, waits: bool):
+        self._waits = waits
+        self._pool: list[socket.socket] = []
+        self._loop = asyncio.get_running_loop()
+
+    async def connect(self, address: str, count: int) -> None:
+        host, _, port = address.rpartition(":")
+        for _ in range(count):
+            raw_socket = socket.socket()
+            raw_socket.setblocking(False)
+            await self._loop.sock_connect(raw_socket, (host, int(port)))
+            request = (
+                f"GET /look/1 HTTP/1.1\r\nHost: {rig.HOST}\r\n"
+                f"Request-Id: {random.getrandbits(64):016x}\r\nDeadline-Ms: 2500\r\n\r\n"
+            )
+            await self._loop.sock_sendall(raw_socket, request.encode())
+            answer = await self._loop.sock_recv(raw_socket, 65536)
+            if not answer.startswith(b"HTTP/1.1 200 "):
+                raise rig.CannotRunError(f"answer before the stop: {answer!r}")
+            self._pool.append(raw_socket)
+            self._loop.add_reader(raw_socket, self._handle_end, raw_socket)
+
+    def _handle_end(self, ended: socket.socket) -> None:
+        leaving = [ended] if self._waits else self._pool
+        self._pool = [each for each in self._pool if each not in leaving]
+        for raw_socket in leaving:
+            self._loop.remove_reader(raw_socket)
+            if raw_socket is ended:
+                raw_socket.close()
+            else:
+                reset(raw_socket)
 
 
 async def main(
     record: rig.Record, folder: pathlib.Path, has_trouble: bool
 ) -> list[str]:
     used: set[str] = set()
-    ips = [rig.choose_ip(used) for _ in range(3)]
+    ips = [rig.choose_ip(used) for _ in range(2)]
     platform = store.Store()
     await platform.start(ips[0])
-    servers, tasks = await rig.start_servers(platform, SERVICES, 2, ips[0], record)
-    platform.put("op/config", make_configuration(1, "ledger-old", 3.0))
-    seeds = [f"{ip}:8649" for ip in ips[1:]]
-    gateways = [
-        rig.Gateway(f"front-north-{n}", ip, platform.address, seeds, folder, record)
-        for n, ip in enumerate(ips[1:], start=1)
-    ]
+    servers, tasks = await rig.start_servers(platform, SERVICES, 3, ips[0], record)
+    for each in servers:
+        is_ledger = each.service == "ledger"
+        each.work_seconds = LEDGER_WORK_SECONDS if is_ledger else LOOKBOOK_WORK_SECONDS
+    platform.put(
+        "op/config",
+        rig.configuration(
+            1,
+            [
+                rig.route(
+                    "deposit", "/deposit/", "ledger", kind="unsafe", target_latency_s=2.5
+                ),
+                rig.route("look", "/look/", "lookbook"),
+            ],
+            SERVICES,
+        ),
+    )
+    gateway = rig.Gateway(
+        "front-north-1", ips[1], platform.address, [f"{ips[1]}:8649"], folder, record
+    )
     caller = rig.Caller(record)
     try:
-        for gateway in gateways:
-            await gateway.start()
-        for gateway in gateways:
-            await gateway.wait_until_ready()
-        await asyncio.sleep(5.0)
-        for gateway in gateways:
-            await caller.send(gateway.front, "POST", "/deposit/1", b"100")
-        if not all(answer[3] == 200 for answer in caller.answers):
-            raise rig.CannotRunError("a request before the disruption failed")
-
-        copied_at = time.monotonic()
-        copy = platform.copy()
-        record.note(f"store: revision {platform.revision}; the copy is of now")
-        await asyncio.sleep(2.0)
-        # Configurations in quick succession; only a timeout changes.
-        for version in (2, 3, 5, 6):
-            revision = platform.put(
-                "op/config",
-                make_configuration(version, "ledger-old", 3.0 + version / 10),
-            )
-            record.note(f"store: version {version} confirmed, revision {revision}")
-            await asyncio.sleep(STORM_GAP_SECONDS)
-        newest = make_configuration(6, "ledger-old", 3.6)
+        await gateway.start()
+        await gateway.wait_until_ready()
+        await asyncio.sleep(3.0)
+        consumers = [Consumer(waits=not has_trouble) for _ in range(CONSUMERS)]
+        for consumer in consumers:
+            await consumer.connect(gateway.front, CONNECTIONS)
+        record.note(f"{CONSUMERS} consumers have {CONNECTIONS} connections each")
         await asyncio.sleep(0.5)
-        if has_trouble:
-            platform.go_away()
-            record.note("store: away")
-            await asyncio.sleep(AWAY_SECONDS)
-            platform.come_back(copy)
-            record.note(
-                f"store: back from a copy {time.monotonic() - copied_at:.1f} s"
-                f" old, revision {platform.revision}, era {platform.era}"
+        started_at = time.monotonic()
+        gateway.signal(signal.SIGTERM)
+        requests = []
+        for _ in range(REQUESTS):
+            await asyncio.sleep(2.0 / REQUESTS)
+            requests.append(
+                asyncio.create_task(
+                    caller.send(gateway.front, "POST", "/deposit/1", b"1", 2800)
+                )
             )
-            # The operator writes again what the store has lost.
-            revision = platform.put("op/config", newest)
-            record.note(f"store: version 6 written again, revision {revision}")
-            for each in servers:
-                platform.put(f"servers/{each.name}", each.entry("north", rig.BORN_MS))
-            record.note(f"store: servers written again, revision {platform.revision}")
-        await asyncio.sleep(0.5)
-
-        calls_before = sum(platform.calls.values())
-        revision = platform.put("op/config", make_configuration(8, "ledger-new", 3.6))
-        confirmed_at = time.monotonic()
-        record.note(
-            f"store: version 8 confirmed, revision {revision}:"
-            " /deposit/ moves to ledger-new"
-        )
-        await asyncio.sleep(BOUND_SECONDS + 0.5)
-        ends_at = time.monotonic() + CALLS_SECONDS
-        while time.monotonic() < ends_at:
-            for gateway in gateways:
-                await caller.send(gateway.front, "POST", "/deposit/2", b"100")
-            await asyncio.sleep(0.2)
-        seconds = time.monotonic() - confirmed_at
+        await asyncio.gather(*requests)
+        record.note(f"last answer {time.monotonic() - started_at:.2f} s after SIGTERM")
+        while gateway.returncode is None and time.monotonic() < started_at + 7:
+            await asyncio.sleep(0.05)
         record.note(
-            f"store calls in the last {seconds:.1f} s:"
-            f" {sum(platform.calls.values()) - calls_before}; all: {platform.calls}"
+            f"process ended with {gateway.returncode},"
+            f" seen {time.monotonic() - started_at:.2f} s after SIGTERM"
         )
+        lines = gateway.log_path.read_text().splitlines()
+        for line in lines[-6:]:
+            record.note(f"log: {line.split('/')[-1][:300]}")
     finally:
         for task in tasks:
             task.cancel()
-        for gateway in gateways:
-            await gateway.end()
-
-    late = {
-        request_id: sent_at
-        for sent_at, request_id, _, _, _ in caller.answers
-        if sent_at > confirmed_at + BOUND_SECONDS
-    }
-    old_runs = [
-        run for each in servers if each.service == "ledger-old"
-        for run in each.runs if run[1] in late
-    ]
-    new_runs = [
-        run for each in servers if each.service == "ledger-new"
-        for run in each.runs if run[1] in late
+        await gateway.end()
+    ran = {request_id for each in servers for _, request_id, _ in each.runs}
+    lost = [
+        answer for answer in caller.answers if answer[3] == 0 and answer[1] in ran
     ]
-    record.note(
-        f"requests sent later than {BOUND_SECONDS} s after the"
-        f" confirmation: {len(late)}; run by the old service: {len(old_runs)},"
-        f" by the new one: {len(new_runs)}"
-    )
-    if not old_runs:
+    record.note(f"requests: {len(caller.answers)}, without an answer: {len(lost)}")
+    if not lost:
         return []
-    return [
-        f"CONFIG: {len(old_runs)} of {len(late)} requests ran at the old service"
-        f" up to {max(late[run[1]] for run in old_runs) - confirmed_at:.1f} s after"
-        " the confirmation"
-    ]
+    return [f"LOST: {len(lost)} of {len(caller.answers)} requests were passed on to"
+            " a server and their connections ended without an answer"]
 
 
 if __name__ == "__main__":
