--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,138 +1,164 @@
-"""The store comes back from a copy; a later configuration is never applied."""
+"""Servers hand out wrong bytes; a caller gets the answer to another request."""
 
 import asyncio
 import pathlib
+import random
 import sys
 import time
 
+from standins import http
 from standins import rig
+from standins import server
 from standins import store
 
-SERVICES = ["ledger-old", "ledger-new", "lookbook"]
-STORM_GAP_SECONDS = 0.33
-AWAY_SECONDS = 1.0
-# `config_apply_s`, and `max_skew_s` by which an unstable store may stretch it.
-BOUND_SECONDS = 2.0 + 5.0
-CALLS_SECONDS = 8.0
-
-
-def make_configuration(version: int, ledger: str, timeout: float) -> dict:
-    return rig.configuration(
-        version,
-        [
-            rig.route("deposit", "/deposit/", ledger, kind="unsafe"),
-            rig.route("look", "/look/", "lookbook", timeout_s=timeout),
-        ],
-        SERVICES,
-    )
+SERVICE = "lookbook"
+SERVERS = 4
+FAULTY_SERVERS = 2  # a share of 0.5
+WRONG_RATIO = 0.02  # of the answers of a faulty server
+MAX_LATE_SECONDS = 0.3
+CALLERS = 12
+CALLS_SECONDS = 30.0
+WORK_SECONDS = (0.01, 0.05)
+
+
+class FaultyServer(server.Server):
+    """A server that hands out wrong bytes.
+
+    It truncates an answer within its head, and a second copy of the answer before
+    it on this connection comes late, where the next answer is expected.
+    """
+
+    is_faulty = False
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        previous = b""
+        try:
+            while True:
+                request = await http.read_message(reader)
+                self.work_seconds = random.uniform(*WORK_SECONDS)
+                answer = await self._answer(request)
+                request_id = request.fields.get("request-id", "")
+                if (
+                    self.is_faulty
+                    and request_id
+                    and previous
+                    and random.random() < WRONG_RATIO
+                ):
+                    cut = random.randrange(1, answer.index(b"\r\n\r\n"))
+                    seconds = random.uniform(0.0, MAX_LATE_SECONDS)
+                    self._note(
+                        f"{self.name}: answer to {request_id} truncated to"
+                        f" {answer[:cut]!r}; another copy of {previous!r} in"
+                        f" {seconds:.3f} s"
+                    )
+                    asyncio.get_running_loop().call_later(
+                        seconds, _send, writer, previous
+                    )
+                    writer.write(answer[:cut])
+                else:
+                    writer.write(answer)
+                if request_id:
+                    previous = answer
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+def _send(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
+async def call_until(
+    address: str, ends_at: float, record: rig.Record, foreign: list[str]
+) -> int:
+    """Sends requests on a kept connection; returns how many were answered."""
+    count = 0
+    writer = None
+    while time.monotonic() < ends_at:
+        if writer is None:
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+        request_id = f"{random.getrandbits(64):016x}"
+        writer.write(
+            f"GET /look/1 HTTP/1.1\r\nHost: {rig.HOST}\r\n"
+            f"Request-Id: {request_id}\r\nDeadline-Ms: 2500\r\n\r\n".encode()
+        )
+        try:
+            answer = await asyncio.wait_for(http.read_message(reader), 4.0)
+        except (OSError, EOFError, TimeoutError) as error:
+            record.note(f"no answer to {request_id}: {error!r}")
+            http.reset(writer)
+            writer = None
+            continue
+        count += 1
+        if answer.status >= 300:
+            record.note(f"answer {request_id} {answer.status}")
+        elif answer.body != f"{SERVICE} ran {request_id}\n".encode():
+            kind = "FOREIGN ANSWER to"
+            foreign.append(request_id)
+            record.note(
+                f"{kind} {request_id}: {answer.status} {answer.fields}"
+                f" {answer.body!r}"
+            )
+        if answer.fields.get("connection") == "close":
+            http.reset(writer)
+            writer = None
+    if writer is not None:
+        http.reset(writer)
+    return count
 
 
 async def main(
     record: rig.Record, folder: pathlib.Path, has_trouble: bool
 ) -> list[str]:
     used: set[str] = set()
-    ips = [rig.choose_ip(used) for _ in range(3)]
+    ips = [rig.choose_ip(used) for _ in range(2)]
     platform = store.Store()
     await platform.start(ips[0])
-    servers, tasks = await rig.start_servers(platform, SERVICES, 2, ips[0], record)
-    platform.put("op/config", make_configuration(1, "ledger-old", 3.0))
-    seeds = [f"{ip}:8649" for ip in ips[1:]]
-    gateways = [
-        rig.Gateway(f"front-north-{n}", ip, platform.address, seeds, folder, record)
-        for n, ip in enumerate(ips[1:], start=1)
-    ]
-    caller = rig.Caller(record)
+    tasks = []
+    for number in range(SERVERS):
+        each = FaultyServer(f"i-{number}", SERVICE, lambda text: None)
+        if has_trouble and number < FAULTY_SERVERS:
+            each.is_faulty = True
+            each._note = record.note
+        await each.start(ips[0])
+        platform.put(f"servers/{each.name}", each.entry("north", rig.BORN_MS))
+        tasks.append(asyncio.create_task(rig.report(platform, each, "north")))
+    platform.put(
+        "op/config",
+        rig.configuration(
+            1, [rig.route("look", "/look/", SERVICE, timeout_s=1.2)], [SERVICE]
+        ),
+    )
+    gateway = rig.Gateway(
+        "front-north-1", ips[1], platform.address, [f"{ips[1]}:8649"], folder, record
+    )
+    foreign: list[str] = []
     try:
-        for gateway in gateways:
-            await gateway.start()
-        for gateway in gateways:
-            await gateway.wait_until_ready()
-        await asyncio.sleep(5.0)
-        for gateway in gateways:
-            await caller.send(gateway.front, "POST", "/deposit/1", b"100")
-        if not all(answer[3] == 200 for answer in caller.answers):
-            raise rig.CannotRunError("a request before the disruption failed")
-
-        copied_at = time.monotonic()
-        copy = platform.copy()
-        record.note(f"store: revision {platform.revision}; the copy is of now")
-        await asyncio.sleep(2.0)
-        # Configurations in quick succession; only a timeout changes.
-        for version in (2, 3, 5, 6):
-            revision = platform.put(
-                "op/config",
-                make_configuration(version, "ledger-old", 3.0 + version / 10),
-            )
-            record.note(f"store: version {version} confirmed, revision {revision}")
-            await asyncio.sleep(STORM_GAP_SECONDS)
-        newest = make_configuration(6, "ledger-old", 3.6)
-        await asyncio.sleep(0.5)
-        if has_trouble:
-            platform.go_away()
-            record.note("store: away")
-            await asyncio.sleep(AWAY_SECONDS)
-            platform.come_back(copy)
-            record.note(
-                f"store: back from a copy {time.monotonic() - copied_at:.1f} s"
-                f" old, revision {platform.revision}, era {platform.era}"
-            )
-            # The operator writes again what the store has lost.
-            revision = platform.put("op/config", newest)
-            record.note(f"store: version 6 written again, revision {revision}")
-            for each in servers:
-                platform.put(f"servers/{each.name}", each.entry("north", rig.BORN_MS))
-            record.note(f"store: servers written again, revision {platform.revision}")
-        await asyncio.sleep(0.5)
-
-        calls_before = sum(platform.calls.values())
-        revision = platform.put("op/config", make_configuration(8, "ledger-new", 3.6))
-        confirmed_at = time.monotonic()
-        record.note(
-            f"store: version 8 confirmed, revision {revision}:"
-            " /deposit/ moves to ledger-new"
-        )
-        await asyncio.sleep(BOUND_SECONDS + 0.5)
+        await gateway.start()
+        await gateway.wait_until_ready()
+        await asyncio.sleep(3.0)
         ends_at = time.monotonic() + CALLS_SECONDS
-        while time.monotonic() < ends_at:
-            for gateway in gateways:
-                await caller.send(gateway.front, "POST", "/deposit/2", b"100")
-            await asyncio.sleep(0.2)
-        seconds = time.monotonic() - confirmed_at
-        record.note(
-            f"store calls in the last {seconds:.1f} s:"
-            f" {sum(platform.calls.values()) - calls_before}; all: {platform.calls}"
+        counts = await asyncio.gather(
+            *(
+                call_until(gateway.front, ends_at, record, foreign)
+                for _ in range(CALLERS)
+            )
         )
+        record.note(f"answers: {sum(counts)}, of another request: {len(foreign)}")
     finally:
         for task in tasks:
             task.cancel()
-        for gateway in gateways:
-            await gateway.end()
-
-    late = {
-        request_id: sent_at
-        for sent_at, request_id, _, _, _ in caller.answers
-        if sent_at > confirmed_at + BOUND_SECONDS
-    }
-    old_runs = [
-        run for each in servers if each.service == "ledger-old"
-        for run in each.runs if run[1] in late
-    ]
-    new_runs = [
-        run for each in servers if each.service == "ledger-new"
-        for run in each.runs if run[1] in late
-    ]
-    record.note(
-        f"requests sent later than {BOUND_SECONDS} s after the"
-        f" confirmation: {len(late)}; run by the old service: {len(old_runs)},"
-        f" by the new one: {len(new_runs)}"
-    )
-    if not old_runs:
+        await gateway.end()
+    if not foreign:
         return []
-    return [
-        f"CONFIG: {len(old_runs)} of {len(late)} requests ran at the old service"
-        f" up to {max(late[run[1]] for run in old_runs) - confirmed_at:.1f} s after"
-        " the confirmation"
-    ]
+    return [f"MIXED: {len(foreign)} of {sum(counts)} answers belong to another request"]
 
 
 if __name__ == "__main__":
