--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -385,12 +385,19 @@
     }
 
 
+def _interrupt(number: int, frame: Any) -> None:
+    raise KeyboardInterrupt
+
+
 def run_case(main: Any, case_folder: pathlib.Path) -> int:
     """Runs a case; returns the exit status and writes the record.
 
     `main` gets the record, a temporary folder and whether the disruption takes
     place, and returns the texts of the breaches.
     """
+    # An end by SIGTERM or SIGINT ends the processes of the case too.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _interrupt)
     record = Record(case_folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"disruption: {'yes' if has_trouble else 'no'}")
@@ -404,7 +411,7 @@
         print(f"could not run: {error}")
         record.save()
         return 2
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         record.save()
