Review case 2: a planned stop ends with an exception when callers leave

Cause: CallerConnection._close lets the OSError of write_eof through, and the drain of the gateway calls it for all idle connections in a row. Done: the disruption of review/2 is the stop itself; RESETS=0 is a control.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A planned stop while consumers leave: the process ends in the drain."""
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -13,7 +14,7 @@
 from standins import store
 
 SERVICES = ["ledger", "lookbook"]
-CONSUMERS = 20
+CONSUMERS = 40
 CONNECTIONS = 10
 LEDGER_WORK_SECONDS = 2.0
 LOOKBOOK_WORK_SECONDS = 0.02
@@ -78,6 +79,7 @@
     for each in servers:
         is_ledger = each.service == "ledger"
         each.work_seconds = LEDGER_WORK_SECONDS if is_ledger else LOOKBOOK_WORK_SECONDS
+        each.slots = 4 if is_ledger else 40
     platform.put(
         "op/config",
         rig.configuration(
@@ -99,13 +101,17 @@
         await gateway.start()
         await gateway.wait_until_ready()
         await asyncio.sleep(3.0)
-        consumers = [Consumer(waits=not has_trouble) for _ in range(CONSUMERS)]
-        for consumer in consumers:
-            await consumer.connect(gateway.front, CONNECTIONS)
+        # A control: with RESETS=0 the consumers close each connection after the gateway.
+        waits = os.environ.get("RESETS", "1") == "0"
+        consumers = [Consumer(waits) for _ in range(CONSUMERS)]
+        await asyncio.gather(
+            *(each.connect(gateway.front, CONNECTIONS) for each in consumers)
+        )
         record.note(f"{CONSUMERS} consumers have {CONNECTIONS} connections each")
         await asyncio.sleep(0.5)
         started_at = time.monotonic()
-        gateway.signal(signal.SIGTERM)
+        if has_trouble:
+            gateway.signal(signal.SIGTERM)
         requests = []
         for _ in range(REQUESTS):
             await asyncio.sleep(2.0 / REQUESTS)
@@ -115,12 +121,12 @@
                 )
             )
         await asyncio.gather(*requests)
-        record.note(f"last answer {time.monotonic() - started_at:.2f} s after SIGTERM")
-        while gateway.returncode is None and time.monotonic() < started_at + 7:
+        record.note(f"last answer {time.monotonic() - started_at:.2f} s after the stop")
+        while has_trouble and gateway.returncode is None and time.monotonic() < started_at + 7:
             await asyncio.sleep(0.05)
         record.note(
             f"process ended with {gateway.returncode},"
-            f" seen {time.monotonic() - started_at:.2f} s after SIGTERM"
+            f" seen {time.monotonic() - started_at:.2f} s after the stop"
         )
         lines = gateway.log_path.read_text().splitlines()
         for line in lines[-6:]:
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -19,6 +19,7 @@
 HOST = "calls.example"
 READY_TIMEOUT_SECONDS = 15.0
 HEARTBEAT_SECONDS = 1.5
+PORTS = (8640, 8641, 8649, 7620, 9464)
 BORN_MS = 1_700_000_000_000
 # Those of a deployment of 15 machines, from its page.
 BOUNDS = {
@@ -62,10 +63,10 @@
 
 
 def choose_ip(used: set[str]) -> str:
-    """Returns a loopback address at which the metrics port is free."""
+    """Returns a loopback address at which all ports of a gateway are free."""
     for _ in range(100):
         ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
-        if ip not in used and _is_free(ip, 9464):
+        if ip not in used and all(_is_free(ip, port) for port in PORTS):
             used.add(ip)
             return ip
     raise CannotRunError("no free loopback address")
