Review case 1: an unsafe request runs twice after wrong bytes

Cause: the fields of a refusal of another request, in one head with the own answer, count as a statement that this request has not run. Done: review/1.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,70 +1,96 @@
-"""A planned stop while consumers leave: the process ends in the drain."""
+"""Servers hand out wrong bytes; an unsafe request that has run is run again."""
 
 import asyncio
 import pathlib
 import random
-import signal
-import socket
-import struct
 import sys
 import time
 
+from standins import http
 from standins import rig
+from standins import server
 from standins import store
 
-SERVICES = ["ledger", "lookbook"]
-CONSUMERS = 20
-CONNECTIONS = 10
-LEDGER_WORK_SECONDS = 2.0
-LOOKBOOK_WORK_SECONDS = 0.02
-REQUESTS = 6
+SERVICE = "booking-ledger"
+SERVERS = 4
+FAULTY_SERVERS = 2  # a share of 0.5
+FULL_RATIO = 0.02
+MAX_LATE_SECONDS = 0.3
+CALLERS = 12
+CALLS_SECONDS = 40.0
+WORK_SECONDS = (0.01, 0.05)
 
 
-def reset(raw_socket: socket.socket) -> None:
-    raw_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    raw_socket.close()
+class FaultyServer(server.Server):
+    """A server that is full at times and hands out wrong bytes.
 
+    The order of the fields in its refusals varies. After it has refused a request for
+    lack of room, additional bytes come late on this connection, in one of two ways: a
+    copy of the refusal that ends early comes just before the next answer; or the next
+    answer is truncated within its head, and a whole copy of the refusal follows it.
+    """
 
-class Consumer:
-    """A consumer with a pool of open connections, which it has used before.
+    is_faulty = False
+    garbled: dict[str, str] = {}
 
-    When the gateway closes one of them, it gives up the pool and resets the rest,
-    unless `waits` is set: then it closes each one after the gateway has.
-    """
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        refusal = b""
+        try:
+            while True:
+                request = await http.read_message(reader)
+                self.work_seconds = random.uniform(*WORK_SECONDS)
+                request_id = request.fields.get("request-id", "")
+                if request_id and random.random() < FULL_RATIO:
+                    fields = [
+                        ("Request-Id", request_id),
+                        ("Server-Load", f"{self.slots},8,{self.slots},100"),
+                        ("Not-Executed", "1"),
+                    ]
+                    random.shuffle(fields)
+                    refusal = http.encode("HTTP/1.1 503 Full", dict(fields))
+                    self._note(f"{self.name}: refused {request_id}")
+                    writer.write(refusal)
+                    continue
+                answer = await self._answer(request)
+                if request_id and refusal and self.is_faulty:
+                    if random.random() < 0.5:
+                        cut = random.randrange(1, refusal.index(b"\r\n\r\n"))
+                        self._note(
+                            f"{self.name}: before the answer to {request_id} comes a"
+                            f" part of a refusal, {refusal[:cut]!r}"
+                        )
+                        self.garbled[request_id] = "part of a refusal"
+                        answer = refusal[:cut] + answer
+                    else:
+                        cut = random.randrange(1, answer.index(b"\r\n\r\n"))
+                        seconds = random.uniform(0.0, MAX_LATE_SECONDS)
+                        self._note(
+                            f"{self.name}: answer to {request_id} truncated to"
+                            f" {answer[:cut]!r}; another copy of {refusal!r} in"
+                            f" {seconds:.3f} s"
+                        )
+                        self.garbled[request_id] = "truncated answer"
+                        asyncio.get_running_loop().call_later(
+                            seconds, _send, writer, refusal
+                        )
+                        answer = answer[:cut]
+                if request_id:
+                    refusal = b""
+                writer.write(answer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
 
-    def __init__(self, waits: bool):
-        self._waits = waits
-        self._pool: list[socket.socket] = []
-        self._loop = asyncio.get_running_loop()
-
-    async def connect(self, address: str, count: int) -> None:
-        host, _, port = address.rpartition(":")
-        for _ in range(count):
-            raw_socket = socket.socket()
-            raw_socket.setblocking(False)
-            await self._loop.sock_connect(raw_socket, (host, int(port)))
-            request = (
-                f"GET /look/1 HTTP/1.1\r\nHost: {rig.HOST}\r\n"
-                f"Request-Id: {random.getrandbits(64):016x}\r\nDeadline-Ms: 2500\r\n\r\n"
-            )
-            await self._loop.sock_sendall(raw_socket, request.encode())
-            answer = await self._loop.sock_recv(raw_socket, 65536)
-            if not answer.startswith(b"HTTP/1.1 200 "):
-                raise rig.CannotRunError(f"answer before the stop: {answer!r}")
-            self._pool.append(raw_socket)
-            self._loop.add_reader(raw_socket, self._handle_end, raw_socket)
-
-    def _handle_end(self, ended: socket.socket) -> None:
-        leaving = [ended] if self._waits else self._pool
-        self._pool = [each for each in self._pool if each not in leaving]
-        for raw_socket in leaving:
-            self._loop.remove_reader(raw_socket)
-            if raw_socket is ended:
-                raw_socket.close()
-            else:
-                reset(raw_socket)
+
+def _send(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
 
 
 async def main(
@@ -74,70 +100,67 @@
     ips = [rig.choose_ip(used) for _ in range(2)]
     platform = store.Store()
     await platform.start(ips[0])
-    servers, tasks = await rig.start_servers(platform, SERVICES, 3, ips[0], record)
-    for each in servers:
-        is_ledger = each.service == "ledger"
-        each.work_seconds = LEDGER_WORK_SECONDS if is_ledger else LOOKBOOK_WORK_SECONDS
+    servers, tasks = [], []
+    for number in range(SERVERS):
+        each = FaultyServer(f"i-{number}", SERVICE, record.note)
+        each.is_faulty = has_trouble and number < FAULTY_SERVERS
+        await each.start(ips[0])
+        servers.append(each)
+        platform.put(f"servers/{each.name}", each.entry("north", rig.BORN_MS))
+        tasks.append(asyncio.create_task(rig.report(platform, each, "north")))
     platform.put(
         "op/config",
         rig.configuration(
             1,
-            [
-                rig.route(
-                    "deposit", "/deposit/", "ledger", kind="unsafe", target_latency_s=2.5
-                ),
-                rig.route("look", "/look/", "lookbook"),
-            ],
-            SERVICES,
+            [rig.route("deposit", "/deposit/", SERVICE, kind="unsafe", timeout_s=1.5)],
+            [SERVICE],
         ),
     )
     gateway = rig.Gateway(
         "front-north-1", ips[1], platform.address, [f"{ips[1]}:8649"], folder, record
     )
     caller = rig.Caller(record)
+
+    async def call_until(ends_at: float) -> None:
+        while time.monotonic() < ends_at:
+            await caller.send(gateway.front, "POST", "/deposit/1", b"100")
+
     try:
         await gateway.start()
         await gateway.wait_until_ready()
         await asyncio.sleep(3.0)
-        consumers = [Consumer(waits=not has_trouble) for _ in range(CONSUMERS)]
-        for consumer in consumers:
-            await consumer.connect(gateway.front, CONNECTIONS)
-        record.note(f"{CONSUMERS} consumers have {CONNECTIONS} connections each")
-        await asyncio.sleep(0.5)
-        started_at = time.monotonic()
-        gateway.signal(signal.SIGTERM)
-        requests = []
-        for _ in range(REQUESTS):
-            await asyncio.sleep(2.0 / REQUESTS)
-            requests.append(
-                asyncio.create_task(
-                    caller.send(gateway.front, "POST", "/deposit/1", b"1", 2800)
-                )
-            )
-        await asyncio.gather(*requests)
-        record.note(f"last answer {time.monotonic() - started_at:.2f} s after SIGTERM")
-        while gateway.returncode is None and time.monotonic() < started_at + 7:
-            await asyncio.sleep(0.05)
-        record.note(
-            f"process ended with {gateway.returncode},"
-            f" seen {time.monotonic() - started_at:.2f} s after SIGTERM"
-        )
-        lines = gateway.log_path.read_text().splitlines()
-        for line in lines[-6:]:
-            record.note(f"log: {line.split('/')[-1][:300]}")
+        ends_at = time.monotonic() + CALLS_SECONDS
+        await asyncio.gather(*(call_until(ends_at) for _ in range(CALLERS)))
     finally:
         for task in tasks:
             task.cancel()
         await gateway.end()
-    ran = {request_id for each in servers for _, request_id, _ in each.runs}
-    lost = [
-        answer for answer in caller.answers if answer[3] == 0 and answer[1] in ran
+    runs: dict[str, list[str]] = {}
+    for each in servers:
+        for _, request_id, _ in each.runs:
+            runs.setdefault(request_id, []).append(each.name)
+    twice = {key: names for key, names in runs.items() if len(names) > 1}
+    refused = [
+        answer[1]
+        for answer in caller.answers
+        if answer[3] in (408, 421, 429, 503) and answer[1] in runs
     ]
-    record.note(f"requests: {len(caller.answers)}, without an answer: {len(lost)}")
-    if not lost:
-        return []
-    return [f"LOST: {len(lost)} of {len(caller.answers)} requests were passed on to"
-            " a server and their connections ended without an answer"]
+    for key, names in twice.items():
+        record.note(f"RUN TWICE: {key} at {names}, {FaultyServer.garbled.get(key)}")
+    for key in refused:
+        record.note(f"RUN AND REFUSED: {key} at {runs[key]}")
+    record.note(
+        f"unsafe requests: {len(caller.answers)}, run twice: {len(twice)},"
+        f" run and refused: {len(refused)}"
+    )
+    breaches = []
+    if twice:
+        breaches.append(
+            f"TWICE: {len(twice)} of {len(caller.answers)} unsafe requests ran twice"
+        )
+    if refused:
+        breaches.append(f"REFUSED: {len(refused)} were refused and had run")
+    return breaches
 
 
 if __name__ == "__main__":
