--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,12 +12,15 @@
 from standins import store
 
 SERVICE = "booking-ledger"
-SERVERS = 4
-FAULTY_SERVERS = 2  # a share of 0.5
+SERVERS = 5
+FAULTY_SERVERS = 1  # a share of 0.2
 FULL_RATIO = 0.02
 MAX_LATE_SECONDS = 0.3
-CALLERS = 12
-CALLS_SECONDS = 40.0
+CALLERS = 16
+PERIODS = 12
+WRONG_SECONDS = 4.0  # length of a period with wrong bytes
+PAUSE_SECONDS = 1.0
+CALLS_SECONDS = PERIODS * (WRONG_SECONDS + PAUSE_SECONDS)
 WORK_SECONDS = (0.01, 0.05)
 
 
@@ -88,6 +91,19 @@
             writer.close()
 
 
+async def alternate(faulty: list[FaultyServer], record: rig.Record) -> None:
+    """Lets servers hand out wrong bytes in some periods."""
+    for _ in range(PERIODS):
+        record.note("wrong bytes begin")
+        for each in faulty:
+            each.is_faulty = True
+        await asyncio.sleep(WRONG_SECONDS)
+        for each in faulty:
+            each.is_faulty = False
+        record.note("wrong bytes end")
+        await asyncio.sleep(PAUSE_SECONDS)
+
+
 def _send(writer: asyncio.StreamWriter, data: bytes) -> None:
     if not writer.is_closing():
         writer.write(data)
@@ -103,7 +119,6 @@
     servers, tasks = [], []
     for number in range(SERVERS):
         each = FaultyServer(f"i-{number}", SERVICE, record.note)
-        each.is_faulty = has_trouble and number < FAULTY_SERVERS
         await each.start(ips[0])
         servers.append(each)
         platform.put(f"servers/{each.name}", each.entry("north", rig.BORN_MS))
@@ -129,6 +144,9 @@
         await gateway.start()
         await gateway.wait_until_ready()
         await asyncio.sleep(3.0)
+        if has_trouble:
+            faulty = servers[:FAULTY_SERVERS]
+            tasks.append(asyncio.create_task(alternate(faulty, record)))
         ends_at = time.monotonic() + CALLS_SECONDS
         await asyncio.gather(*(call_until(ends_at) for _ in range(CALLERS)))
     finally:
