--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,7 @@
 from standins import store
 
 SERVICES = ["ledger", "lookbook"]
+GATEWAYS = 3  # one of them is stopped, a share of 0.33
 CONSUMERS = 40
 CONNECTIONS = 10
 LEDGER_WORK_SECONDS = 2.0
@@ -72,7 +73,7 @@
     record: rig.Record, folder: pathlib.Path, has_trouble: bool
 ) -> list[str]:
     used: set[str] = set()
-    ips = [rig.choose_ip(used) for _ in range(2)]
+    ips = [rig.choose_ip(used) for _ in range(1 + GATEWAYS)]
     platform = store.Store()
     await platform.start(ips[0])
     servers, tasks = await rig.start_servers(platform, SERVICES, 3, ips[0], record)
@@ -93,13 +94,18 @@
             SERVICES,
         ),
     )
-    gateway = rig.Gateway(
-        "front-north-1", ips[1], platform.address, [f"{ips[1]}:8649"], folder, record
-    )
+    seeds = [f"{ip}:8649" for ip in ips[1:]]
+    gateways = [
+        rig.Gateway(f"front-north-{n}", ip, platform.address, seeds, folder, record)
+        for n, ip in enumerate(ips[1:], start=1)
+    ]
+    gateway = gateways[0]
     caller = rig.Caller(record)
     try:
-        await gateway.start()
-        await gateway.wait_until_ready()
+        for each_gateway in gateways:
+            await each_gateway.start()
+        for each_gateway in gateways:
+            await each_gateway.wait_until_ready()
         await asyncio.sleep(3.0)
         # A control: with RESETS=0 the consumers close each connection after the gateway.
         waits = os.environ.get("RESETS", "1") == "0"
@@ -134,7 +140,8 @@
     finally:
         for task in tasks:
             task.cancel()
-        await gateway.end()
+        for each_gateway in gateways:
+            await each_gateway.end()
     ran = {request_id for each in servers for _, request_id, _ in each.runs}
     lost = [
         answer for answer in caller.answers if answer[3] == 0 and answer[1] in ran
