Reject answers that are read from the bytes of two

Cause: an answer that is cut within a header field is continued by the next one on the connection, and the parser reports one head with the fields of both. The sender compared the first Request-Id only and believed any Not-Executed. Done: a head with a second start line, with a single field that is repeated, or with Not-Executed beside Server-Stamp or another status than that of a refusal ends the connection; the outcome is unknown. The same holds for probes, and the start lines for the answers of the store and of peers. A request without an id gets a new connection. The log says why an answer was rejected.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -36,6 +36,7 @@
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import request_path
 from hyssopwind.daemon.gateway import store_reader
+from hyssopwind.platform import answer_heads
 from hyssopwind.platform import store
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import connection_pools
@@ -82,7 +83,8 @@
         self._metrics = gateway_metrics.GatewayMetrics()
         self._platform_state = replicated_state.PlatformState()
         self._pool = connection_pools.ConnectionPool(
-            int(ANSWERS_MEMORY_RATIO * initial_settings.memory_bytes)
+            int(ANSWERS_MEMORY_RATIO * initial_settings.memory_bytes),
+            answer_heads.find_fault,
         )
         self._member_list = fleet_members.MemberList(
             initial_settings.name,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
@@ -196,8 +196,11 @@
 
 
 def _read_result(answer: answers.Answer) -> handovers.Result | None:
+    results = answer.fields.getall(headers.HANDOVER, ())
+    if len(results) != 1:
+        return None
     try:
-        return handovers.decode_result(answer.fields.get(headers.HANDOVER, ""))
+        return handovers.decode_result(results[0])
     except msgspec.DecodeError:
         return None
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -122,9 +122,12 @@
     async def _exchange(
         self, attempt_request: AttemptRequest, started_at: float
     ) -> attempt_results.AttemptResult:
+        request_id = attempt_request.request.fields.get(
+            field_names.REQUEST_ID, ""
+        )
         try:
             server_connection = await self._connect(
-                attempt_request.entry.address
+                attempt_request.entry.address, must_be_new=not request_id
             )
         except connection.ExchangeError as error:
             return attempt_results.Failed(error.kind)
@@ -142,9 +145,6 @@
                 (field_names.EXPECTED_SERVER, attempt_request.entry.id),
             ),
         )
-        request_id = attempt_request.request.fields.get(
-            field_names.REQUEST_ID, ""
-        )
 
         def is_own_answer(answer: answers.Answer) -> bool:
             # A late answer to a probe has no id. It must not be taken for a
@@ -161,6 +161,15 @@
                     data, attempt_request.request.method, is_own_answer
                 )
         except connection.ExchangeError as error:
+            if error.kind is attempt_results.FailureKind.GARBLED:
+                _log.warn(
+                    "answer rejected",
+                    extra={
+                        "request": request_id,
+                        "server": attempt_request.entry.id,
+                        "fault": error.detail,
+                    },
+                )
             return attempt_results.Failed(error.kind)
         except TimeoutError:
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
@@ -190,12 +199,21 @@
             quiet_seconds,
         )
 
-    async def _connect(self, address: str) -> connection.ClientConnection:
+    async def _connect(
+        self, address: str, *, must_be_new: bool
+    ) -> connection.ClientConnection:
         """Returns a connection to a server.
 
+        Args:
+            address: IP address and port of the server.
+            must_be_new: whether an earlier answer on the connection could not
+                be told apart from the one to this request.
+
         Raises:
             ExchangeError: no connection could be opened.
         """
+        if must_be_new:
+            return await self._pool.open(address)
         if self._monitor.is_reachable:
             return await self._pool.acquire(address)
         # A new one may be accepted, only to be reset with the request on it.
--- a/packages/transport/src/hyssopwind/transport/answers.py
+++ b/packages/transport/src/hyssopwind/transport/answers.py
@@ -1,6 +1,9 @@
 """Parses the answer to one request from a stream of bytes."""
 
 import dataclasses
+import re
+from collections.abc import Callable
+from typing import TypeAlias
 
 import httptools
 import multidict
@@ -15,6 +18,12 @@
 MAX_CHUNK_OVERHEAD_RATIO = 8
 MAX_INTERIM_ANSWERS = 16  # heads with a status of 100 to 199
 _HEAD_END = b"\r\n\r\n"
+_HEAD_START = b"HTTP/1."
+_START_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
+_MAX_START_LINE_BYTES = 64
+
+# Returns why the head of an answer cannot be right; empty if it can.
+HeadCheck: TypeAlias = Callable[[int, "multidict.CIMultiDict[str]"], str]
 
 
 class BadAnswerError(Exception):
@@ -42,9 +51,22 @@
     may_reuse_connection: bool
 
 
+def accept_head(status: int, fields: "multidict.CIMultiDict[str]") -> str:
+    """Finds no fault in any head."""
+    del status, fields
+    return ""
+
+
 class AnswerReader:
     r"""Parses one answer; bytes beyond it remain in `remaining`.
 
+    An answer that was cut continues with the bytes of the next one, and the two
+    then look like one answer. Such answers are rejected.
+
+    Args:
+        method: the method of the request.
+        check_head: finds faults in heads beyond those of the framing.
+
     Examples:
         >>> reader = AnswerReader("GET")
         >>> reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
@@ -55,10 +77,11 @@
         (b'ok', b'extra')
     """
 
-    def __init__(self, method: str):
+    def __init__(self, method: str, check_head: HeadCheck = accept_head):
         self.remaining = bytearray()
         self.answer: Answer | None = None
         self._method = method
+        self._check_head = check_head
         self._body = bytearray()
         self._head: _Head | None = None
         # The end of the chunks that the parser has got.
@@ -119,11 +142,16 @@
             self._searched_bytes = len(self.remaining)
             return False
         self._searched_bytes = 0
+        data = bytes(self.remaining[: end + len(_HEAD_END)])
+        _check_start_lines(data)
         head = _Head(self._method)
-        head.feed(bytes(self.remaining[: end + len(_HEAD_END)]))
-        del self.remaining[: end + len(_HEAD_END)]
+        head.feed(data)
+        del self.remaining[: len(data)]
         if not head.is_complete:
             raise BadAnswerError("the head is not complete")
+        fault = head.find_fault() or self._check_head(head.status, head.fields)
+        if fault:
+            raise BadAnswerError(fault)
         if 100 <= head.status < 200:
             self._interim_count += 1
         else:
@@ -183,11 +211,29 @@
         return position + len(_HEAD_END)
 
     def _finish(self, head: "_Head", *, may_reuse: bool) -> None:
+        """Completes the answer.
+
+        Raises:
+            BadAnswerError: the body ends within another answer.
+        """
+        if self.remaining:
+            data = bytes(self._body + self.remaining[:_MAX_START_LINE_BYTES])
+            match = _START_LINE.search(data)
+            if match and match.start() < len(self._body):
+                raise BadAnswerError("the body holds a part of another answer")
         self.answer = Answer(
             head.status, head.fields, bytes(self._body), may_reuse
         )
 
 
+def _check_start_lines(data: bytes) -> None:
+    """Raises `BadAnswerError` unless a head has one start line, in front."""
+    if not data.startswith(_HEAD_START):
+        raise BadAnswerError("the head does not begin with a start line")
+    if _START_LINE.search(data, len(_HEAD_START)):
+        raise BadAnswerError("the head holds the start line of another answer")
+
+
 class _Head:
     """Parser callbacks that collect one head and its chunked body."""
 
@@ -218,6 +264,15 @@
         ) as error:
             raise BadAnswerError(repr(error)) from error
 
+    def find_fault(self) -> str:
+        """Returns why the complete head is not valid; empty if it is."""
+        if not 100 <= self.status < 600:
+            return f"the status is {self.status}, expected 100 to 599"
+        codings = self.fields.getall("Transfer-Encoding", ())
+        if codings and [each.lower() for each in codings] != ["chunked"]:
+            return f'the body is encoded as {list(codings)}, expected "chunked"'
+        return ""
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
         if not self.is_complete:
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -43,12 +43,23 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Sends requests and reads whole answers."""
+    """Sends requests and reads whole answers.
+
+    Args:
+        address: IP address and port of the server.
+        byte_budget: bytes of answers that may be held; a budget of its own if
+            omitted.
+        check_head: finds faults in the heads of answers.
+    """
 
     def __init__(
-        self, address: str, byte_budget: byte_budgets.ByteBudget | None = None
+        self,
+        address: str,
+        byte_budget: byte_budgets.ByteBudget | None = None,
+        check_head: answers.HeadCheck = answers.accept_head,
     ):
         self.address = address
+        self._check_head = check_head
         self._byte_budget = byte_budget or byte_budgets.ByteBudget(
             answers.MAX_ANSWER_BYTES
         )
@@ -107,7 +118,7 @@
         self._pending = _PendingRequest(
             future, method, is_expected, on_progress
         )
-        self._reader = answers.AnswerReader(method)
+        self._reader = answers.AnswerReader(method, self._check_head)
         self._transport.write(data)
         try:
             return await future
@@ -192,7 +203,9 @@
             if self._skipped_count > MAX_SKIPPED_ANSWERS:
                 self._fail(attempt_results.FailureKind.GARBLED, "extra answers")
                 return
-            self._reader = answers.AnswerReader(self._pending.method)
+            self._reader = answers.AnswerReader(
+                self._pending.method, self._check_head
+            )
             self._reader.feed(remaining)
 
     def _deliver(self, answer: answers.Answer, *, has_extra: bool) -> None:
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -41,9 +41,16 @@
     Args:
         max_held_bytes: bytes of all answers that may be in memory before they
             are complete; an answer that does not fit fails.
+        check_head: finds faults in the heads of answers; an answer with one
+            fails, and its connection ends.
     """
 
-    def __init__(self, max_held_bytes: int = answers.MAX_ANSWER_BYTES) -> None:
+    def __init__(
+        self,
+        max_held_bytes: int = answers.MAX_ANSWER_BYTES,
+        check_head: answers.HeadCheck = answers.accept_head,
+    ) -> None:
+        self._check_head = check_head
         self._loop = asyncio.get_running_loop()
         self._byte_budget = byte_budgets.ByteBudget(max_held_bytes)
         self._idle: dict[str, list[connection.ClientConnection]] = {}
@@ -66,6 +73,14 @@
             return pooled
         return await self._open(address)
 
+    async def open(self, address: str) -> connection.ClientConnection:
+        """Opens a connection, on which no earlier answer can be received.
+
+        Raises:
+            ExchangeError: no connection could be opened.
+        """
+        return await self._open(address)
+
     def take_idle(self, address: str) -> connection.ClientConnection | None:
         """Returns an idle connection, or `None` if there is none."""
         idle = self._idle.get(address, [])
@@ -229,7 +244,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 transport, opened = await self._loop.create_connection(
                     lambda: connection.ClientConnection(
-                        address, self._byte_budget
+                        address, self._byte_budget, self._check_head
                     ),
                     host,
                     int(port),
