Answer 502 where a server did not state that an unsafe request has not run

A stamped 503, 429, 408 or 421 of a server was passed on unchanged, and the status promises the caller that nothing has run. Cause: only Not-Executed, or 421 of another server, states this; the status of any other answer does not. Done: for unsafe requests the outcome is unknown; answers to safe requests pass unchanged. Test: test_status_of_a_refusal_without_a_statement_is_unknown, which fails on the code before.

--- a/packages/core/src/hyssopwind/core/attempts/attempt_results.py
+++ b/packages/core/src/hyssopwind/core/attempts/attempt_results.py
@@ -10,6 +10,10 @@
 START_HEADER = "Server-Start"
 
 
+# Statuses by which callers learn that a request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class FailureKind(enum.Enum):
     """Reason for which an attempt ended without an answer."""
 
@@ -88,6 +92,29 @@
     return Execution.MAY_HAVE_RUN
 
 
+def outcome_of_answer(
+    answer: outcomes.Answered, *, is_idempotent: bool
+) -> outcomes.Outcome:
+    """Returns the outcome for the caller when a server gave an answer.
+
+    A server that refuses a request states so beside the status; the status
+    alone does not show that the request has not run, but tells the caller so.
+
+    Examples:
+        >>> busy = outcomes.Answered(503, (), b"")
+        >>> outcome_of_answer(busy, is_idempotent=True).status
+        503
+        >>> outcome_of_answer(busy, is_idempotent=False).tag
+        'unknown'
+    """
+    if is_idempotent or answer.status not in NOT_RUN_STATUSES:
+        return answer
+    return outcomes.Unknown(
+        outcomes.Reason.SERVER_FAILED,
+        f"a server that ran the request answered {answer.status}",
+    )
+
+
 def may_retry(result: AttemptResult, *, is_idempotent: bool) -> bool:
     """Returns whether a retry is safe after this result."""
     if isinstance(result, WholeAnswer):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -356,8 +356,6 @@
             )
             if decision is retry_policy.RetryDecision.RETRY:
                 continue
-            if isinstance(result, attempt_results.WholeAnswer):
-                return result.answer
             return self._final_outcome(context)
 
     def _selection_request(
@@ -641,7 +639,9 @@
                 self._retry_after(context),
             )
         if isinstance(result, attempt_results.WholeAnswer):
-            return result.answer
+            return attempt_results.outcome_of_answer(
+                result.answer, is_idempotent=context.route.is_idempotent
+            )
         failure = attempt_results.failure_outcome(
             result,
             is_idempotent=context.route.is_idempotent,
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
@@ -15,6 +15,10 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: 3eHTTP/1.1 503 B\r\n"
     b"Request-Id: other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
+STAMPED_BUSY = (
+    b"HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+    b"Content-Length: 4\r\n\r\nbusy"
+)
 
 
 class DoubtfulAnswerTest(site_gateway_case.GatewayTestCase):
@@ -46,6 +50,20 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.count_executions(), 2)
 
+    # The status told the caller that the request had not run, which the server
+    # had not stated.
+    async def test_status_of_a_refusal_without_a_statement_is_unknown(self):
+        self.script(STAMPED_BUSY)
+        status, headers, _ = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual(status, 502)
+        self.assertNotIn("server-stamp", headers)
+        self.assertEqual(self.count_executions(), 1)
+
+    async def test_status_of_a_refusal_passes_for_an_idempotent_request(self):
+        self.script(STAMPED_BUSY)
+        status, _, body = await self.call("/safe/a")
+        self.assertEqual((status, body), (503, b"busy"))
+
     # A late refusal of a probe has no id either, and was taken for a statement
     # about the request.
     async def test_request_without_an_id_gets_a_connection_of_its_own(self):
