Order the states of a store that was restored from a copy

Cause: revisions go back and are given out again, and replicas drop what is not above the revision that they hold. Nothing read Store-Era, a listing could not end the state, and peers announced the lost revisions to each other. Done: replicas, pulls and heartbeats compare positions of era and revision; a complete listing of a later era replaces the replica, without bringing back older versions, reports or removed servers. A reader checks its replica by a listing from time to time, others by a digest in the heartbeats of readers. Logs and metrics tell version, era, age and source.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -4,10 +4,16 @@
 the platform entries are also removed because servers cannot report. Such
 servers report again within a grace period after the outage; until it ends they
 stay usable unless they had announced that they would stop.
+
+A platform that was restored from a copy has lost what was written since. Its
+operator and the servers write it again within the same grace period; what the
+copy says of a time before the catalogue's is ignored.
 """
 
+import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable
 from collections.abc import Iterator
 
@@ -25,6 +31,9 @@
 OUTAGE_AGE_SECONDS = 2.5
 
 
+MAX_REMOVED_ENTRIES = 4_000  # that are remembered
+
+
 class CatalogueChange(enum.Enum):
     """Change of the catalogue by a record."""
 
@@ -34,10 +43,12 @@
     SERVER_DRAINING = "server draining"
     SERVER_REMOVED = "server removed"
     REMOVAL_DEFERRED = "server lapsed"
+    OLDER_ENTRY_IGNORED = "older entry ignored"
     CONFIGURATION_APPLIED = "configuration in force"
     OLDER_CONFIGURATION_IGNORED = "older configuration ignored"
     EVACUATION_STARTED = "evacuation"
     EVACUATION_ENDED = "evacuation ended"
+    EVACUATION_KEPT = "evacuation lapsed"
     ITEM_UNREADABLE = "unreadable"
 
 
@@ -67,7 +78,12 @@
         self._by_service: dict[
             ids.ServiceId, dict[ids.ServerId, ListedServer]
         ] = {}
-        self._evacuated: set[ids.DataCentreId] = set()
+        # Last entries of servers that were removed.
+        self._removed_entries: collections.OrderedDict[
+            ids.ServerId, entries.ServerEntry
+        ] = collections.OrderedDict()
+        # When an evacuation ends that a restored platform does not have.
+        self._evacuated: dict[ids.DataCentreId, float] = {}
         self._configuration: tables.Configuration | None = None
         self._routes = matching.RouteIndex(())
         self._grace_ends_at = float("-inf")
@@ -101,6 +117,10 @@
         """Records the end of an outage, at which the grace period starts."""
         self._grace_ends_at = now + EXPIRY_GRACE_SECONDS
 
+    def record_restoration(self, now: float) -> None:
+        """Records that the platform was restored from a copy."""
+        self.record_outage(now)
+
     def find(self, server: ids.ServerId) -> ListedServer | None:
         """Returns a listed server, or `None` if it is not listed."""
         return self._servers.get(server)
@@ -169,10 +189,19 @@
         return listed_server.entry.data_centre not in self._evacuated
 
     def apply_record(
-        self, record: records.Record, now: float
+        self, record: records.Record, now: float, *, is_restored: bool = False
     ) -> CatalogueChange:
-        """Applies a record and returns the change that it made."""
+        """Applies a record and returns the change that it made.
+
+        Args:
+            record: the record.
+            now: monotonic time.
+            is_restored: whether it comes from a platform that was restored
+                from a copy, which may have lost later states of the record.
+        """
         if isinstance(record, records.ServerRecord):
+            if is_restored and self._is_known_later(record.entry):
+                return CatalogueChange.OLDER_ENTRY_IGNORED
             return self._put_entry(record.entry, now)
         if isinstance(record, records.ServerRemoved):
             return self._remove_entry(record.server, now)
@@ -182,13 +211,19 @@
         if isinstance(record, records.ConfigurationRecord):
             return self._put_configuration(record.configuration)
         if isinstance(record, records.EvacuationRecord):
-            return self._set_evacuation(record)
+            return self._set_evacuation(record, is_restored=is_restored)
         if isinstance(record, records.UnreadableItem):
             return CatalogueChange.ITEM_UNREADABLE
         return CatalogueChange.NOTHING
 
     def remove_expired(self, now: float) -> list[ids.ServerId]:
-        """Removes the servers whose grace period is over and returns them."""
+        """Removes the servers whose grace period is over and returns them.
+
+        Evacuations end likewise.
+        """
+        for data_centre, ends_at in list(self._evacuated.items()):
+            if ends_at <= now:
+                del self._evacuated[data_centre]
         expired = []
         for server, listed_server in self._servers.items():
             if (
@@ -200,6 +235,21 @@
             self._discard(server)
         return expired
 
+    def _is_known_later(self, entry: entries.ServerEntry) -> bool:
+        """Whether a later report of the same start of a server is known."""
+        current = self._servers.get(entry.id)
+        if current is not None:
+            return (
+                current.entry.instance == entry.instance
+                and entry.sequence < current.entry.sequence
+            )
+        removed = self._removed_entries.get(entry.id)
+        return (
+            removed is not None
+            and removed.instance == entry.instance
+            and entry.sequence <= removed.sequence
+        )
+
     def _put_entry(
         self, entry: entries.ServerEntry, now: float
     ) -> CatalogueChange:
@@ -231,8 +281,13 @@
 
     def _discard(self, server: ids.ServerId) -> None:
         listed_server = self._servers.pop(server, None)
-        if listed_server is not None:
-            del self._by_service[listed_server.entry.service][server]
+        if listed_server is None:
+            return
+        del self._by_service[listed_server.entry.service][server]
+        self._removed_entries[server] = listed_server.entry
+        self._removed_entries.move_to_end(server)
+        if len(self._removed_entries) > MAX_REMOVED_ENTRIES:
+            self._removed_entries.popitem(last=False)
 
     def _remove_entry(
         self, server: ids.ServerId, now: float
@@ -257,10 +312,13 @@
         return CatalogueChange.CONFIGURATION_APPLIED
 
     def _set_evacuation(
-        self, record: records.EvacuationRecord
+        self, record: records.EvacuationRecord, *, is_restored: bool
     ) -> CatalogueChange:
         if record.is_active:
-            self._evacuated.add(record.data_centre)
+            self._evacuated[record.data_centre] = math.inf
             return CatalogueChange.EVACUATION_STARTED
-        self._evacuated.discard(record.data_centre)
+        if is_restored and record.data_centre in self._evacuated:
+            self._evacuated[record.data_centre] = self._grace_ends_at
+            return CatalogueChange.EVACUATION_KEPT
+        self._evacuated.pop(record.data_centre, None)
         return CatalogueChange.EVACUATION_ENDED
--- a/packages/core/src/hyssopwind/core/discovery/entries.py
+++ b/packages/core/src/hyssopwind/core/discovery/entries.py
@@ -20,6 +20,7 @@
         warmup_left_seconds: seconds for which it stays cold, counted from the
             report.
         started_at_ms: Unix time of its start in milliseconds; 0 where unknown.
+        sequence: number of the report, counted from the start of the server.
         instance: identifies this start of the server.
     """
 
@@ -31,6 +32,7 @@
     is_draining: bool
     warmup_left_seconds: float
     started_at_ms: int
+    sequence: int = 0
     instance: ids.InstanceId = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -3,6 +3,9 @@
 A daemon that reads the platform applies listings and events; the others apply
 deltas of the replica of a peer. An item is replaced only by a later revision,
 so delayed or repeated messages have no effect.
+
+The revisions of a replica are positions, which order the states of a platform
+that was restored; see `positions`.
 """
 
 import collections
@@ -10,6 +13,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import xxhash
+
 MAX_TOMBSTONES = 4_000  # a change of 1,000 servers needs 2,000
 # Size from which replaced values are retained, up to a total size, as bases of
 # patches for peers that still hold them.
@@ -50,12 +55,15 @@
             removed.
         unchanged_keys: keys of the items that exist and that the receiver has
             already.
+        era: era that the platform stated with them; `None` if it stated none,
+            or if they come from a replica.
     """
 
     items: tuple[Item, ...]
     revision: int
     is_complete: bool
     unchanged_keys: frozenset[str] = frozenset()
+    era: int | None = None
 
 
 def max_useful_bytes(replica: "ItemReplica") -> int:
@@ -75,6 +83,42 @@
     return max(MIN_LONG_BYTES, round(LISTING_RATIO * value_bytes))
 
 
+def missed_keys(replica: "ItemReplica", listing: Delta) -> list[str]:
+    """Returns the keys of changes up to the replica's revision that it lacks.
+
+    Args:
+        replica: the replica.
+        listing: all items, as of its revision or a later one.
+
+    Examples:
+        >>> replica = ItemReplica()
+        >>> _ = replica.apply(Delta((Item("a", b"1", 2),), 5, True))
+        >>> listed = Item("a", b"1", 2), Item("b", b"2", 3), Item("c", b"3", 6)
+        >>> missed_keys(replica, Delta(listed, 6, True))
+        ['b']
+    """
+    if not replica.revision or listing.revision < replica.revision:
+        return []
+    listed = {item.key: item for item in listing.items}
+    missed = [
+        item.key
+        for item in listing.items
+        if item.revision <= replica.revision
+        and (
+            item.key not in replica.items
+            or replica.items[item.key].revision < item.revision
+        )
+    ]
+    # An item that is not listed may have been removed since.
+    if listing.revision == replica.revision:
+        missed.extend(
+            key
+            for key, item in replica.items.items()
+            if key not in listed and item.revision <= listing.revision
+        )
+    return sorted(missed)
+
+
 class ItemReplica:
     """Items of the platform as of one revision.
 
@@ -104,6 +148,7 @@
         self._retained_bytes = 0
         self._revision = 0
         self._generation = 0
+        self._digest = 0
         # Every removal after this revision has a tombstone.
         self._removals_since = 0
 
@@ -122,13 +167,27 @@
         """The items that exist, by key."""
         return self._items
 
+    @property
+    def digest(self) -> int:
+        """Hash of the keys and revisions of the items, in any order.
+
+        Two replicas of one revision with different digests do not hold the
+        same items, so that one of them has missed a change.
+        """
+        return self._digest
+
     def apply(self, delta: Delta) -> list[Item]:
-        """Applies a delta and returns the items that it changed."""
+        """Applies a delta and returns the items that it changed.
+
+        A complete delta that is not older than the replica also restores the
+        items that the replica has missed.
+        """
         changed = []
         if delta.items or delta.is_complete:
             self._generation += 1
+        names_all = delta.is_complete and delta.revision >= self._revision
         for item in delta.items:
-            if self._apply_item(item):
+            if self._apply_item(item, may_be_missing=names_all):
                 changed.append(item)
         if delta.is_complete:
             changed.extend(self._remove_missing(delta))
@@ -160,33 +219,51 @@
             if removal_revision > revision:
                 yield Item(key, None, removal_revision)
 
-    def _apply_item(self, item: Item) -> bool:
-        """Applies an item that is newer; returns whether the value changed."""
+    def _apply_item(self, item: Item, *, may_be_missing: bool) -> bool:
+        """Applies an item that is newer; returns whether the value changed.
+
+        Args:
+            item: the item.
+            may_be_missing: whether an item that the replica lacks exists,
+                although the replica has its revision.
+        """
         current = self._items.get(item.key)
         last_revision = (
             current.revision if current else self._tombstones.get(item.key, 0)
         )
-        if item.revision <= last_revision:
+        was_missed = may_be_missing and current is None
+        if item.revision <= last_revision and not was_missed:
             return False
-        if current is None and item.revision <= self._revision:
+        if (
+            current is None
+            and item.revision <= self._revision
+            and not was_missed
+        ):
             # Removed before a listing, which leaves no tombstone.
             return False
         if item.value is None:
-            self._items.pop(item.key, None)
+            self._drop(item.key)
             self._add_tombstone(item.key, item.revision)
             return current is not None
         self._tombstones.pop(item.key, None)
         if current is not None:
             self._retain(current)
+            self._digest ^= _hash(current)
         self._items[item.key] = item
+        self._digest ^= _hash(item)
         return current is None or current.value != item.value
 
+    def _drop(self, key: str) -> None:
+        dropped = self._items.pop(key, None)
+        if dropped is not None:
+            self._digest ^= _hash(dropped)
+
     def _remove_missing(self, delta: Delta) -> Iterable[Item]:
         listed_keys = {item.key for item in delta.items} | delta.unchanged_keys
         for key, item in list(self._items.items()):
             if key in listed_keys or item.revision > delta.revision:
                 continue
-            del self._items[key]
+            self._drop(key)
             self._add_tombstone(key, delta.revision)
             yield Item(key, None, delta.revision)
 
@@ -206,3 +283,7 @@
         while len(self._tombstones) > MAX_TOMBSTONES:
             _, dropped_revision = self._tombstones.popitem(last=False)
             self._removals_since = max(self._removals_since, dropped_revision)
+
+
+def _hash(item: Item) -> int:
+    return xxhash.xxh3_64_intdigest(f"{item.revision} {item.key}".encode())
--- a/packages/core/src/hyssopwind/core/discovery/tests/test_catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/tests/test_catalogue.py
@@ -93,3 +93,62 @@
             record = records.ConfigurationRecord(configuration)
             self.catalogue.apply_record(record, 1.0)
             self.assertEqual(self.catalogue.configuration_version, expected)
+
+
+class RestoredPlatformTest(unittest.TestCase):
+    """A platform that was restored from a copy says what was before."""
+
+    def setUp(self):
+        self.catalogue = catalogue.Catalogue()
+
+    def put_server(self, *, is_restored=False, **changes):
+        record = records.ServerRecord(make_entry(**changes))
+        return self.catalogue.apply_record(record, 1.0, is_restored=is_restored)
+
+    def usable_ids(self, now=1.0):
+        servers = self.catalogue.usable_servers(SERVICE, now)
+        return [listed_server.entry.id for listed_server in servers]
+
+    def test_draining_server_stays_draining(self):
+        self.put_server(sequence=5, is_draining=True)
+        change = self.put_server(sequence=4, is_restored=True)
+        self.assertIs(change, catalogue.CatalogueChange.OLDER_ENTRY_IGNORED)
+        self.assertEqual(self.usable_ids(), [])
+
+    def test_removed_server_stays_removed_until_it_reports_again(self):
+        self.put_server(sequence=5)
+        self.catalogue.apply_record(records.ServerRemoved(SERVER), 1.0)
+        self.put_server(sequence=5, is_restored=True)
+        self.assertEqual(self.usable_ids(), [])
+        self.put_server(sequence=6, is_restored=True)
+        self.assertEqual(self.usable_ids(), [SERVER])
+
+    def test_new_start_of_a_removed_server_is_usable(self):
+        self.put_server(sequence=5)
+        self.catalogue.apply_record(records.ServerRemoved(SERVER), 1.0)
+        self.put_server(sequence=1, started_at_ms=2, is_restored=True)
+        self.assertEqual(self.usable_ids(), [SERVER])
+
+    def test_server_that_the_copy_lacks_is_usable_in_the_grace_period(self):
+        self.put_server()
+        self.catalogue.record_restoration(1.0)
+        removal = records.ServerRemoved(SERVER)
+        self.catalogue.apply_record(removal, 1.0, is_restored=True)
+        self.assertEqual(self.usable_ids(), [SERVER])
+        self.assertEqual(self.usable_ids(10.0), [])
+
+    def test_evacuation_that_the_copy_lacks_ends_after_the_grace_period(self):
+        self.put_server()
+        north = ids.DataCentreId("north")
+        started = records.EvacuationRecord(north, True)
+        ended = records.EvacuationRecord(north, False)
+        self.catalogue.apply_record(started, 1.0)
+        self.catalogue.record_restoration(1.0)
+        self.catalogue.apply_record(ended, 1.0, is_restored=True)
+        self.catalogue.remove_expired(2.0)
+        self.assertEqual(self.usable_ids(), [])
+        self.catalogue.remove_expired(1.0 + catalogue.EXPIRY_GRACE_SECONDS)
+        self.assertEqual(self.usable_ids(), [SERVER])
+        self.catalogue.apply_record(started, 5.0)
+        self.catalogue.apply_record(ended, 5.0)
+        self.assertEqual(self.usable_ids(), [SERVER])
--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -49,7 +49,7 @@
         data_centre: data centre in which it runs.
         last_alive_at: time at which it was last known to be alive.
         last_heartbeat_at: time at which its last heartbeat was received.
-        revision: revision of its replica of the platform's items.
+        revision: position of its replica of the platform's items.
         has_store_access: whether its calls to the platform succeed.
         is_leaving: whether it is about to stop.
         member_digest: digest of its member list; 0 before its first heartbeat.
@@ -113,7 +113,7 @@
         peer.link_mbps = max(0, heartbeat.link_mbps)
         peer.can_inflate = heartbeat.link_mbps >= 0
         peer.is_receiving = heartbeat.is_receiving
-        peer.revision = heartbeat.revision
+        peer.revision = heartbeat.position
         peer.has_store_access = heartbeat.has_store_access
         if peer.is_leaving != heartbeat.is_leaving:
             peer.is_leaving = heartbeat.is_leaving
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import positions
 
 MAX_AGE_MS = 3_600_000  # sent for any longer age, and for "never confirmed"
 
@@ -25,16 +26,20 @@
         name: name of the daemon that sends it.
         ip: IP address of the daemon.
         data_centre: data centre in which it runs.
-        revision: revision of its replica of the platform's items.
+        revision: revision of its replica of the platform's items, without the
+            era, as daemons of earlier releases send it.
         age_ms: age of that replica.
         has_store_access: whether its own calls to the platform succeed.
         is_leaving: whether it is about to stop.
         member_digest: digest of its member list.
-        configuration_revision: revision of the configuration in its replica.
+        configuration_revision: revision of the configuration in its replica;
+            0 if it has none of this era.
         link_mbps: width of the link of its VM in Mbit/s; 0 if unknown, -1 from
             daemons of releases that cannot decode deflated pages.
         is_receiving: whether it receives an answer of the platform, which may
             be large.
+        era: era of the revisions.
+        digest: digest of its replica; 0 if it does not read the platform.
     """
 
     name: str
@@ -48,6 +53,20 @@
     configuration_revision: int = 0
     link_mbps: int = -1
     is_receiving: bool = False
+    era: int = 0
+    digest: int = 0
+
+    @property
+    def position(self) -> int:
+        """Position of the sender's replica."""
+        return positions.make_position(self.era, self.revision)
+
+    @property
+    def configuration_position(self) -> int:
+        """Position of the sender's configuration; 0 if it has none."""
+        if not self.configuration_revision:
+            return 0
+        return positions.make_position(self.era, self.configuration_revision)
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -17,6 +17,7 @@
 
 from hyssopwind.core import outcomes
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import positions
 from hyssopwind.core.fleet import change_encoding
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
@@ -40,6 +41,8 @@
 # Shortest time until a peer that is busy or failed is asked again; up to as
 # much is added at random.
 RETRY_SECONDS = 0.05
+# Shortest time between two transfers of all items.
+REPLACE_INTERVAL_SECONDS = 5.0
 # Type of answers to daemons that state which large values they hold.
 COMPACT_TYPE = "application/vnd.hyssopwind.changes"
 _NOT_FOUND = outcomes.Answered(404, (), b"")
@@ -87,6 +90,7 @@
         self._queue = transfer_queue.TransferQueue()
         self._queue_changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._replaced_at = float("-inf")
         self.counts: collections.Counter[str] = collections.Counter()
         self.byte_counts: collections.Counter[str] = collections.Counter()
 
@@ -100,6 +104,22 @@
             self._planner.announce(ip, revision)
             self._pull_if_behind()
 
+    def replace_replica(self, ip: str) -> None:
+        """Pulls all items from a peer, whose replica of this revision differs.
+
+        The peer reads the platform, so this daemon has missed a change.
+        """
+        now = boot_clock.now()
+        if now - self._replaced_at < REPLACE_INTERVAL_SECONDS:
+            return
+        self._replaced_at = now
+        self.counts["replaced"] += 1
+        _log.warn(
+            "the replica differs from that of a reader; pulling all items",
+            extra={"peer": ip, **self._platform_state.log_fields()},
+        )
+        self._start_pull(ip, pulls_all=True)
+
     def drop_dead_peers(self) -> None:
         """Forgets the peers that are not in the member list any more."""
         live_ips = {peer.ip for peer in self._member_list.peers()}
@@ -119,18 +139,9 @@
         if path != PATH or not (revision.isascii() and revision.isdigit()):
             return _NOT_FOUND
         held = fields.get("held", [None])[0]
-        if held is None:
-            # A daemon of an earlier release.
-            return self._count_sent(
-                outcomes.Answered(
-                    200,
-                    (("Content-Type", "application/msgpack"),),
-                    gossip_messages.encode_delta(
-                        self._platform_state.replica.delta_since(int(revision)),
-                        self._age_ms(),
-                    ),
-                )
-            )
+        has_eras = positions.era_of(self._platform_state.replica.revision) > 0
+        if held is None or (has_eras and "positions" not in fields):
+            return self._answer_earlier_release(int(revision))
         held_revisions = [
             int(number)
             for number in held.split(",")
@@ -154,6 +165,20 @@
             outcomes.Answered(200, (("Content-Type", COMPACT_TYPE),), body)
         )
 
+    def _answer_earlier_release(self, revision: int) -> outcomes.Answered:
+        """Answers a daemon that knows plain revisions only."""
+        replica = self._platform_state.replica
+        era = positions.era_of(replica.revision)
+        delta = replica.delta_since(positions.make_position(era, revision))
+        body = gossip_messages.encode_delta(
+            positions.without_eras(delta), self._age_ms()
+        )
+        return self._count_sent(
+            outcomes.Answered(
+                200, (("Content-Type", "application/msgpack"),), body
+            )
+        )
+
     async def _wait_in_queue(
         self, ip: str, *, may_refer: bool
     ) -> transfer_queue.Decision:
@@ -207,15 +232,19 @@
         )
         if ip is None:
             return
-        self._planner.start(ip, now)
-        task = asyncio.get_running_loop().create_task(self._pull(ip))
+        self._start_pull(ip)
+
+    def _start_pull(self, ip: str, *, pulls_all: bool = False) -> None:
+        self._planner.start(ip, boot_clock.now())
+        pull = self._pull(ip, pulls_all=pulls_all)
+        task = asyncio.get_running_loop().create_task(pull)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _pull(self, ip: str) -> None:
+    async def _pull(self, ip: str, *, pulls_all: bool) -> None:
         revision = None
         try:
-            revision = await self._pull_once(ip)
+            revision = await self._pull_once(ip, pulls_all=pulls_all)
         except (
             connection.ExchangeError,
             change_encoding.ChangeDecodeError,
@@ -244,13 +273,17 @@
     async def _wait_for_retry(self) -> None:
         await asyncio.sleep(RETRY_SECONDS * (1.0 + self._random.random()))
 
-    async def _pull_once(self, ip: str) -> int | None:
+    async def _pull_once(self, ip: str, *, pulls_all: bool) -> int | None:
         """Pulls changes; returns the revision of the peer if it sent them."""
         held_revisions = change_encoding.large_revisions(
             self._platform_state.replica
         )
         while True:
-            answer, sent_at = await self._request(ip, held_revisions)
+            answer, sent_at = await self._request(
+                ip,
+                0 if pulls_all else self._platform_state.replica.revision,
+                held_revisions,
+            )
             if answer.status == 307:
                 self._follow(ip, answer)
                 return None
@@ -269,15 +302,12 @@
             return delta.revision
 
     async def _request(
-        self, ip: str, held_revisions: list[int]
+        self, ip: str, after: int, held_revisions: list[int]
     ) -> tuple[answers.Answer, float]:
         """Sends a pull; returns the answer and when the pull was sent."""
         sent_at = boot_clock.now()
         held = ",".join(str(revision) for revision in held_revisions)
-        target = (
-            f"{PATH}?after={self._platform_state.replica.revision}"
-            f"&held={held}&ip={self._ip}"
-        )
+        target = f"{PATH}?after={after}&held={held}&ip={self._ip}&positions="
         if self._planner.is_referred(ip):
             target += "&referred="
         progress = connection_pools.Progress(
@@ -320,8 +350,9 @@
                     "peer": ip,
                     "bytes": len(answer.body),
                     "ms": round((boot_clock.now() - sent_at) * 1000),
-                    "after": own_revision,
-                    "revision": delta.revision,
+                    "after": positions.revision_of(own_revision),
+                    "revision": positions.revision_of(delta.revision),
+                    "era": positions.stated_era(delta.revision),
                 },
             )
         self._platform_state.apply_delta(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -685,11 +685,7 @@
             "service": context.service,
             "servers": sorted(context.tried_servers),
             "ms": round((boot_clock.now() - context.request.arrived_at) * 1000),
-            "age_ms": round(
-                min(self._platform_state.age_seconds(), 1e6) * 1000
-            ),
-            "revision": self._platform_state.replica.revision,
-            "version": self._platform_state.catalogue.configuration_version,
+            **self._platform_state.log_fields(),
         }
         if context.terms is not None:
             log_fields["handed_by"] = context.terms.sender
@@ -706,6 +702,7 @@
                 "request": request.fields.get(field_names.REQUEST_ID, ""),
                 "host": request.host,
                 "path": request.path,
+                **self._platform_state.log_fields(),
             }
         else:
             log_fields = self._log_fields(context)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -14,6 +14,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import quarantine
+from hyssopwind.core.discovery import positions
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
@@ -447,8 +448,14 @@
         platform_state = self._platform_state
         return gateway_metrics.GaugeSources(
             copy_age=platform_state.age_seconds,
-            revision=lambda: platform_state.replica.revision,
+            revision=lambda: positions.revision_of(
+                platform_state.replica.revision
+            ),
+            era=lambda: positions.stated_era(platform_state.replica.revision),
+            restorations=lambda: platform_state.restoration_count,
+            missed_changes=lambda: self._store_reader.missed_count,
             version=lambda: platform_state.catalogue.configuration_version,
+            version_age=platform_state.configuration_age_seconds,
             servers=lambda: platform_state.catalogue.server_count,
             limited_servers=lambda: len(
                 self._request_path.limits.stated.in_force(boot_clock.now())
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -38,7 +38,11 @@
     Attributes:
         copy_age: age of the replica of the platform's items in seconds.
         revision: revision of that replica.
+        era: era of the platform that the revision belongs to.
+        restorations: restorations of the platform that were seen.
+        missed_changes: changes that a listing showed to have been missed.
         version: version of the configuration in force.
+        version_age: seconds for which it has been in force.
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
         permit_counts: requests for permits by result.
@@ -55,7 +59,11 @@
 
     copy_age: Callable[[], float]
     revision: Callable[[], float]
+    era: Callable[[], float]
+    restorations: Callable[[], float]
+    missed_changes: Callable[[], float]
     version: Callable[[], float]
+    version_age: Callable[[], float]
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
@@ -74,7 +82,11 @@
 _GAUGES = {
     "copy_age": "Age of the copy of the platform's items in seconds",
     "revision": "Revision of the copy of the platform's items",
+    "era": "Era of the platform that the revision belongs to",
+    "restorations": "Restorations of the platform that were seen",
+    "missed_changes": "Changes of the platform that had been missed",
     "version": "Version of the configuration in force",
+    "version_age": "Seconds for which this version has been in force",
     "servers": "Listed servers",
     "limited_servers": "Servers whose stated limits hold",
     "daemons": "Daemons that lived lately, this one included",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -22,6 +22,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import positions
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
@@ -341,18 +342,31 @@
             )
 
     def _make_heartbeat(self) -> gossip_messages.Heartbeat:
+        position = self._platform_state.replica.revision
+        era = positions.era_of(position)
+        configuration_position = self._platform_state.configuration_revision
+        configuration_revision = 0
+        if positions.era_of(configuration_position) == era:
+            configuration_revision = positions.revision_of(
+                configuration_position
+            )
+        digest = 0
+        if self._is_reading_store():
+            digest = self._platform_state.replica.digest
         return gossip_messages.Heartbeat(
             self._initial_settings.name,
             self._initial_settings.ip,
             self._initial_settings.data_centre,
-            self._platform_state.replica.revision,
+            positions.revision_of(position),
             gossip_messages.encode_age(self._platform_state.age_seconds()),
             self._can_read_store(),
             self._is_stopping,
             self._member_list.digest(),
-            self._platform_state.configuration_revision,
+            configuration_revision,
             self._member_list.link_mbps,
             self._is_receiving(),
+            era,
+            digest,
         )
 
     def _make_leaving_notice(
@@ -435,7 +449,7 @@
         known = self._member_list.find(name)
         # A restarted daemon has lost its replica.
         has_restarted = (
-            known is not None and heartbeat.revision < known.revision
+            known is not None and heartbeat.position < known.revision
         )
         is_new = self._member_list.handle_heartbeat(heartbeat, now)
         sender = self._member_list.find(name)
@@ -455,17 +469,29 @@
                     self._make_leaving_notice(instance), matching_peers
                 )
         self._platform_state.record_announced_configuration(
-            heartbeat.configuration_revision
+            heartbeat.configuration_position
         )
-        self.transfers.handle_announcement(heartbeat.ip, heartbeat.revision)
-        if heartbeat.revision > self._platform_state.replica.revision:
+        position = heartbeat.position
+        self.transfers.handle_announcement(heartbeat.ip, position)
+        own_position = self._platform_state.replica.revision
+        if position > own_position:
             return
         if (
-            heartbeat.revision < self._platform_state.replica.revision
+            position < own_position
             and heartbeat.data_centre != self._initial_settings.data_centre
             and self._member_list.is_leader(now)
         ):
             self._send_all(self._make_heartbeat(), matching_peers)
+        if positions.era_of(position) != positions.era_of(own_position):
+            # The peer has not seen that the platform was restored.
+            return
+        if (
+            position == own_position
+            and heartbeat.digest not in (0, self._platform_state.replica.digest)
+            and not self._is_reading_store()
+        ):
+            self.transfers.replace_replica(heartbeat.ip)
+            return
         if heartbeat.revision and heartbeat.age_ms < gossip_messages.MAX_AGE_MS:
             self._confirm_freshness(heartbeat.age_ms, now)
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -10,6 +10,7 @@
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import freshness
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import positions
 from hyssopwind.core.discovery import records
 from hyssopwind.platform import items as platform_items
 from hyssopwind.transport import boot_clock
@@ -37,6 +38,9 @@
         self._configuration_revision = 0
         self._announced_configuration_revision = 0
         self._configured = asyncio.Event()
+        self._configuration_source = ""
+        self._configured_at = float("-inf")
+        self._restoration_count = 0
         self._unreadable_keys: set[str] = set()
         self._revisions: subject.Subject[int] | None = None
 
@@ -55,6 +59,25 @@
         """Revision of the configuration in the replica; 0 without one."""
         return self._configuration_revision
 
+    @property
+    def restoration_count(self) -> int:
+        """How often the platform was found to be restored from a copy."""
+        return self._restoration_count
+
+    def configuration_age_seconds(self) -> float:
+        """Returns the time for which the configuration has been in force."""
+        return boot_clock.now() - self._configured_at
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns the version of the state, its age and its source."""
+        return {
+            "revision": positions.revision_of(self.replica.revision),
+            "era": positions.stated_era(self.replica.revision),
+            "age_ms": round(min(self.age_seconds(), 1e6) * 1000),
+            "version": self.catalogue.configuration_version,
+            "version_source": self._configuration_source,
+        }
+
     def record_announced_configuration(self, revision: int) -> None:
         """Records the revision of the configuration that a peer has."""
         self._announced_configuration_revision = max(
@@ -106,9 +129,14 @@
             self.catalogue.record_outage(now)
         self.freshness.confirm(as_of)
         previous_revision = self.replica.revision
+        is_restored = bool(previous_revision) and positions.era_of(
+            delta.revision
+        ) > positions.era_of(previous_revision)
+        if is_restored:
+            self._record_restoration(delta.revision, now, source)
         changed = self.replica.apply(delta)
         for item in changed:
-            self._apply_item(item, now, source)
+            self._apply_item(item, now, source, is_restored=is_restored)
         if self.catalogue.configuration is not None:
             self._configured.set()
         if (
@@ -125,20 +153,47 @@
             _log.info("expired server removed", extra={"server": server})
         return expired
 
-    def _apply_item(self, item: items.Item, now: float, source: str) -> None:
+    def _record_restoration(
+        self, position: int, now: float, source: str
+    ) -> None:
+        self._restoration_count += 1
+        self.catalogue.record_restoration(now)
+        _log.warn(
+            "the platform was restored from a copy",
+            extra={
+                **self.log_fields(),
+                "new_revision": positions.revision_of(position),
+                "new_era": positions.stated_era(position),
+                "source": source,
+            },
+        )
+
+    def _apply_item(
+        self, item: items.Item, now: float, source: str, *, is_restored: bool
+    ) -> None:
         record = platform_items.decode_item(item)
-        change = self.catalogue.apply_record(record, now)
+        change = self.catalogue.apply_record(
+            record, now, is_restored=is_restored
+        )
         if change is catalogue.CatalogueChange.NOTHING:
             return
         if change is catalogue.CatalogueChange.ITEM_UNREADABLE:
             self._log_unreadable(item, record)
         elif change is not catalogue.CatalogueChange.SERVER_CHANGED:
-            fields = {"key": item.key, "revision": item.revision}
-            fields["source"] = source
+            fields: dict[str, object] = {
+                "key": item.key,
+                "revision": positions.revision_of(item.revision),
+                "era": positions.stated_era(item.revision),
+                "source": source,
+            }
             if isinstance(record, records.ConfigurationRecord):
                 self._configuration_revision = item.revision
                 fields["version"] = record.configuration.version
                 fields["routes"] = len(record.configuration.routes)
+                fields["age_ms"] = round(min(self.age_seconds(), 1e6) * 1000)
+            if change is catalogue.CatalogueChange.CONFIGURATION_APPLIED:
+                self._configuration_source = source
+                self._configured_at = now
             _log.info(change.value, extra=fields)
 
     def _log_unreadable(self, item: items.Item, record: records.Record) -> None:
@@ -153,7 +208,7 @@
             "unreadable item ignored",
             extra={
                 "key": item.key,
-                "revision": item.revision,
+                "revision": positions.revision_of(item.revision),
                 "findings": [str(finding) for finding in findings],
             },
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -6,6 +6,7 @@
 import logbook
 
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import positions
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import replicated_state
@@ -23,12 +24,20 @@
 # the replica counted as older than it is, more daemons than needed would read.
 MAX_ANSWER_DELIVERY_SECONDS = 0.25
 LARGE_ANSWER_BYTES = 16_384  # logged
+# Shortest time between two listings that check the replica, and the same as a
+# multiple of the time that the last one took on a narrow link.
+CHECK_INTERVAL_SECONDS = 30.0
+CHECK_INTERVAL_RATIO = 100.0
+MAX_LOGGED_KEYS = 20
 
 _log = logbook.Logger("store")
 
 
 class StoreReader:
-    """Lists the items once, then waits for changes, while `should_read` holds.
+    """Lists the items, then waits for changes, while `should_read` holds.
+
+    The items are listed again when the store has lost its history or was
+    restored, and at long intervals, to find changes that were missed.
 
     `retry_delay` returns the seconds until the next call for a number of calls
     that failed in a row.
@@ -54,6 +63,14 @@
         self._receipt_seconds = 0.0
         self._is_reading = False
         self._failure_count = 0
+        self._history_loss_count = 0
+        self._next_check_at: float | None = None
+        self._missed_count = 0
+
+    @property
+    def missed_count(self) -> int:
+        """Number of changes that a listing showed to have been missed."""
+        return self._missed_count
 
     @property
     def is_reading(self) -> bool:
@@ -79,14 +96,13 @@
                 _log.info("long changes of the store; listing instead")
                 self._must_list = True
                 continue
-            except store.HistoryLostError as error:
-                _log.warn(
-                    "store dropped its history; listing again",
-                    extra={"error": str(error)},
-                )
-                self._must_list = True
+            except (
+                store.HistoryLostError,
+                positions.PlatformRestoredError,
+            ) as error:
+                await self._handle_history_loss(error)
                 continue
-            except store.StoreError as error:
+            except (store.StoreError, positions.EarlierEraError) as error:
                 self._record_failure(error)
                 self._store_client.close_connections()
                 await asyncio.sleep(self._retry_delay(self._failure_count))
@@ -99,20 +115,35 @@
                     extra={"age": self._platform_state.age_seconds()},
                 )
 
+    async def _handle_history_loss(self, error: Exception) -> None:
+        """Lists the items next; at once only if that has not just been done."""
+        self._must_list = True
+        self._history_loss_count += 1
+        _log.warn(
+            "store dropped its history or was restored; listing again",
+            extra={"error": str(error), **self._platform_state.log_fields()},
+        )
+        if self._history_loss_count > 1:
+            await asyncio.sleep(self._retry_delay(self._history_loss_count - 1))
+
     async def _read_once(self) -> None:
-        revision = self._platform_state.replica.revision
-        if not revision or self._must_list:
+        position = self._platform_state.replica.revision
+        sent_at = boot_clock.now()
+        if self._next_check_at is None:
+            self._next_check_at = sent_at + CHECK_INTERVAL_SECONDS
+        if not position or self._must_list or sent_at >= self._next_check_at:
             await self._list()
             self._must_list = False
             return
-        sent_at = boot_clock.now()
         wait_seconds = self._watch_wait_seconds()
         delta = await self._store_client.wait_for_changes(
             platform_items.ALL_KEYS_PREFIX,
-            revision,
+            positions.revision_of(position),
             wait_seconds,
             items.max_useful_bytes(self._platform_state.replica),
         )
+        delta = positions.locate_changes(position, delta)
+        self._history_loss_count = 0
         self._log_large_answer(delta, sent_at)
         # The answer holds all changes up to the time at which the store made
         # it, which is the end of the wait if there are none.
@@ -152,16 +183,38 @@
 
     async def _list(self) -> None:
         sent_at = boot_clock.now()
-        delta = await self._store_client.list_items(
-            platform_items.ALL_KEYS_PREFIX
+        position = self._platform_state.replica.revision
+        delta = positions.locate_listing(
+            position,
+            await self._store_client.list_items(platform_items.ALL_KEYS_PREFIX),
         )
+        self._record_missed(delta)
         changed = self._platform_state.apply_delta(delta, sent_at, "listing")
+        now = boot_clock.now()
+        self._next_check_at = now + max(
+            CHECK_INTERVAL_SECONDS, CHECK_INTERVAL_RATIO * (now - sent_at)
+        )
         _log.info(
             "items of the store listed",
             extra={
-                "revision": delta.revision,
                 "items": len(delta.items),
                 "changed": changed,
+                **self._platform_state.log_fields(),
+            },
+        )
+
+    def _record_missed(self, listing: items.Delta) -> None:
+        """Counts and logs the changes that the replica should have had."""
+        missed = items.missed_keys(self._platform_state.replica, listing)
+        if not missed:
+            return
+        self._missed_count += len(missed)
+        _log.error(
+            "changes of the store were missed",
+            extra={
+                "count": len(missed),
+                "keys": missed[:MAX_LOGGED_KEYS],
+                **self._platform_state.log_fields(),
             },
         )
 
@@ -174,13 +227,13 @@
             extra={
                 "value_bytes": value_bytes,
                 "items": len(delta.items),
-                "revision": delta.revision,
+                "revision": positions.revision_of(delta.revision),
                 # Includes the wait for the change.
                 "ms": round((boot_clock.now() - sent_at) * 1000),
             },
         )
 
-    def _record_failure(self, error: store.StoreError) -> None:
+    def _record_failure(self, error: Exception) -> None:
         self._failure_count += 1
         self._is_reading = False
         if self._failure_count > 1:
--- a/packages/standins/src/hyssopwind/standins/site/store.py
+++ b/packages/standins/src/hyssopwind/standins/site/store.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from hyssopwind.platform import field_names
+
 MAX_PAGE_ITEMS = 50
 
 
@@ -33,6 +35,7 @@
         mode: how it answers requests.
         call_count: number of requests so far.
         history_seconds: age at which a change leaves the history.
+        era: era that all answers state; none if it is `None`.
         address: IP address and port, empty before `start`.
     """
 
@@ -47,6 +50,7 @@
         self.mode = StoreMode.SERVING
         self.call_count = 0
         self.history_seconds = math.inf
+        self.era: int | None = None
         self.address = ""
 
     async def start(self) -> None:
@@ -72,6 +76,24 @@
         """Removes an item; returns the revision."""
         return await self._write(key, None)
 
+    def copy(self) -> tuple[dict[str, tuple[bytes, int]], int]:
+        """Returns a copy of the items with the revision."""
+        return dict(self._items), self._revision
+
+    async def restore(
+        self, copied: tuple[dict[str, tuple[bytes, int]], int]
+    ) -> None:
+        """Comes back from a copy; what was written since is lost.
+
+        A store that states eras begins a new one.
+        """
+        async with self._changed:
+            self._items, self._revision = dict(copied[0]), copied[1]
+            self.drop_history()
+            if self.era is not None:
+                self.era += 1
+            self._changed.notify_all()
+
     def drop_history(self) -> None:
         """Discards the history, so that watches from before now get 410."""
         self._history.clear()
@@ -92,6 +114,12 @@
         return self._revision
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        answer = await self._answer(request)
+        if self.era is not None:
+            answer.headers[field_names.STORE_ERA] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         self.call_count += 1
         if self.mode is StoreMode.BUSY:
             return web.Response(status=503)
@@ -125,7 +153,9 @@
 
     async def _handle_watch(self, request: web.BaseRequest) -> web.Response:
         after_revision = int(request.query["after"])
-        if after_revision < self._history_start_revision:
+        if not (
+            self._history_start_revision <= after_revision <= self._revision
+        ):
             return web.Response(status=410)
         prefix = request.query["prefix"]
         wait_seconds = int(request.query["wait_ms"]) / 1000
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -55,6 +55,7 @@
         dropped_revision: revision up to which watches can no longer get
             changes.
         confirmed_revisions: time and revision of each change.
+        era: era that it states; `None` if it states none.
     """
 
     def __init__(self) -> None:
@@ -63,6 +64,7 @@
         self.history: list[items.Item] = []
         self.dropped_revision = 0
         self.confirmed_revisions: list[tuple[float, int]] = []
+        self.era: int | None = None
         self._changed = asyncio.Event()
 
     def write(self, key: str, value: bytes | None) -> None:
@@ -77,6 +79,22 @@
         """Makes the changes so far unavailable to watches."""
         self.dropped_revision = self.revision
 
+    def restore(self, revision: int) -> None:
+        """Comes back from a copy as of a revision, which loses later changes.
+
+        A store that states eras begins a new one.
+        """
+        self.history = [i for i in self.history if i.revision <= revision]
+        self.confirmed_revisions = [
+            each for each in self.confirmed_revisions if each[1] <= revision
+        ]
+        self.revision = revision
+        self.dropped_revision = revision
+        if self.era is not None:
+            self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def listing(self, prefix: str) -> items.Delta:
         """Returns the items that exist below a prefix."""
         existing: dict[str, items.Item] = {}
@@ -85,7 +103,9 @@
                 existing.pop(item.key, None)
             elif item.key.startswith(prefix):
                 existing[item.key] = item
-        return items.Delta(tuple(existing.values()), self.revision, True)
+        return items.Delta(
+            tuple(existing.values()), self.revision, True, era=self.era
+        )
 
     async def wait_for_changes(
         self, revision: int, timeout: float
@@ -96,9 +116,9 @@
             try:
                 await asyncio.wait_for(changed.wait(), timeout)
             except TimeoutError:
-                return items.Delta((), self.revision, False)
+                return items.Delta((), self.revision, False, era=self.era)
         changes = tuple(i for i in self.history if i.revision > revision)
-        return items.Delta(changes, self.revision, False)
+        return items.Delta(changes, self.revision, False, era=self.era)
 
 
 class VirtualStoreClient(store.StoreClient):
@@ -129,7 +149,7 @@
         await self._apply_store_faults(
             wait_seconds + store.WATCH_MARGIN_SECONDS
         )
-        if revision < self._store.dropped_revision:
+        if not self._store.dropped_revision <= revision <= self._store.revision:
             raise store.HistoryLostError(
                 "changes after the revision are dropped"
             )
