Keep a planned stop going when one connection fails

Cause: write_eof raises ENOTCONN for a connection that was reset since the loop last polled; the drain closes all connections in one go and handled no exception, so that one connection ended all of them. Done: such a connection is aborted; the drain acts on each connection by itself and drops one that fails; announcements of stops and changes may fail; the task that announces changes starts again; a new connection that is reset at once counts as not connected.

--- a/packages/daemon/src/hyssopwind/daemon/frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/frontend.py
@@ -100,7 +100,10 @@
         if transport is None or transport.is_closing():
             return
         self._is_lingering = True
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            return  # The caller has reset the connection.
         transport.resume_reading()
         linger = lingering.Linger(
             outstanding_bytes=self._count_unacknowledged_bytes(),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -391,12 +391,26 @@
         if not transport.can_write_eof():
             transport.close()
             return
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection since the loop last polled.
+            transport.abort()
+            return
         self._linger = lingering.Linger(
             outstanding_bytes=self._outstanding_bytes, now=boot_clock.now()
         )
         self._schedule_linger_check()
 
+    def drop(self) -> None:
+        """Ends the connection at once, without its answers."""
+        self._is_closed = True
+        self._connections.discard(self)
+        self._stop_timer()
+        self._cancel_pending_requests()
+        if self._transport is not None:
+            self._transport.abort()
+
     def _schedule_linger_check(self) -> None:
         self._timer = self._loop.call_later(
             LINGER_CHECK_SECONDS, self._check_linger
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -156,8 +156,8 @@
         )
         server = await self._listen()
         await self._gossip.start()
-        self._start_task(self._announce_changes())
         for name, run in (
+            ("announcements", self._announce_changes),
             ("gossip", self._gossip.run),
             ("permits", self._request_path.permits.run),
             ("store reader", self._store_reader.run),
@@ -277,8 +277,16 @@
         """Waits until all answers are delivered, at most until the deadline."""
         plan = self._stop_plan
         assert plan is not None
-        self._request_path.permits.announce_stop()
-        self._gossip.announce_stop()
+        for announce in (
+            self._request_path.permits.announce_stop,
+            self._gossip.announce_stop,
+        ):
+            try:
+                announce()
+            except Exception as error:  # The stop does not need it.
+                _log.error(
+                    "stop could not be announced", extra={"error": repr(error)}
+                )
         _log.info(
             "stopping",
             extra={
@@ -304,8 +312,28 @@
                 "ms": round((boot_clock.now() - plan.requested_at) * 1000),
             },
         )
-        for connection in self._connections:
-            connection.report_undelivered(deliveries.CloseCause.PROCESS_END)
+        self._for_each_connection(
+            lambda each: each.report_undelivered(
+                deliveries.CloseCause.PROCESS_END
+            )
+        )
+
+    def _for_each_connection(
+        self, act: Callable[[caller_connection.CallerConnection], None]
+    ) -> None:
+        """Acts on all connections of callers; drops those for which it fails.
+
+        One connection must not keep the others from being served to the end.
+        """
+        for connection in list(self._connections):
+            try:
+                act(connection)
+            except Exception as error:
+                _log.error(
+                    "connection of a caller failed; dropping it",
+                    extra={"error": repr(error)},
+                )
+                connection.drop()
 
     async def _wait_for_idle(
         self, server: asyncio.Server, plan: stop_plan.StopPlan
@@ -318,8 +346,7 @@
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
             if boot_clock.now() < plan.idle_close_at:
                 continue
-            for connection in list(self._connections):
-                connection.close_if_idle()
+            self._for_each_connection(lambda each: each.close_if_idle())
             if self._connections or self._dispatcher.has_running_attempts:
                 continue
             if not server.is_serving():
@@ -337,8 +364,7 @@
             stop_plan.RETRY_AFTER_SECONDS,
         )
         while self._connections or self._dispatcher.has_received_requests:
-            for connection in list(self._connections):
-                connection.end_input(failure)
+            self._for_each_connection(lambda each: each.end_input(failure))
             # At least once, also if the loop is late: the requests end and
             # their answers are written meanwhile.
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
@@ -362,9 +388,17 @@
         await self._platform_state.wait_for_configuration(None)
         await asyncio.sleep(REACTIVEX_IMPORT_DELAY_SECONDS)
         self._platform_state.revisions.subscribe(
-            lambda _: self._gossip.announce_change()
+            lambda _: self._announce_change()
         )
 
+    def _announce_change(self) -> None:
+        try:
+            self._gossip.announce_change()
+        except Exception as error:  # It would end the subscription.
+            _log.error(
+                "change could not be announced", extra={"error": repr(error)}
+            )
+
     async def _run_housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -249,14 +249,14 @@
                     host,
                     int(port),
                 )
+            # Fails if the remote end has reset the connection meanwhile.
+            transport.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
         except (OSError, TimeoutError) as error:
             raise connection.ExchangeError(
                 attempt_results.FailureKind.NOT_CONNECTED, repr(error)
             ) from error
-        raw_socket = transport.get_extra_info("socket")
-        raw_socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
         return opened
 
 
