Keep numbers out of range from failing later requests

Cause: the longest stated deadline of a route became infinite, and sums with it overflowed. Done: values are checked where they are read; a reload computes all settings before it replaces one.

--- a/packages/core/src/hyssopwind/core/dispatch/server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_health.py
@@ -16,6 +16,7 @@
 # A crashed server restarts within some seconds, so ejections are short.
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 8.0
+MAX_DOUBLINGS = 16  # a power of a larger number could overflow
 FAILURES_TO_EJECT = 2  # consecutive ones; single failures are common
 # Duration of the ejection after a probe without an answer.
 UNANSWERED_PROBE_EJECTION_SECONDS = 0.5
@@ -212,7 +213,8 @@
         if excess_count < 0:
             return
         ejection_seconds = min(
-            MAX_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2.0**excess_count
+            MAX_EJECTION_SECONDS,
+            FIRST_EJECTION_SECONDS * 2.0 ** min(excess_count, MAX_DOUBLINGS),
         )
         state.ejected_until = max(state.ejected_until, now + ejection_seconds)
 
--- a/packages/core/src/hyssopwind/core/fleet/reader_selection.py
+++ b/packages/core/src/hyssopwind/core/fleet/reader_selection.py
@@ -33,6 +33,7 @@
 # the limit. The limit is short so that the end of an outage is detected soon.
 INITIAL_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 0.8
+MAX_DOUBLINGS = 16  # a power of a larger number could overflow
 # Minimum delay of a retry for each daemon before it in rank. Failed calls are
 # billed too, and one daemon that succeeds updates all others.
 RETRY_RANK_DELAY_SECONDS = 0.5
@@ -133,7 +134,8 @@
     """
     delay = min(
         MAX_RETRY_DELAY_SECONDS,
-        INITIAL_RETRY_DELAY_SECONDS * 2.0 ** (failure_count - 1),
+        INITIAL_RETRY_DELAY_SECONDS
+        * 2.0 ** min(failure_count - 1, MAX_DOUBLINGS),
     )
     rank_index = len(_higher_ranked(state, member_list))
     return max(delay, RETRY_RANK_DELAY_SECONDS * rank_index) * (
--- a/packages/core/src/hyssopwind/core/requests/classification.py
+++ b/packages/core/src/hyssopwind/core/requests/classification.py
@@ -12,6 +12,7 @@
 from hyssopwind.core.settings import snapshot
 
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+MAX_TIMEOUT_DIGITS = 12  # a longer number could overflow
 PRIORITY_HEADER = "X-Request-Priority"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 TICKET_HEADER = "Hyssopwind-Ticket"
@@ -112,8 +113,10 @@
     max_timeout_seconds = service.settings.deadline
     if header is None:
         return max_timeout_seconds
-    if not header.isascii() or not header.isdigit() or int(header) == 0:
+    if not header.isascii() or not header.isdigit() or not header.strip("0"):
         return None
+    if len(header) > MAX_TIMEOUT_DIGITS:
+        return max_timeout_seconds
     return min(max_timeout_seconds, int(header) / 1000)
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -332,12 +332,24 @@
         closes_connection: bool,
     ) -> None:
         request = pending.request
-        answer = rendering.render(
-            outcome,
-            request,
-            closes_connection=closes_connection,
-            is_head=request is not None and request.method == "HEAD",
-        )
+        is_head = request is not None and request.method == "HEAD"
+        try:
+            answer = rendering.render(
+                outcome,
+                request,
+                closes_connection=closes_connection,
+                is_head=is_head,
+            )
+        except Exception:  # The caller must get an answer.
+            _log.exception("an answer could not be encoded")
+            answer = rendering.render(
+                outcomes.Unknown(
+                    outcomes.Reason.INTERNAL, "the daemon has a defect"
+                ),
+                request,
+                closes_connection=closes_connection,
+                is_head=is_head,
+            )
         self._last_answered = request
         self._buffered_requests.append(request)
         self._write(answer)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -35,6 +36,9 @@
 # once a peer has said that it is cut off from the servers itself.
 MAX_PEERS = 3
 
+# Longer timeouts of callers count as this one.
+MAX_CALLER_TIMEOUT_SECONDS = 86_400.0
+
 _log = logbook.Logger("request")
 
 
@@ -86,9 +90,12 @@
 ) -> float | None:
     """Returns the timeout that the caller states in seconds, if any."""
     try:
-        return float(request.fields.get(field_names.DEADLINE, "")) / 1000
+        seconds = float(request.fields.get(field_names.DEADLINE, "")) / 1000
     except ValueError:
         return None
+    if not math.isfinite(seconds):
+        return None
+    return min(max(0.0, seconds), MAX_CALLER_TIMEOUT_SECONDS)
 
 
 def _create_peer_context(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/reloading.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/reloading.py
@@ -65,16 +65,15 @@
                 )
             return
         self._last_error = ""
+        retry_settings = fleet_retry_budgets.fleet_retry_settings(
+            new_settings, self._retry_settings
+        )
         changed = self._live_settings.replace(new_settings)
         if not changed:
             return
         _log.info("settings reloaded", extra={"changed": changed})
         self._store_client.set_address(new_settings.store_address)
-        self._retry_budget.apply_settings(
-            fleet_retry_budgets.fleet_retry_settings(
-                new_settings, self._retry_settings
-            )
-        )
+        self._retry_budget.apply_settings(retry_settings)
         fixed_keys = sorted(_KEYS_FIXED_AT_START.intersection(changed))
         if fixed_keys:
             _log.warn(
--- a/packages/daemon/src/hyssopwind/daemon/upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/upstream.py
@@ -227,10 +227,18 @@
         and attempt_results.SHED_HEADER in response.headers
     ):
         retry_after = response.headers.get("Retry-After", "")
-        seconds = float(retry_after) if retry_after.isdigit() else 0.0
-        return attempt_results.Shed(start_id, seconds)
+        return attempt_results.Shed(start_id, _read_seconds(retry_after))
     fields = headers.end_to_end(response.headers)
     if response.method == "HEAD" and "Content-Length" in response.headers:
         fields["Content-Length"] = response.headers["Content-Length"]
     answer = outcomes.Answered(response.status, headers.to_pairs(fields), body)
     return attempt_results.WholeAnswer(answer, start_id, latency_seconds)
+
+
+def _read_seconds(text: str) -> float:
+    """Returns a number of seconds; 0 if the text is none in range."""
+    if not text.isascii() or not text.isdigit():
+        return 0.0
+    if len(text) > classification.MAX_TIMEOUT_DIGITS:
+        return 0.0
+    return float(text)
