Refuse requests that can be read in two ways

Found beside it: a repeated Host, Request-Id or Deadline-Ms was passed on whole, while the first value decided. Test: test_request_that_can_be_read_in_two_ways_is_refused, which fails on the code before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_parsing.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_parsing.py
@@ -5,10 +5,15 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.routing import tables
 from hyssopwind.daemon.gateway import caller_requests
+from hyssopwind.platform import field_names
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import heads
 
 
+# A request that repeats one of these could be read in two ways.
+_SINGLE_FIELDS = ("Host", field_names.REQUEST_ID, field_names.DEADLINE)
+
+
 class BadRequestError(Exception):
     """Bytes are not a valid HTTP request, or the request exceeds a limit."""
 
@@ -112,6 +117,16 @@
         self._is_reading_head = False
         self._is_reading_body = True
         self._method = self._parser.get_method().decode(heads.CHARSET)
+        if self._method == "CONNECT":
+            # Bytes behind its head would be read as another request.
+            raise BadRequestError(
+                outcomes.Reason.MALFORMED, "method CONNECT is not served"
+            )
+        for name in _SINGLE_FIELDS:
+            if len(self._fields.getall(name, ())) > 1:
+                raise BadRequestError(
+                    outcomes.Reason.MALFORMED, f"the field {name} is repeated"
+                )
         major, _, minor = self._parser.get_http_version().partition(".")
         self._version = (int(major), int(minor or 0))
         self._keeps_alive = self._parser.should_keep_alive()
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -88,6 +88,21 @@
         self.assertEqual(self.count_executions(), 0)
         writer.close()
 
+    async def test_request_that_can_be_read_in_two_ways_is_refused(self):
+        """Servers and callers could mean different requests by one id."""
+        connect = self.request("/unsafe/a", "CONNECT", Content_Length="9")
+        single = self.request("/unsafe/a", "POST")
+        heads = [connect + self.request("/unsafe/b", "POST")]
+        for line in (b"Request-Id: r2", b"Host: other", b"Deadline-Ms: 1"):
+            heads.append(single[:-2] + line + b"\r\n\r\n")
+        for head in heads:
+            reader, writer = await self.connect()
+            writer.write(head)
+            status, _, _ = await self.read_answer(reader)
+            self.assertEqual(status, 400, head)
+            writer.close()
+        self.assertEqual(self.count_executions(), 0)
+
     async def test_request_before_garbage_is_answered(self):
         reader, writer = await self.connect()
         writer.write(self.request("/safe/a") + b"\x00\x01 no request\r\n\r\n")
