--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_parsing.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_parsing.py
@@ -9,7 +9,6 @@
 from hyssopwind.transport import boot_clock
 from hyssopwind.transport import heads
 
-
 # A request that repeats one of these could be read in two ways.
 _SINGLE_FIELDS = ("Host", field_names.REQUEST_ID, field_names.DEADLINE)
 
