Put the readable parts of a configuration in force

Cause: one route of an unknown kind, or with a value of another type, kept the whole version from being applied, while requests on its other routes got 404. Until a version is read in whole, unmatched requests get 503. Each unreadable version is logged.

--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -85,6 +85,7 @@
         # When an evacuation ends that a restored platform does not have.
         self._evacuated: dict[ids.DataCentreId, float] = {}
         self._configuration: tables.Configuration | None = None
+        self._lacks_routes = False
         self._routes = matching.RouteIndex(())
         self._grace_ends_at = float("-inf")
 
@@ -98,6 +99,11 @@
         """Version of the configuration in force; 0 before the first."""
         return self._configuration.version if self._configuration else 0
 
+    @property
+    def lacks_routes(self) -> bool:
+        """Whether the newest configuration could not be read in whole."""
+        return self._lacks_routes
+
     @property
     def routes(self) -> matching.RouteIndex:
         """The routes in force."""
@@ -209,10 +215,11 @@
             self._discard(record.server)
             return CatalogueChange.ITEM_UNREADABLE
         if isinstance(record, records.ConfigurationRecord):
-            return self._put_configuration(record.configuration)
+            return self._put_configuration(record)
         if isinstance(record, records.EvacuationRecord):
             return self._set_evacuation(record, is_restored=is_restored)
-        if isinstance(record, records.UnreadableItem):
+        if isinstance(record, records.UnreadableConfiguration):
+            self._lacks_routes = True
             return CatalogueChange.ITEM_UNREADABLE
         return CatalogueChange.NOTHING
 
@@ -302,11 +309,23 @@
         return CatalogueChange.SERVER_REMOVED
 
     def _put_configuration(
-        self, configuration: tables.Configuration
+        self, record: records.ConfigurationRecord
     ) -> CatalogueChange:
+        configuration = record.configuration
         current = self._configuration
         if current is not None and configuration.version < current.version:
             return CatalogueChange.OLDER_CONFIGURATION_IGNORED
+        self._lacks_routes = record.is_incomplete
+        if current is not None:
+            # A route that cannot be read stays as it is.
+            kept = tuple(
+                route
+                for route in current.routes
+                if route.name in record.unreadable_routes
+            )
+            configuration = dataclasses.replace(
+                configuration, routes=kept + configuration.routes
+            )
         self._configuration = configuration
         self._routes = matching.RouteIndex(configuration.routes)
         return CatalogueChange.CONFIGURATION_APPLIED
--- a/packages/core/src/hyssopwind/core/discovery/records.py
+++ b/packages/core/src/hyssopwind/core/discovery/records.py
@@ -25,9 +25,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationRecord:
-    """The newest configuration."""
+    """The newest configuration.
+
+    Attributes:
+        configuration: the configuration, without the parts that cannot be read.
+        findings: the reasons for which parts cannot be read.
+        unreadable_routes: names of the routes that cannot be read.
+        is_incomplete: whether it may have further routes, for that reason.
+    """
 
     configuration: tables.Configuration
+    findings: "tuple[findings.Finding, ...]" = ()
+    unreadable_routes: frozenset[str] = frozenset()
+    is_incomplete: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,8 +63,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UnreadableItem:
-    """Any other item that cannot be decoded, with the reasons."""
+class UnreadableConfiguration:
+    """A configuration that cannot be decoded, with the reasons."""
 
     findings: tuple[findings.Finding, ...]
 
@@ -70,6 +80,6 @@
     | ConfigurationRecord
     | EvacuationRecord
     | UnreadableServer
-    | UnreadableItem
+    | UnreadableConfiguration
     | IrrelevantItem
 )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -92,6 +92,7 @@
         """
         return (
             self._announced_configuration_revision > self.replica.revision
+            or self.catalogue.lacks_routes
             or self.age_seconds() > bound_seconds
         )
 
@@ -179,7 +180,10 @@
             return
         if change is catalogue.CatalogueChange.ITEM_UNREADABLE:
             self._log_unreadable(item, record)
-        elif change is not catalogue.CatalogueChange.SERVER_CHANGED:
+            return
+        if isinstance(record, records.ConfigurationRecord) and record.findings:
+            self._log_unreadable(item, record)
+        if change is not catalogue.CatalogueChange.SERVER_CHANGED:
             fields: dict[str, object] = {
                 "key": item.key,
                 "revision": positions.revision_of(item.revision),
@@ -197,15 +201,16 @@
             _log.info(change.value, extra=fields)
 
     def _log_unreadable(self, item: items.Item, record: records.Record) -> None:
-        """Logs an item that cannot be decoded, once for each item."""
-        if item.key in self._unreadable_keys:
+        """Logs an item that cannot be decoded, once for each server entry."""
+        is_server = isinstance(record, records.UnreadableServer)
+        if is_server and item.key in self._unreadable_keys:
             return
         if len(self._unreadable_keys) > items.MAX_TOMBSTONES:
             self._unreadable_keys.clear()
         self._unreadable_keys.add(item.key)
         findings = getattr(record, "findings", ())
         _log.warn(
-            "unreadable item ignored",
+            "unreadable item or part of one ignored",
             extra={
                 "key": item.key,
                 "revision": positions.revision_of(item.revision),
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_gateway.py
@@ -69,6 +69,28 @@
         await self.wait_until(lambda: platform_state.replica.revision >= newer)
         self.assertEqual((await self.call("/other/a"))[0], 404)
 
+    # All routes of a version were missing when one of them was unreadable.
+    async def test_version_with_an_unreadable_route_is_in_force(self):
+        added = documents.make_route_resource("added", "/added/")
+        unreadable = documents.make_route_resource("safe", "/x/", timeout_s="1")
+        await self.configure(2, [*self.routes[1:], added, unreadable])
+        catalogue = self.daemon._platform_state.catalogue
+        await self.wait_until(lambda: catalogue.configuration_version == 2)
+        for path in ("/added/a", "/unsafe/a", "/safe/a"):
+            self.assertEqual((await self.call(path))[0], 200)
+        self.assertEqual((await self.call("/other/a"))[0], 503)
+        await self.configure(3, [*self.routes, added])
+        await self.wait_until(lambda: catalogue.configuration_version == 3)
+        self.assertEqual((await self.call("/other/a"))[0], 404)
+
+    # Requests on its routes were answered 404 until the next version.
+    async def test_unknown_route_is_refused_after_an_unreadable_version(self):
+        await self.store.put("op/config", b'{"version": 2, ')
+        state = self.daemon._platform_state
+        await self.wait_until(lambda: state.catalogue.lacks_routes)
+        self.assertEqual((await self.call("/other/a"))[0], 503)
+        self.assertEqual((await self.call("/safe/a"))[0], 200)
+
     async def test_request_over_the_configured_size_limits_is_refused(self):
         status, _, _ = await self.call("/unsafe/a", "POST", b"x" * 10_001)
         self.assertEqual(status, 413)
