Recognise late answers of servers in hyssopwindd

Cause: the HTTP client passes bytes that come on an idle connection, or before the own answer, to the next request, and answers had no mark of their attempt. Done: hyssopwindd uses the connections of the transport package. Non-idempotent requests get new ones; attempts have a token that servers may state. The test of reuse for non-idempotent requests is replaced by one that allows none at all.

--- a/packages/daemon/src/hyssopwind/daemon/headers.py
+++ b/packages/daemon/src/hyssopwind/daemon/headers.py
@@ -12,6 +12,8 @@
 # Terms of a request that a gateway hands to a peer, and the result.
 HANDOVER = "Hyssopwind-Handover"
 NOT_AFTER = "X-Request-Not-After"
+# Token of one attempt, which servers may state in their answers.
+ATTEMPT = "Hyssopwind-Attempt"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -28,7 +30,12 @@
 )
 _SET_BY_HTTP_LIBRARY = frozenset({"content-length", "expect"})
 _INTERNAL = frozenset(
-    {FORWARDED.lower(), WANT_TICKETS.lower(), HANDOVER.lower()}
+    {
+        FORWARDED.lower(),
+        WANT_TICKETS.lower(),
+        HANDOVER.lower(),
+        ATTEMPT.lower(),
+    }
 )
 _REMOVED = tuple(
     multidict.istr(name)
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
@@ -1,7 +1,6 @@
 import asyncio
 import time
 import unittest
-from unittest import mock
 
 import multidict
 
@@ -50,17 +49,22 @@
         self.opened_count += 1
         for answer in answers:
             try:
-                await reader.readuntil(b"\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                token = head.partition(b"Hyssopwind-Attempt: ")[2][:16]
             except asyncio.IncompleteReadError:
                 return
             if answer is None:
                 await reader.read()
                 return
-            writer.write(answer)
-            if answer in (b"", SHORT_ANSWER):
+            writer.write(answer.replace(b"TOKEN", token))
+            if answer in (b"", SHORT_ANSWER) or answers[-1] == b"":
                 writer.close()
                 return
 
+    def send_unsolicited(self, data):
+        for writer in self._writers:
+            writer.write(data)
+
     def close(self):
         self._server.close()
         for writer in self._writers:
@@ -145,17 +149,66 @@
         self.assertEqual((await self.attempt()).answer.body, b"whole")
         self.assertEqual(self.server.opened_count, 2)
 
-    async def test_idle_connection_is_not_reused_for_non_idempotent(self):
+    async def test_open_connection_is_not_reused_for_non_idempotent(self):
         await self.start([WHOLE_ANSWER, None], [WHOLE_ANSWER])
-        with mock.patch.object(
-            upstream, "NON_IDEMPOTENT_KEEPALIVE_SECONDS", 0.05
-        ):
-            await self.attempt(is_idempotent=False)
-            await asyncio.sleep(0.3)
-            result = await self.attempt(is_idempotent=False)
+        await self.attempt()
+        result = await self.attempt(is_idempotent=False)
         self.assertEqual(result.answer.body, b"whole")
         self.assertEqual(self.server.opened_count, 2)
 
+    # A faulty server wrote an earlier refusal again; the request, which it ran,
+    # was sent to a second server.
+    async def test_late_refusal_is_no_answer_to_a_non_idempotent_request(self):
+        late = SHED_ANSWER + WHOLE_ANSWER
+        await self.start([SHED_ANSWER, late], [WHOLE_ANSWER])
+        await self.attempt(is_idempotent=False)
+        result = await self.attempt(is_idempotent=False)
+        self.assertEqual(result.answer.body, b"whole")
+
+    # The bytes were read as the answer to the next request.
+    async def test_late_answer_ends_an_idle_connection(self):
+        await self.start([WHOLE_ANSWER, WHOLE_ANSWER], [SHED_ANSWER])
+        await self.attempt()
+        self.server.send_unsolicited(WHOLE_ANSWER)
+        await asyncio.sleep(0.05)
+        self.assertEqual(await self.attempt(), attempt_results.Shed("", 2.0))
+
+    async def test_answer_to_another_attempt_is_skipped(self):
+        other = WHOLE_ANSWER.replace(
+            b"Server-Start", b"Hyssopwind-Attempt: 0\r\nServer-Start"
+        ).replace(b"whole", b"other")
+        own = WHOLE_ANSWER.replace(
+            b"Server-Start", b"Hyssopwind-Attempt: TOKEN\r\nServer-Start"
+        )
+        await self.start([own, other + own])
+        for _ in range(2):
+            result = await self.attempt()
+            self.assertEqual(result.answer.body, b"whole")
+        self.assertNotIn("Hyssopwind-Attempt", dict(result.answer.headers))
+
+    # Clients got a success with an empty or short body.
+    async def test_head_that_ends_with_the_connection_is_a_failure(self):
+        ends = range(1, len(WHOLE_ANSWER))
+        await self.start(*([WHOLE_ANSWER[:end], b""] for end in ends))
+        for _ in ends:
+            result = await self.attempt()
+            self.assertIsInstance(result, attempt_results.Failed)
+            self.assertIs(
+                attempt_results.classify_execution(result),
+                attempt_results.Execution.MAY_HAVE_RUN,
+            )
+
+    async def test_answer_cut_in_its_head_is_not_completed_by_another(self):
+        other = SHED_ANSWER
+        for end in range(1, WHOLE_ANSWER.index(b"\r\n\r\n") + 4):
+            await self.start([WHOLE_ANSWER[:end] + other])
+            result = await self.attempt(is_idempotent=False)
+            self.assertEqual(
+                result,
+                attempt_results.Failed(attempt_results.FailureKind.GARBLED),
+            )
+            self.server.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/daemon/src/hyssopwind/daemon/upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/upstream.py
@@ -1,19 +1,20 @@
 """Connections to servers, and the sending of one attempt.
 
-An idle connection for non-idempotent requests is closed after a short time,
-so that a request is not sent on a connection that has silently failed. When
-an attempt times out, all open connections to the server are retired, because
-one network fault may have broken them all; whether the server itself failed
-is judged elsewhere.
+Each attempt has a token, which servers may state in their answers; a late
+answer to another attempt is then recognised. Not all servers do, so requests
+that are not idempotent get new connections, on which no earlier answer can
+come. When an attempt times out, all open connections to the server are retired,
+because one network fault may have broken them all; whether the server itself
+failed is judged elsewhere.
 """
 
 import asyncio
 import dataclasses
+import json
+import secrets
 import time
 
-import aiohttp
 import multidict
-import yarl
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
@@ -21,13 +22,16 @@
 from hyssopwind.core.pools import server_load
 from hyssopwind.core.requests import classification
 from hyssopwind.daemon import headers
+from hyssopwind.transport import answers
+from hyssopwind.transport import connection
+from hyssopwind.transport import connection_pools
+from hyssopwind.transport import heads
 
-CONNECT_TIMEOUT_SECONDS = 0.5
-IDEMPOTENT_KEEPALIVE_SECONDS = 15.0
-# Short, because a connection that is idle for longer may fail silently.
-NON_IDEMPOTENT_KEEPALIVE_SECONDS = 0.5
-MAX_CONNECTIONS_PER_SERVER = 200  # of one daemon
+LOAD_PATH = "/load"
 PROBE_TIMEOUT_SECONDS = 0.5
+MAX_HELD_BYTES = 1_000_000_000  # of all answers that are received
+TOKEN_BYTES = 8
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,11 +59,13 @@
 
 
 class UpstreamClient:
-    """The HTTP sessions of one daemon with all servers."""
+    """The connections of one daemon to all servers."""
 
     def __init__(self) -> None:
-        self._sessions: dict[tuple[str, bool], aiohttp.ClientSession] = {}
-        self._closing_tasks: set[asyncio.Task[None]] = set()
+        self._pool = connection_pools.ConnectionPool(MAX_HELD_BYTES)
+        # Addresses whose servers state which attempt they answer.
+        self._stating_addresses: set[str] = set()
+        self._retired_at: dict[str, float] = {}
 
     async def attempt(
         self, attempt_request: AttemptRequest
@@ -69,170 +75,137 @@
         timeout_seconds = attempt_request.deadline - now
         if timeout_seconds <= 0.0:
             return attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
-        session = self._session(
-            attempt_request.address, attempt_request.is_idempotent
-        )
         try:
             async with asyncio.timeout(timeout_seconds):
-                return await self._send(session, attempt_request, now)
+                answer = await self._send(attempt_request, now)
         except TimeoutError:
             self._retire(attempt_request.address)
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
-        except aiohttp.ConnectionTimeoutError:
-            return attempt_results.Failed(
-                attempt_results.FailureKind.NOT_CONNECTED
-            )
-        except aiohttp.ClientConnectorError:
-            return attempt_results.Failed(
-                attempt_results.FailureKind.NOT_CONNECTED
-            )
-        except (aiohttp.ClientError, OSError):
-            return attempt_results.Failed(attempt_results.FailureKind.BROKEN)
+        except connection.ExchangeError as error:
+            return attempt_results.Failed(error.kind)
+        return _judge_answer(
+            answer, attempt_request.request.method, time.monotonic() - now
+        )
 
     async def probe(self, address: str) -> server_load.LoadReport | None:
         """Returns the load report of a server, or `None` if it sends none."""
-        session = self._session(address, True)
-        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         try:
-            async with session.get(
-                f"http://{address}/load", timeout=timeout
-            ) as response:
-                report = await response.json()
-            return server_load.LoadReport(
-                start_id=str(report["start"]),
-                is_cold=bool(report["cold"]),
-                is_draining=bool(report["draining"]),
-                age_seconds=float(report.get("age_ms", 0)) / 1000,
+            answer = await self._pool.get(
+                address, LOAD_PATH, PROBE_TIMEOUT_SECONDS, _is_load_report
             )
-        except (aiohttp.ClientError, TimeoutError, OSError):
+            return _read_load_report(answer.body)
+        except connection.ExchangeError:
             return None
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return None
 
     def retain(self, addresses: set[str]) -> None:
-        """Retires the sessions with servers at other addresses."""
-        for address, _ in list(self._sessions):
+        """Closes the idle connections to servers at other addresses."""
+        self._pool.retain(addresses)
+        self._stating_addresses &= addresses
+        for address in list(self._retired_at):
             if address not in addresses:
-                self._retire(address)
+                del self._retired_at[address]
 
     async def close(self) -> None:
-        """Closes all sessions."""
-        for session in self._sessions.values():
-            await session.close()
-        self._sessions.clear()
-        for task in list(self._closing_tasks):
-            task.cancel()
+        """Closes all idle connections."""
+        self._pool.close()
 
     async def _send(
-        self,
-        session: aiohttp.ClientSession,
-        attempt_request: AttemptRequest,
-        started_at: float,
-    ) -> attempt_results.AttemptResult:
-        url = yarl.URL(
-            f"http://{attempt_request.address}{attempt_request.request.target}",
-            encoded=True,
-        )
-        async with session.request(
+        self, attempt_request: AttemptRequest, started_at: float
+    ) -> answers.Answer:
+        """Sends a request and returns the whole answer.
+
+        Raises:
+            ExchangeError: there is none.
+        """
+        address = attempt_request.address
+        # A refusal on a connection that was used before may be a late one of
+        # another request, and would let this one run twice.
+        if attempt_request.is_idempotent:
+            server_connection = await self._pool.acquire(address)
+        else:
+            server_connection = await self._pool.open(address)
+        token = secrets.token_hex(TOKEN_BYTES)
+
+        def is_own(answer: answers.Answer) -> bool:
+            stated = answer.fields.getall(headers.ATTEMPT, ())
+            if stated:
+                return list(stated) == [token]
+            return address not in self._stating_addresses
+
+        def check_size(known_bytes: int) -> None:
+            if known_bytes > attempt_request.max_answer_bytes:
+                raise answers.AnswerTooLargeError
+
+        answer = await server_connection.exchange(
+            _encode_request(attempt_request, token),
             attempt_request.request.method,
-            url,
-            headers=attempt_request.fields,
-            data=attempt_request.request.body or None,
-            allow_redirects=False,
-        ) as response:
-            body = await _read_body(response, attempt_request.max_answer_bytes)
-            if body is None:
-                return attempt_results.Failed(
-                    attempt_results.FailureKind.TOO_LARGE
-                )
-            return _read_answer(response, body, time.monotonic() - started_at)
-
-    def _session(
-        self, address: str, is_idempotent: bool
-    ) -> aiohttp.ClientSession:
-        key = (address, is_idempotent)
-        session = self._sessions.get(key)
-        if session is None:
-            session = _open_session(is_idempotent)
-            self._sessions[key] = session
-        return session
+            is_own,
+            check_size,
+        )
+        if headers.ATTEMPT in answer.fields:
+            self._stating_addresses.add(address)
+        if self._retired_at.get(address, 0.0) > started_at:
+            server_connection.abort()
+        else:
+            self._pool.release(server_connection)
+        return answer
 
     def _retire(self, address: str) -> None:
-        for is_idempotent in (True, False):
-            session = self._sessions.pop((address, is_idempotent), None)
-            if session is None:
-                continue
-            task = asyncio.create_task(_close_after_longest_request(session))
-            self._closing_tasks.add(task)
-            task.add_done_callback(self._closing_tasks.discard)
-
-
-def _open_session(is_idempotent: bool) -> aiohttp.ClientSession:
-    keepalive_seconds = (
-        IDEMPOTENT_KEEPALIVE_SECONDS
-        if is_idempotent
-        else NON_IDEMPOTENT_KEEPALIVE_SECONDS
-    )
-    connector = aiohttp.TCPConnector(
-        limit=MAX_CONNECTIONS_PER_SERVER,
-        keepalive_timeout=keepalive_seconds,
-        use_dns_cache=False,
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
-        ),
-        skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+        """Reuses no connection that is open now."""
+        self._pool.close_idle(address)
+        self._retired_at[address] = time.monotonic()
+        self._stating_addresses.discard(address)
+
+
+def _encode_request(attempt_request: AttemptRequest, token: str) -> bytes:
+    request = attempt_request.request
+    fields = attempt_request.fields.copy()
+    fields.setdefault("Host", attempt_request.address)
+    fields[headers.ATTEMPT] = token
+    if request.body or request.method in METHODS_WITH_BODY:
+        fields["Content-Length"] = str(len(request.body))
+    head = heads.encode_head(
+        f"{request.method} {request.target} HTTP/1.1", fields
     )
+    return head + request.body
 
 
-async def _close_after_longest_request(session: aiohttp.ClientSession) -> None:
-    """Closes a retired session after the time of the longest request."""
-    try:
-        await asyncio.sleep(60.0)
-    finally:
-        await session.close()
-
-
-async def _read_body(
-    response: aiohttp.ClientResponse, max_bytes: int
-) -> bytes | None:
-    """Returns the whole body, or `None` if it is over the limit."""
-    length = response.content_length
-    if length is not None and length > max_bytes and response.method != "HEAD":
-        response.close()
-        return None
-    if length is not None and length <= max_bytes:
-        return await response.read()
-    chunks = []
-    size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            response.close()
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
+def _is_load_report(answer: answers.Answer) -> bool:
+    # An answer that states an attempt is a late one.
+    return headers.ATTEMPT not in answer.fields
+
+
+def _read_load_report(body: bytes) -> server_load.LoadReport:
+    """Returns a load report.
 
+    Raises:
+        ValueError: it is not valid.
+    """
+    report = json.loads(body)
+    return server_load.LoadReport(
+        start_id=str(report["start"]),
+        is_cold=bool(report["cold"]),
+        is_draining=bool(report["draining"]),
+        age_seconds=float(report.get("age_ms", 0)) / 1000,
+    )
 
-def _read_answer(
-    response: aiohttp.ClientResponse, body: bytes, latency_seconds: float
+
+def _judge_answer(
+    answer: answers.Answer, method: str, latency_seconds: float
 ) -> attempt_results.AttemptResult:
-    start_id = response.headers.get(attempt_results.START_HEADER, "")
-    if (
-        response.status == 503
-        and attempt_results.SHED_HEADER in response.headers
-    ):
-        retry_after = response.headers.get("Retry-After", "")
+    start_id = answer.fields.get(attempt_results.START_HEADER, "")
+    if answer.status == 503 and attempt_results.SHED_HEADER in answer.fields:
+        retry_after = answer.fields.get("Retry-After", "")
         return attempt_results.Shed(start_id, _read_seconds(retry_after))
-    fields = headers.end_to_end(response.headers)
-    if response.method == "HEAD" and "Content-Length" in response.headers:
-        fields["Content-Length"] = response.headers["Content-Length"]
-    answer = outcomes.Answered(response.status, headers.to_pairs(fields), body)
-    return attempt_results.WholeAnswer(answer, start_id, latency_seconds)
+    fields = headers.end_to_end(answer.fields)
+    if method == "HEAD" and "Content-Length" in answer.fields:
+        fields["Content-Length"] = answer.fields["Content-Length"]
+    answered = outcomes.Answered(
+        answer.status, headers.to_pairs(fields), answer.body
+    )
+    return attempt_results.WholeAnswer(answered, start_id, latency_seconds)
 
 
 def _read_seconds(text: str) -> float:
--- a/packages/standins/src/hyssopwind/standins/server.py
+++ b/packages/standins/src/hyssopwind/standins/server.py
@@ -14,6 +14,7 @@
 
 START_HEADER = "Server-Start"
 SHED_HEADER = "Server-Shed"
+ATTEMPT_HEADER = "Hyssopwind-Attempt"
 NOT_AFTER_HEADER = "X-Request-Not-After"
 # Work time of a request in seconds, instead of a random one.
 WORK_SECONDS_HEADER = "X-Work-Seconds"
@@ -97,6 +98,15 @@
         body = await request.read()
         if request.headers.get("X-Crash-Server"):
             os._exit(70)
+        answer = await self._answer(request, body)
+        token = request.headers.get(ATTEMPT_HEADER)
+        if token is not None:
+            answer.headers[ATTEMPT_HEADER] = token
+        return answer
+
+    async def _answer(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
         reason = self._find_refusal_reason(request)
         if reason is not None:
             return self._make_refusal(reason)
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
@@ -50,6 +50,18 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.count_executions(), 2)
 
+    # Guards against a faulty server that writes an earlier refusal again.
+    async def test_late_refusal_of_another_request_is_skipped(self):
+        late = REFUSAL.replace(b"ID", b"other")
+        whole = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+            b"Content-Length: 3\r\n\r\nran"
+        )
+        self.script(late + whole)
+        status, _, body = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual((status, body), (200, b"ran"))
+        self.assertEqual(self.count_executions(), 1)
+
     # The status told the caller that the request had not run, which the server
     # had not stated.
     async def test_status_of_a_refusal_without_a_statement_is_unknown(self):
