End what is taken in a planned stop before the grace period does

Here the servers of requests that were sent in the first 2.5 s after SIGTERM, or after a wait, got all the time of the route; the daemon ended them with 502 while the servers were at work. Cause: only the admission of late requests looked at the end of the drain, not the deadline that servers get. Done: what is sent after the signal has a deadline before the end of the drain; unsafe requests without enough time are refused at once.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -325,7 +325,12 @@
         plan = self._stop_plan
         if plan is None:
             return True
-        return plan.may_start(boot_clock.now(), context.deadline)
+        return plan.may_start(
+            boot_clock.now(),
+            context.deadline,
+            latency_target_seconds=context.route.latency_target_seconds,
+            is_idempotent=context.route.is_idempotent,
+        )
 
     def _stop_outcome(self) -> outcomes.NotRun:
         return outcomes.NotRun(
@@ -368,9 +373,7 @@
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
-        deadline = context.deadline
-        if self._stop_plan is not None:
-            deadline = min(deadline, self._stop_plan.deadline)
+        deadline = self._send_deadline(context)
         return picker.SelectionRequest(
             route=context.route,
             service=context.service,
@@ -380,6 +383,12 @@
             is_caller_retry=context.is_caller_retry,
         )
 
+    def _send_deadline(self, context: _RequestContext) -> float:
+        """Returns the monotonic time by which a server has to answer."""
+        if self._stop_plan is None:
+            return context.deadline
+        return self._stop_plan.limit_deadline(context.deadline)
+
     async def _serve_elsewhere(
         self, context: _RequestContext
     ) -> outcomes.Outcome:
@@ -466,7 +475,7 @@
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
         handed = await self._handover.hand_over(
-            peer, context.request, terms, context.deadline
+            peer, context.request, terms, self._send_deadline(context)
         )
         has_run_nowhere = handed.result in (
             handovers.HandoverResult.NOT_CONNECTED,
@@ -580,7 +589,7 @@
             entry=listed_server.entry,
             route=context.route,
             request=context.request,
-            deadline=context.deadline,
+            deadline=self._send_deadline(context),
             selection=selected,
         )
         attempt = asyncio.create_task(self._send(context, attempt_request))
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
@@ -133,6 +133,63 @@
         self.assertEqual(self.executed_ids(), set())
         writer.close()
 
+    # It was sent with all the time of its route left, and cut at the end of the
+    # grace period while its server was at work.
+    async def test_deadline_of_a_late_request_is_within_the_grace_period(self):
+        self.request_stop()
+        requested_at = asyncio.get_running_loop().time()
+        for path in ("/long/a", "/book/a"):
+            await asyncio.sleep(0.5)
+            status, _, _ = await self.call(path, Deadline_Ms="20000")
+            self.assertEqual(status, 200)
+            received = b"".join(
+                each.received_requests.pop()
+                for each in self.servers
+                if each.received_requests
+            )
+            milliseconds = int(
+                received.split(b"Deadline-Ms: ")[1].split(b"\r\n")[0]
+            )
+            elapsed = asyncio.get_running_loop().time() - requested_at
+            self.assertLess(
+                elapsed + milliseconds / 1000, GRACE_SECONDS * 7 / 8
+            )
+
+    async def test_request_that_needs_more_time_is_refused_at_once(self):
+        slow = documents.make_route_resource(
+            "slow", "/slow/", kind="unsafe", timeout_s=9.0, target_latency_s=3.0
+        )
+        await self.configure(2, [*self.routes, slow])
+        catalogue = self.daemon._platform_state.catalogue
+        await self.wait_until(lambda: catalogue.configuration_version == 2)
+        self.request_stop()
+        await asyncio.sleep(0.1)
+        status, headers, _ = await self.call(
+            "/slow/a", "POST", b"x", Deadline_Ms="9000"
+        )
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["retry-after"]), 0.2)
+        self.assertEqual(self.executed_ids(), set())
+
+    # A request that waited for a server was sent to it late, with the time of
+    # its route.
+    async def test_request_sent_late_after_a_wait_has_a_short_deadline(self):
+        self.set_work(1.0)
+        first = asyncio.create_task(
+            self.call("/book/a", "POST", b"x", Deadline_Ms="20000")
+        )
+        await self.wait_until(lambda: self.count_executions() == 1)
+        self.request_stop()
+        reader, writer = await self.connect()
+        writer.write(
+            self.request("/book/a", "POST", "r2", Deadline_Ms="20000")
+            + self.request("/book/a", "POST", "r3", Deadline_Ms="20000")
+        )
+        answered = await self.read_answers(reader)
+        await first
+        self.assertEqual(self.executed_ids() - {"r1"} - set(answered), set())
+        writer.close()
+
     async def test_request_that_fits_is_still_served(self):
         self.set_work(0.3)
         self.request_stop()
