Apply the items behind one that cannot be read

Cause: the decoder raised RecursionError, which was not handled, and an exception at one item lost the items behind it: the replica had them already, so they were not delivered again, neither here nor to peers. Done: such values are unreadable; each item is applied by itself, and one that fails is logged and counted.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -488,6 +488,7 @@
             era=lambda: positions.stated_era(platform_state.replica.revision),
             restorations=lambda: platform_state.restoration_count,
             missed_changes=lambda: self._store_reader.missed_count,
+            failed_items=lambda: platform_state.failed_item_count,
             version=lambda: platform_state.catalogue.configuration_version,
             version_age=platform_state.configuration_age_seconds,
             servers=lambda: platform_state.catalogue.server_count,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -41,6 +41,7 @@
         era: era of the platform that the revision belongs to.
         restorations: restorations of the platform that were seen.
         missed_changes: changes that a listing showed to have been missed.
+        failed_items: items that a defect kept from being applied.
         version: version of the configuration in force.
         version_age: seconds for which it has been in force.
         servers: listed servers.
@@ -62,6 +63,7 @@
     era: Callable[[], float]
     restorations: Callable[[], float]
     missed_changes: Callable[[], float]
+    failed_items: Callable[[], float]
     version: Callable[[], float]
     version_age: Callable[[], float]
     servers: Callable[[], float]
@@ -85,6 +87,7 @@
     "era": "Era of the platform that the revision belongs to",
     "restorations": "Restorations of the platform that were seen",
     "missed_changes": "Changes of the platform that had been missed",
+    "failed_items": "Items that a defect kept from being applied",
     "version": "Version of the configuration in force",
     "version_age": "Seconds for which this version has been in force",
     "servers": "Listed servers",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -230,7 +230,11 @@
         """Handles a message of another daemon."""
         try:
             message = gossip_messages.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             _log.warn(
                 "undecodable datagram ignored", extra={"error": str(error)}
             )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -41,6 +41,7 @@
         self._configuration_source = ""
         self._configured_at = float("-inf")
         self._restoration_count = 0
+        self._failed_item_count = 0
         self._unreadable_keys: set[str] = set()
         self._revisions: subject.Subject[int] | None = None
 
@@ -64,6 +65,11 @@
         """How often the platform was found to be restored from a copy."""
         return self._restoration_count
 
+    @property
+    def failed_item_count(self) -> int:
+        """Number of items that a defect kept from being applied."""
+        return self._failed_item_count
+
     def configuration_age_seconds(self) -> float:
         """Returns the time for which the configuration has been in force."""
         return boot_clock.now() - self._configured_at
@@ -137,7 +143,16 @@
             self._record_restoration(delta.revision, now, source)
         changed = self.replica.apply(delta)
         for item in changed:
-            self._apply_item(item, now, source, is_restored=is_restored)
+            try:
+                self._apply_item(item, now, source, is_restored=is_restored)
+            except Exception as error:
+                # The replica has the item, so that it does not come again; the
+                # items behind it must not be lost with it.
+                self._failed_item_count += 1
+                _log.error(
+                    "item could not be applied",
+                    extra={"key": item.key, "error": repr(error)},
+                )
         if self.catalogue.configuration is not None:
             self._configured.set()
         if (
--- a/packages/standins/src/hyssopwind/standins/tests/test_malformed_messages.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_malformed_messages.py
@@ -137,3 +137,58 @@
         round_number = gossip._round_number
         await self.wait_until(lambda: gossip._round_number > round_number + 1)
         await self.check_serves()
+
+
+class UnreadableEntryTest(site_gateway_case.GatewayTestCase):
+    """An entry that cannot be read comes together with other changes.
+
+    The changes behind it were lost for good, as the replica had their revision
+    and they were not delivered again.
+    """
+
+    async def check_version_behind(self, value):
+        catalogue = self.daemon._platform_state.catalogue
+        # Changes that are written while the reader pauses come together.
+        await self.store.put("servers/other", {})
+        await self.store.put("servers/broken", value)
+        await self.configure(2, self.routes)
+        await self.wait_until(lambda: catalogue.configuration_version == 2)
+        await self.check_serves()
+
+    async def check_serves(self):
+        self.assertFalse(self.daemon._stop_event.is_set())
+        self.assertEqual((await self.call("/safe/a"))[0], 200)
+
+    async def test_version_behind_a_deeply_nested_entry_is_in_force(self):
+        await self.check_version_behind(b'{"a":' * 1_500)
+
+    async def test_version_behind_an_entry_that_fails_is_in_force(self):
+        catalogue = self.daemon._platform_state.catalogue
+        apply_record = catalogue.apply_record
+
+        def fail_once(record, now, **options):
+            catalogue.apply_record = apply_record
+            raise RuntimeError("a defect")
+
+        catalogue.apply_record = fail_once
+        await self.check_version_behind(b"[]")
+        self.assertEqual(self.daemon._platform_state.failed_item_count, 1)
+
+    # The daemon said that it was ready and refused all requests.
+    async def test_servers_behind_a_nested_entry_are_known_from_the_start(self):
+        await self.store.put("a-first", b'{"a":' * 1_500)
+        await self.store.put("servers/a-first", b'{"a":' * 1_500)
+        self.daemon_task.cancel()
+        await asyncio.gather(self.daemon_task, return_exceptions=True)
+        self.daemon._internal_listeners.stop()
+        self.daemon._gossip.stop()
+        self.listener.close()
+        await self.start_daemon()
+        await self.wait_until(lambda: self.daemon._is_ready())
+        self.assertEqual(self.daemon._platform_state.catalogue.server_count, 2)
+        await self.check_serves()
+
+    async def test_deeply_nested_datagram_is_ignored(self):
+        data = b"\x9b" + b"\x91" * 60_000
+        self.daemon._gossip.datagram_received(data, ("127.0.0.1", 1))
+        await self.check_serves()
