--- a/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_stop.py
@@ -190,6 +190,16 @@
         self.assertEqual(self.executed_ids() - {"r1"} - set(answered), set())
         writer.close()
 
+    # A server that was still at work at the end of the drain was cut off.
+    async def test_request_without_time_for_its_work_is_refused(self):
+        self.request_stop()
+        plan = self.daemon._stop_plan
+        await asyncio.sleep(plan.last_answer_at - 0.1 - boot_clock.now())
+        status, _, body = await self.call("/safe/a", Deadline_Ms="150")
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+        self.assertEqual(self.executed_ids(), set())
+
     async def test_request_that_fits_is_still_served(self):
         self.set_work(0.3)
         self.request_stop()
