--- a/packages/core/src/hyssopwind/core/attempts/attempt_results.py
+++ b/packages/core/src/hyssopwind/core/attempts/attempt_results.py
@@ -8,8 +8,6 @@
 
 SHED_HEADER = "Server-Shed"
 START_HEADER = "Server-Start"
-
-
 # Statuses by which callers learn that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
--- a/packages/core/src/hyssopwind/core/discovery/catalogue.py
+++ b/packages/core/src/hyssopwind/core/discovery/catalogue.py
@@ -29,8 +29,6 @@
 # an outage the replica is at most 1.9 s old; the platform removes an entry
 # 4.5 s after the last report of its server.
 OUTAGE_AGE_SECONDS = 2.5
-
-
 MAX_REMOVED_ENTRIES = 4_000  # that are remembered
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -35,7 +35,6 @@
 # Peers to which one request is handed at most. It is handed to no further one
 # once a peer has said that it is cut off from the servers itself.
 MAX_PEERS = 3
-
 # Longer timeouts of callers count as this one.
 MAX_CALLER_TIMEOUT_SECONDS = 86_400.0
 
