--- a/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
@@ -191,7 +191,10 @@
             return Handed(handovers.HandoverResult.BROKEN)
         except TimeoutError:
             return Handed(handovers.HandoverResult.BROKEN)
-        self._pool.release(peer_connection)
+        if _read_result(answer) is None:
+            peer_connection.abort()
+        else:
+            self._pool.release(peer_connection)
         return _judge(answer, request.method)
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -177,9 +177,12 @@
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
         finally:
             self._repeatable.discard(server_connection)
-        self._pool.release(server_connection)
         quiet_seconds = 0.0
-        if _is_from_server(answer):
+        if not _is_from_server(answer):
+            # What sent it may send more; see `_judge_answer`.
+            server_connection.abort()
+        else:
+            self._pool.release(server_connection)
             kind = server_notices.AnswerKind.REQUEST
             if answer.status == 421 or field_names.NOT_RUN in answer.fields:
                 kind = server_notices.AnswerKind.REFUSAL
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
@@ -1,8 +1,10 @@
 """Answers of servers that do not show what became of a request."""
 
 import asyncio
+from unittest import mock
 
 from hyssopwind.standins.tests import site_gateway_case
+from hyssopwind.transport import connection
 
 RUNS_ALONE = True  # real sockets and times
 
@@ -50,6 +52,23 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.count_executions(), 2)
 
+    # The connection was used again.
+    async def test_answer_that_no_server_gives_ends_the_connection(self):
+        unstamped = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.script(unstamped)
+        aborted = []
+        abort = connection.ClientConnection.abort
+        with mock.patch.object(
+            connection.ClientConnection,
+            "abort",
+            lambda each: (aborted.append(each), abort(each)),
+        ):
+            status, _, _ = await self.call("/unsafe/a", "POST", b"x")
+        self.assertEqual(status, 502)
+        self.assertEqual(len(set(aborted)), 1)
+
     # Guards against a faulty server that writes an earlier refusal again.
     async def test_late_refusal_of_another_request_is_skipped(self):
         late = REFUSAL.replace(b"ID", b"other")
