Begin a new turn of reading the store with a watch

Found in the review of the check by listings: a daemon that had read the store before began its next turn with a listing, as the time of its check had passed; on a narrow link that delays a change by the time of the listing. Done: the time of the check counts from the beginning of a turn. Test: test_reader_that_takes_over_waits_for_changes, which fails without the change.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/store_reader.py
@@ -88,6 +88,8 @@
             if not self._should_read():
                 self._failure_count = 0
                 self._is_reading = False
+                # A daemon that takes over must not begin with a listing.
+                self._next_check_at = None
                 await asyncio.sleep(IDLE_POLL_SECONDS)
                 continue
             try:
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_store_reader.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_store_reader.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 from unittest import mock
 
@@ -32,9 +33,52 @@
         with mock.patch.object(boot_clock, "now", lambda: next(times, 101.5)):
             await reader._read_once()
             self.assertAlmostEqual(platform_state.age_seconds(), 0.95)
+        self.assertIsNotNone(reader._next_check_at)
         # The next call ends sooner, so that the age stays within its limit.
         self.assertAlmostEqual(reader._watch_wait_seconds(), 0.3)
 
 
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    # A daemon that had read before began its next turn with a listing, which
+    # takes a second on a narrow link.
+    async def test_reader_that_takes_over_waits_for_changes(self):
+        platform_state = replicated_state.PlatformState()
+        platform_state.apply_delta(items.Delta((), 5, True), 0.0, "store")
+        client = mock.Mock(receipt_seconds=0.0, list_items=mock.AsyncMock())
+        client.wait_for_changes = mock.AsyncMock(
+            return_value=items.Delta((), 5, False)
+        )
+        turns = iter([True, False, True])
+
+        def should_read():
+            turn = next(turns, None)
+            if turn is None:
+                raise asyncio.CancelledError
+            return turn
+
+        reader = store_reader.StoreReader(
+            client,
+            platform_state,
+            should_read,
+            lambda _: 0.0,
+            tuning.StoreReadSettings(),
+            mock.Mock(current=mock.Mock(change_bound_seconds=2.0)),
+        )
+        now = 100.0
+
+        def advance():
+            nonlocal now
+            now += 20.0
+            return now
+
+        with (
+            mock.patch.object(boot_clock, "now", advance),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await reader.run()
+        self.assertEqual(client.wait_for_changes.await_count, 2)
+        client.list_items.assert_not_awaited()
+
+
 if __name__ == "__main__":
     unittest.main()
