Restore checks of the times of a planned stop that had been loosened

Cause: ordered the smaller of two times instead of the time at which idle connections are closed, and replaced the test that early requests are taken 2 s after the signal by one at the signal itself. Done: both checks stand as they were; the new ones stand beside them.

--- a/packages/core/src/hyssopwind/core/stopping/tests/test_stop_plan.py
+++ b/packages/core/src/hyssopwind/core/stopping/tests/test_stop_plan.py
@@ -18,13 +18,14 @@
         times = [
             plan.requested_at,
             plan.admission_end,
-            min(plan.idle_close_at, plan.last_answer_at),
-            plan.last_answer_at,
+            plan.idle_close_at,
             plan.deadline,
             plan.handover_deadline,
             plan.requested_at + grace,
         ]
         self.assertEqual(times, sorted(times))
+        self.assertLessEqual(plan.admission_end, plan.last_answer_at)
+        self.assertLess(plan.last_answer_at, plan.deadline)
         self.assertLess(plan.handover_deadline, plan.requested_at + grace)
 
     @hypothesis.settings(derandomize=True, deadline=None)
@@ -36,6 +37,11 @@
         if now >= plan.admission_end and plan.may_start(now, now + duration):
             self.assertLessEqual(now + duration, plan.deadline)
 
+    def test_early_requests_are_taken_whatever_their_deadline(self):
+        plan = stop_plan.StopPlan(10.0, 6.0)
+        self.assertTrue(plan.may_start(12.0, 22.0))
+        self.assertTrue(plan.takes_followers(12.0))
+
     # Requests that were sent to servers in the first part of the grace period
     # ran beyond its end, up to the timeout of their route.
     @hypothesis.settings(derandomize=True, deadline=None)
