Share the check of the era of an answer

Both ways of placing an answer had the same lines. Measured: the tests of positions and test_site_restored_store pass; no behaviour changes.

--- a/packages/core/src/hyssopwind/core/discovery/positions.py
+++ b/packages/core/src/hyssopwind/core/discovery/positions.py
@@ -70,12 +70,11 @@
         PlatformRestoredError: the answer is not one to this position.
         EarlierEraError: the answer is of an earlier era.
     """
-    known_era = stated_era(position)
-    answered_era = known_era if delta.era is None else delta.era
-    if answered_era < known_era:
-        raise EarlierEraError(f"era {answered_era} after {known_era}")
-    if answered_era > known_era:
-        raise PlatformRestoredError(f"era {answered_era} after {known_era}")
+    answered_era = _answered_era(position, delta)
+    if answered_era > stated_era(position):
+        raise PlatformRestoredError(
+            f"era {answered_era} after {stated_era(position)}"
+        )
     if delta.revision < revision_of(position):
         raise PlatformRestoredError(
             f"revision {delta.revision} after {revision_of(position)}"
@@ -94,11 +93,8 @@
     Raises:
         EarlierEraError: the listing is of an earlier era.
     """
-    known_era = stated_era(position)
-    answered_era = known_era if delta.era is None else delta.era
-    if answered_era < known_era:
-        raise EarlierEraError(f"era {answered_era} after {known_era}")
-    if answered_era > known_era:
+    answered_era = _answered_era(position, delta)
+    if answered_era > stated_era(position):
         return _locate(era_of_platform(answered_era), delta)
     era = era_of(position)
     if delta.revision < revision_of(position):
@@ -118,6 +114,20 @@
     )
 
 
+def _answered_era(position: int, delta: items.Delta) -> int:
+    """Returns the era of an answer; that of the position if it states none.
+
+    Raises:
+        EarlierEraError: it is earlier than that of the position.
+    """
+    known_era = stated_era(position)
+    if delta.era is None:
+        return known_era
+    if delta.era < known_era:
+        raise EarlierEraError(f"era {delta.era} after {known_era}")
+    return delta.era
+
+
 def _locate(era: int, delta: items.Delta) -> items.Delta:
     if not era:
         return delta
