--- a/packages/core/src/hyssopwind/core/attempts/attempt_results.py
+++ b/packages/core/src/hyssopwind/core/attempts/attempt_results.py
@@ -8,7 +8,7 @@
 
 SHED_HEADER = "Server-Shed"
 START_HEADER = "Server-Start"
-# Statuses by which callers learn that a request has not run.
+# Statuses that promise the caller that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -95,8 +95,9 @@
 ) -> outcomes.Outcome:
     """Returns the outcome for the caller when a server gave an answer.
 
-    A server that refuses a request states so beside the status; the status
-    alone does not show that the request has not run, but tells the caller so.
+    A server that refuses a request states so in a header field. The status
+    alone does not show that the request has not run, but promises it to the
+    caller.
 
     Examples:
         >>> busy = outcomes.Answered(503, (), b"")
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -166,7 +166,7 @@
         )
 
     def _answer_earlier_release(self, revision: int) -> outcomes.Answered:
-        """Answers a daemon that knows plain revisions only."""
+        """Answers a daemon that supports plain revisions only."""
         replica = self._platform_state.replica
         era = positions.era_of(replica.revision)
         delta = replica.delta_since(positions.make_position(era, revision))
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_answers.py
@@ -28,8 +28,8 @@
         for stand_in in self.servers:
             stand_in.options.scripted_answers.append(answer)
 
-    # The request ran at a second server, or its caller was told that it had
-    # not run.
+    # The request ran at a second server, or was answered 503 although it had
+    # run.
     async def test_unsafe_request_is_not_repeated_after_a_merged_answer(self):
         self.script(MERGED)
         status, headers, _ = await self.call("/unsafe/a", "POST", b"x")
@@ -81,8 +81,8 @@
         self.assertEqual((status, body), (200, b"ran"))
         self.assertEqual(self.count_executions(), 1)
 
-    # The status told the caller that the request had not run, which the server
-    # had not stated.
+    # The status promised that the request had not run, which the server had not
+    # stated.
     async def test_status_of_a_refusal_without_a_statement_is_unknown(self):
         self.script(STAMPED_BUSY)
         status, headers, _ = await self.call("/unsafe/a", "POST", b"x")
