--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(BIN)/ruff check packages platform tools
 	$(BIN)/mypy $(PACKAGES:%=%/src)
 	$(BIN)/python tools/check_layers.py
+	$(BIN)/python tools/check_decoders.py
 
 bench: $(VENV)/ready
 	$(BIN)/python -m hyssopwind.standins.bench
--- a/packages/core/src/hyssopwind/core/configuration/configuration_store.py
+++ b/packages/core/src/hyssopwind/core/configuration/configuration_store.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -109,20 +110,31 @@
         return result
 
     def offer_listing(
-        self, listing: Iterable[TeamDocument], revision: int
+        self,
+        listing: Iterable[TeamDocument],
+        revision: int,
+        unreadable_teams: Collection[ids.TeamId] = (),
     ) -> list[OfferResult]:
         """Applies a complete listing of the service at `revision`.
 
         A team that the listing lacks was deleted, but only if the listing is
         newer than the newest document of that team: a stale listing deletes
         nothing.
+
+        Args:
+            listing: the documents that could be read.
+            revision: revision of the listing.
+            unreadable_teams: teams whose documents exist and could not be read;
+                they stay as they are.
         """
         document_by_team = {document.team: document for document in listing}
         results = [
             self.offer(document) for document in document_by_team.values()
         ]
         for team, state in list(self._teams.items()):
-            if team in document_by_team or state.latest.revision >= revision:
+            if team in document_by_team or team in unreadable_teams:
+                continue
+            if state.latest.revision >= revision:
                 continue
             results.append(self.offer(TeamDocument(team, revision, None)))
         return results
--- a/packages/core/src/hyssopwind/core/configuration/tests/test_configuration_store.py
+++ b/packages/core/src/hyssopwind/core/configuration/tests/test_configuration_store.py
@@ -48,6 +48,12 @@
         self.store.offer_listing([], revision=10)
         self.assertIsNone(self.store.teams[STUDIO].settings)
 
+    # It counted as deleted, and its settings were no longer in force.
+    def test_team_whose_entry_cannot_be_read_stays_in_force(self):
+        self.store.offer(make_document(STUDIO, 9))
+        self.store.offer_listing([], 10, {STUDIO})
+        self.assertIsNotNone(self.store.teams[STUDIO].settings)
+
     def test_valid_document_older_than_a_rejected_one_comes_into_force(self):
         self.store.offer(make_document(STUDIO, 7, INVALID))
         self.store.offer(make_document(STUDIO, 5))
--- a/packages/core/src/hyssopwind/core/fleet/change_encoding.py
+++ b/packages/core/src/hyssopwind/core/fleet/change_encoding.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from hyssopwind.core import decoding
 from hyssopwind.core.discovery import items
 from hyssopwind.core.discovery import value_patches
 
@@ -25,11 +26,7 @@
 MAX_CACHED_MESSAGES = 16
 
 
-class ChangeDecodeError(Exception):
-    """The bytes are no valid message; the text gives the reason."""
-
-
-class BaseMissingError(ChangeDecodeError):
+class BaseMissingError(decoding.DecodeError):
     """A patch was made for a version that the replica does not hold."""
 
 
@@ -68,14 +65,10 @@
     changes: bytes
 
 
-_MESSAGE_DECODER: msgspec.msgpack.Decoder[_Message] = msgspec.msgpack.Decoder(
-    _Message
-)
-_CHANGES_DECODER: msgspec.msgpack.Decoder[_Changes] = msgspec.msgpack.Decoder(
-    _Changes
-)
-_STEPS_DECODER: msgspec.msgpack.Decoder[list[tuple[int, int] | bytes]] = (
-    msgspec.msgpack.Decoder(list[tuple[int, int] | bytes])
+_MESSAGE_DECODER = decoding.MessagePackDecoder[_Message](_Message)
+_CHANGES_DECODER = decoding.MessagePackDecoder[_Changes](_Changes)
+_STEPS_DECODER = decoding.MessagePackDecoder[list[tuple[int, int] | bytes]](
+    list[tuple[int, int] | bytes]
 )
 
 
@@ -205,22 +198,14 @@
 
     Raises:
         BaseMissingError: a patch is for a version that the replica lacks.
-        ChangeDecodeError: the bytes are no valid message.
+        DecodeError: the bytes are no valid message.
     """
-    try:
-        message = _MESSAGE_DECODER.decode(data)
-        encoded = message.changes
-        if message.is_deflated:
-            encoded = _inflate(encoded)
-        changes = _CHANGES_DECODER.decode(encoded)
-        changed = tuple(_decode_change(c, replica) for c in changes.changes)
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        zlib.error,
-        value_patches.PatchError,
-    ) as error:
-        raise ChangeDecodeError(str(error)) from error
+    message = _MESSAGE_DECODER.decode(data)
+    encoded = message.changes
+    if message.is_deflated:
+        encoded = decoding.inflate(encoded, MAX_INFLATED_BYTES)
+    changes = _CHANGES_DECODER.decode(encoded)
+    changed = tuple(_decode_change(c, replica) for c in changes.changes)
     delta = items.Delta(
         changed,
         changes.revision,
@@ -240,7 +225,7 @@
 def _decode_value(
     key: str, large_value: _LargeValue, replica: items.ItemReplica
 ) -> bytes:
-    value = _inflate(large_value.data)
+    value = decoding.inflate(large_value.data, MAX_INFLATED_BYTES)
     if large_value.base_revision:
         current = replica.items.get(key)
         if (
@@ -252,25 +237,11 @@
                 f'"{key}" at revision {large_value.base_revision} is not held'
             )
         steps = _STEPS_DECODER.decode(value)
-        value = value_patches.apply_patch(current.value, steps)
+        value = decoding.apply(value_patches.apply_patch, current.value, steps)
     if _digest(value) != large_value.digest:
         raise BaseMissingError(f'the digest of "{key}" differs')
     return value
 
 
-def _inflate(data: bytes) -> bytes:
-    """Inflates bytes.
-
-    Raises:
-        ChangeDecodeError: the result is too long or incomplete.
-        zlib.error: the bytes are not deflated.
-    """
-    inflater = zlib.decompressobj()
-    inflated = inflater.decompress(data, MAX_INFLATED_BYTES)
-    if not inflater.eof:
-        raise ChangeDecodeError("the deflated bytes are too long or incomplete")
-    return inflated
-
-
 def _digest(value: bytes) -> int:
     return xxhash.xxh3_64_intdigest(value)
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core.discovery import items
 from hyssopwind.core.discovery import positions
 
@@ -281,26 +282,11 @@
     | PermitMessage
 )
 
-_DATAGRAM_DECODER: msgspec.msgpack.Decoder[Datagram | DeflatedPage] = (
-    msgspec.msgpack.Decoder(
-        Heartbeat
-        | MemberListPage
-        | DeflatedPage
-        | CrashNotice
-        | LeavingNotice
-        | ReachabilityNotice
-        | LimitNotice
-        | ShareLoan
-        | PermitRequest
-        | PermitReply
-    )
-)
-_PAGE_DECODER: msgspec.msgpack.Decoder[MemberListPage] = (
-    msgspec.msgpack.Decoder(MemberListPage)
-)
-_CHANGES_DECODER: msgspec.msgpack.Decoder[Changes] = msgspec.msgpack.Decoder(
-    Changes
+_DATAGRAM_DECODER = decoding.MessagePackDecoder[Datagram | DeflatedPage](
+    Datagram | DeflatedPage
 )
+_PAGE_DECODER = decoding.MessagePackDecoder[MemberListPage](MemberListPage)
+_CHANGES_DECODER = decoding.MessagePackDecoder[Changes](Changes)
 
 
 def encode(message: Datagram | Changes) -> bytes:
@@ -312,7 +298,7 @@
     """Returns the message of a datagram.
 
     Raises:
-        msgspec.DecodeError: the bytes are not a valid message.
+        DecodeError: the bytes are not a valid message.
 
     Examples:
         >>> sent = Heartbeat("a", "127.0.0.1", "north", 7, 20, True, False, 1)
@@ -322,12 +308,7 @@
     message = _DATAGRAM_DECODER.decode(data)
     if not isinstance(message, DeflatedPage):
         return message
-    inflater = zlib.decompressobj()
-    try:
-        page = inflater.decompress(message.data, MAX_PAGE_BYTES)
-    except zlib.error as error:
-        raise msgspec.DecodeError(str(error)) from error
-    return _PAGE_DECODER.decode(page)
+    return _PAGE_DECODER.decode(decoding.inflate(message.data, MAX_PAGE_BYTES))
 
 
 def encode_deflated(page: MemberListPage) -> bytes:
@@ -377,7 +358,7 @@
     """Returns the delta of a peer and the age of its replica in milliseconds.
 
     Raises:
-        msgspec.DecodeError: the bytes are not a valid delta.
+        DecodeError: the bytes are not a valid delta.
 
     Examples:
         >>> delta = items.Delta((items.Item("a", b"1", 5),), 5, True)
--- a/packages/core/src/hyssopwind/core/fleet/handovers.py
+++ b/packages/core/src/hyssopwind/core/fleet/handovers.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 
@@ -72,8 +73,8 @@
     BROKEN = "broken"
 
 
-_TERMS_DECODER: msgspec.json.Decoder[Terms] = msgspec.json.Decoder(Terms)
-_RESULT_DECODER: msgspec.json.Decoder[Result] = msgspec.json.Decoder(Result)
+_TERMS_DECODER = decoding.JsonDecoder[Terms](Terms)
+_RESULT_DECODER = decoding.JsonDecoder[Result](Result)
 
 
 def encode(message: Terms | Result) -> str:
@@ -85,7 +86,7 @@
     """Returns the terms of a header field.
 
     Raises:
-        msgspec.DecodeError: the text is not valid.
+        DecodeError: the text is not valid.
     """
     return _TERMS_DECODER.decode(text)
 
@@ -94,7 +95,7 @@
     """Returns the result of a header field.
 
     Raises:
-        msgspec.DecodeError: the text is not valid.
+        DecodeError: the text is not valid.
 
     Examples:
         >>> sent = Result(7, "not-run", "overloaded", "no room", 0.5)
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_change_transfers.py
@@ -2,6 +2,7 @@
 import random
 import unittest
 
+from hyssopwind.core import decoding
 from hyssopwind.core.discovery import items
 from hyssopwind.core.fleet import change_encoding
 from hyssopwind.core.fleet import pull_planning
@@ -71,7 +72,7 @@
                 delta, _ = change_encoding.decode(
                     bytes(changed), items.ItemReplica()
                 )
-            except change_encoding.ChangeDecodeError:
+            except decoding.DecodeError:
                 continue
             for item in delta.items:
                 self.assertEqual(item.value, make_value())
--- a/packages/core/src/hyssopwind/core/membership/vm_records.py
+++ b/packages/core/src/hyssopwind/core/membership/vm_records.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import findings
 from hyssopwind.core import ids
+from hyssopwind.core import left_out
 
 
 class VmState(enum.Enum):
@@ -63,7 +65,7 @@
 
 VmRecord: TypeAlias = ServerVmRecord | EntryVmRecord
 
-_DECODER = msgspec.json.Decoder(VmRecord)
+_DECODER = decoding.JsonDecoder[VmRecord](VmRecord)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +88,87 @@
 EMPTY_VM_LIST = VmList(-1, {}, {})
 
 
+class VmListBuilder:
+    """Builds the list of VMs from listings and changes of its records.
+
+    A record whose bytes are unchanged is not decoded again.
+
+    Args:
+        left_out_parts: where records that cannot be decoded are recorded.
+    """
+
+    def __init__(self, left_out_parts: left_out.LeftOutParts):
+        self._left_out_parts = left_out_parts
+        self._revision = -1
+        self._values: dict[str, bytes] = {}
+        self._records: dict[str, VmRecord | findings.Finding] = {}
+
+    def apply_listing(
+        self, values: Mapping[str, bytes], revision: int
+    ) -> VmList:
+        """Returns the list; a listing older than the last one is ignored."""
+        if revision < self._revision:
+            return self._build()
+        self._revision = revision
+        for name in self._values.keys() - values.keys():
+            self._remove(name)
+        for name, value in values.items():
+            self._put(name, value)
+        return self._build()
+
+    def apply_change(
+        self, name: str, value: bytes | None, revision: int
+    ) -> VmList:
+        """Returns the list after one change; an older change is ignored.
+
+        Args:
+            name: name of the VM.
+            value: its record; `None` if it was removed.
+            revision: revision of the change.
+        """
+        if revision < self._revision:
+            return self._build()
+        self._revision = revision
+        if value is None:
+            self._remove(name)
+        else:
+            self._put(name, value)
+        return self._build()
+
+    def _put(self, name: str, value: bytes) -> None:
+        if self._values.get(name) == value:
+            return
+        self._values[name] = value
+        try:
+            self._records[name] = _decode_record(value)
+        except decoding.DecodeError as error:
+            self._records[name] = findings.Finding(name, 0, "", str(error))
+            self._left_out_parts.record(
+                left_out.Source.VM_RECORD, name, [str(error)]
+            )
+            return
+        self._left_out_parts.clear(left_out.Source.VM_RECORD, name)
+
+    def _remove(self, name: str) -> None:
+        if self._values.pop(name, None) is None:
+            return
+        del self._records[name]
+        self._left_out_parts.clear(left_out.Source.VM_RECORD, name)
+
+    def _build(self) -> VmList:
+        servers = {}
+        entries = {}
+        found = []
+        for name, record in self._records.items():
+            if isinstance(record, ServerVmRecord):
+                servers[ids.ServerId(name)] = record
+            elif isinstance(record, EntryVmRecord):
+                entries[ids.DaemonId(name)] = record
+            else:
+                found.append(record)
+        return VmList(self._revision, servers, entries, tuple(sorted(found)))
+
+
 def parse_vm_list(values: Mapping[str, bytes], revision: int) -> VmList:
     """Decodes the records of a listing; an invalid one becomes a finding.
 
@@ -94,17 +177,20 @@
         >>> [str(finding) for finding in listing.record_findings]
         ['a:0: Object missing required field `kind`']
     """
-    servers = {}
-    entries = {}
-    found = []
-    for name, value in sorted(values.items()):
-        try:
-            record = _DECODER.decode(value)
-        except msgspec.DecodeError as error:
-            found.append(findings.Finding(name, 0, "", str(error)))
-            continue
-        if isinstance(record, ServerVmRecord):
-            servers[ids.ServerId(name)] = record
-            continue
-        entries[ids.DaemonId(name)] = record
-    return VmList(revision, servers, entries, tuple(found))
+    builder = VmListBuilder(left_out.LeftOutParts())
+    return builder.apply_listing(values, revision)
+
+
+def _decode_record(value: bytes) -> VmRecord:
+    """Returns a record.
+
+    Raises:
+        DecodeError: the value is no record, or has an address that no VM has.
+    """
+    record = _DECODER.decode(value)
+    if isinstance(record, ServerVmRecord):
+        decoding.split_address(record.address)
+        return record
+    decoding.split_address(record.peers)
+    decoding.split_address(record.callers)
+    return record
--- a/packages/core/src/hyssopwind/core/messages.py
+++ b/packages/core/src/hyssopwind/core/messages.py
@@ -6,13 +6,21 @@
 """
 
 import enum
+from typing import Annotated
 from typing import ClassVar
 from typing import TypeAlias
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 
+# Numbers that a daemon can send. Others are of a faulty sender, and could
+# neither be compared nor sent on.
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Exponent: TypeAlias = Annotated[int, msgspec.Meta(ge=-1_000, le=1_000)]
+Seconds: TypeAlias = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+
 
 class Message(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag=True
@@ -55,7 +63,7 @@
     data_centre: ids.DataCentreId
     peers_address: str
     callers_address: str
-    revisions: dict[str, int]
+    revisions: dict[str, Count]
 
 
 class PublishedDocument(msgspec.Struct, frozen=True, array_like=True):
@@ -68,7 +76,7 @@
     """
 
     team: ids.TeamId
-    revision: int
+    revision: Count
     text: str | None
 
 
@@ -86,7 +94,7 @@
         resources: the resources that the sender requests.
     """
 
-    round: int
+    round: Count
     resources: list[str]
 
 
@@ -104,7 +112,7 @@
             less than one lease duration ago.
     """
 
-    round: int
+    round: Count
     granted: list[str]
     previous_holders: dict[str, str]
     refused_holders: dict[str, str]
@@ -124,7 +132,7 @@
         resource: the resource.
     """
 
-    nonce: int
+    nonce: Count
     resource: str
 
 
@@ -141,7 +149,7 @@
     key: str
     fingerprint: ids.Fingerprint
     encoded_outcome: bytes
-    idle_seconds: float
+    idle_seconds: Seconds
 
 
 class Transfer(Message, frozen=True, kw_only=True, tag=7):
@@ -155,9 +163,9 @@
         records: the key records.
     """
 
-    nonce: int
+    nonce: Count
     resource: str
-    complete_since: float
+    complete_since: Seconds
     records: list[TransferredRecord]
 
 
@@ -192,13 +200,13 @@
     """
 
     server: ids.ServerId
-    in_flight: int
-    completed: int
-    shed: int
-    failed: int
+    in_flight: Count
+    completed: Count
+    shed: Count
+    failed: Count
     start_id: str
-    total_latency_seconds: float
-    refused_connections: int = 0
+    total_latency_seconds: Seconds
+    refused_connections: Count = 0
 
 
 class LoadUpdate(Message, frozen=True, kw_only=True, tag=9):
@@ -215,8 +223,8 @@
     LOG_NAME: ClassVar[str] = "Tell"
 
     pool: ids.PoolId
-    last_grant_number: int
-    direct_request_count: int
+    last_grant_number: Count
+    direct_request_count: Count
     servers: list[ServerLoadUpdate]
 
 
@@ -235,9 +243,9 @@
     LOG_NAME: ClassVar[str] = "Ask"
 
     load_update: LoadUpdate
-    admission_id: int
-    priority_rank: int
-    timeout_seconds: float
+    admission_id: Count
+    priority_rank: Count
+    timeout_seconds: Seconds
     is_remote: bool
     tried_servers: list[ids.ServerId]
 
@@ -254,10 +262,10 @@
     """
 
     pool: ids.PoolId
-    admission_id: int
+    admission_id: Count
     server: ids.ServerId
-    grant_number: int
-    queued_seconds: float
+    grant_number: Count
+    queued_seconds: Seconds
 
 
 class RefusalCause(enum.Enum):
@@ -280,9 +288,9 @@
     """
 
     pool: ids.PoolId
-    admission_id: int
+    admission_id: Count
     cause: RefusalCause
-    retry_after_seconds: float
+    retry_after_seconds: Seconds
 
 
 class Cancellation(Message, frozen=True, kw_only=True, tag=13):
@@ -296,7 +304,7 @@
     LOG_NAME: ClassVar[str] = "Withdrawal"
 
     pool: ids.PoolId
-    admission_id: int
+    admission_id: Count
 
 
 class ServerSummary(msgspec.Struct, frozen=True, array_like=True):
@@ -315,12 +323,12 @@
     """
 
     server: ids.ServerId
-    limit: int
-    in_flight_elsewhere: int
-    direct_limit: int
+    limit: Count
+    in_flight_elsewhere: Count
+    direct_limit: Count
     may_send_direct: bool
     start_id: str
-    slowness_log2: int = 0
+    slowness_log2: Exponent = 0
 
 
 class Summary(Message, frozen=True, kw_only=True, tag=14):
@@ -337,7 +345,7 @@
     pool: ids.PoolId
     is_open: bool
     servers: list[ServerSummary]
-    expected_wait_seconds: float = 0.0
+    expected_wait_seconds: Seconds = 0.0
 
 
 class CrashNotice(Message, frozen=True, kw_only=True, tag=15):
@@ -349,7 +357,7 @@
     """
 
     fingerprint: ids.Fingerprint
-    crash_count: int
+    crash_count: Count
 
 
 AnyMessage: TypeAlias = (
@@ -401,7 +409,7 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Envelope)
+_DECODER = decoding.MessagePackDecoder[Envelope](Envelope)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -421,6 +429,26 @@
         True
     """
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError:
+        return read_envelope(data)
+    except decoding.DecodeError:
         return None
+
+
+def read_envelope(data: bytes) -> Envelope:
+    """Decodes a message.
+
+    Raises:
+        DecodeError: `data` is not a valid message.
+    """
+    return _DECODER.decode(data)
+
+
+def check_addresses(envelope: Envelope) -> None:
+    """Checks the addresses that a message states.
+
+    Raises:
+        DecodeError: one of them is no IP address with a port.
+    """
+    if isinstance(envelope.body, Heartbeat):
+        decoding.split_address(envelope.body.peers_address)
+        decoding.split_address(envelope.body.callers_address)
--- a/packages/core/src/hyssopwind/core/node/configuration_component.py
+++ b/packages/core/src/hyssopwind/core/node/configuration_component.py
@@ -1,5 +1,6 @@
 """The component of a node that holds the settings and distributes them."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from hyssopwind.core import ids
@@ -41,13 +42,16 @@
         self,
         documents: Iterable[configuration_store.TeamDocument],
         revision: int,
+        unreadable_teams: Collection[ids.TeamId] = (),
     ) -> None:
         """Applies a complete listing of the configuration service."""
         newest_revision = max(self._store.revisions.values(), default=-1)
         if revision < newest_revision:
             self._stale_listing_count += 1
         self._has_listing = True
-        self._announce_change(self._store.offer_listing(documents, revision))
+        self._announce_change(
+            self._store.offer_listing(documents, revision, unreadable_teams)
+        )
 
     def apply_document(
         self, document: configuration_store.TeamDocument
--- a/packages/core/src/hyssopwind/core/node/key_component.py
+++ b/packages/core/src/hyssopwind/core/node/key_component.py
@@ -265,7 +265,7 @@
         self, message: messages.KeyCompleted, now: float
     ) -> None:
         """Handles the outcome of a request that the previous owner ran."""
-        outcome = codec.decode_outcome(message.encoded_outcome)
+        outcome = codec.decode_transferred(message.encoded_outcome)
         self._key_records.complete(message.key, outcome, now)
         self._context.emit(events.KeyCompleted(message.key, outcome))
 
--- a/packages/core/src/hyssopwind/core/node/node.py
+++ b/packages/core/src/hyssopwind/core/node/node.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import Any
 from typing import TypeAlias
 
@@ -138,9 +139,17 @@
         listing: list[configuration_store.TeamDocument],
         revision: int,
         timestamps: timestamp.Timestamps,
+        unreadable_teams: Collection[ids.TeamId] = (),
     ) -> None:
-        """Applies a complete listing of the configuration service."""
-        self._configuration.apply_listing(listing, revision)
+        """Applies a complete listing of the configuration service.
+
+        Args:
+            listing: the documents that could be read.
+            revision: revision of the listing.
+            timestamps: the present times.
+            unreadable_teams: teams whose documents could not be read.
+        """
+        self._configuration.apply_listing(listing, revision, unreadable_teams)
         self._apply_settings(timestamps)
 
     def apply_settings_document(
--- a/packages/core/src/hyssopwind/core/ownership/codec.py
+++ b/packages/core/src/hyssopwind/core/ownership/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import outcomes
 
 
@@ -15,7 +16,7 @@
     retry_after: float | None = None
 
 
-_DECODER = msgspec.msgpack.Decoder(_StoredOutcome)
+_DECODER = decoding.MessagePackDecoder[_StoredOutcome](_StoredOutcome)
 
 
 def encode_outcome(outcome: outcomes.Outcome) -> bytes:
@@ -34,11 +35,30 @@
     return msgspec.msgpack.encode(stored)
 
 
+def decode_transferred(data: bytes) -> outcomes.Outcome:
+    """Returns the outcome that another daemon sent of a request that ran.
+
+    An outcome that cannot be decoded is unknown, so that the request of the key
+    does not run again.
+
+    Examples:
+        >>> decode_transferred(b"?").tag
+        'unknown'
+    """
+    try:
+        return decode_outcome(data)
+    except decoding.DecodeError:
+        return outcomes.Unknown(
+            outcomes.Reason.ANSWER_NOT_KEPT,
+            "the outcome that another daemon sent cannot be decoded",
+        )
+
+
 def decode_outcome(data: bytes) -> outcomes.Outcome:
     """Returns the outcome that `data` encodes.
 
     Raises:
-        ValueError: `data` is not an encoded outcome.
+        DecodeError: `data` is not an encoded outcome.
 
     Examples:
         >>> answer = outcomes.Answered(200, (("A", "b"),), b"whole")
@@ -51,7 +71,7 @@
     try:
         reason = outcomes.Reason[stored.reason]
     except KeyError:
-        raise ValueError(
+        raise decoding.DecodeError(
             f'stored outcome has the unknown reason "{stored.reason}"'
         ) from None
     if stored.tag == outcomes.Unknown.tag:
--- a/packages/core/src/hyssopwind/core/ownership/key_records.py
+++ b/packages/core/src/hyssopwind/core/ownership/key_records.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import TypeAlias
@@ -222,7 +223,10 @@
         for transferred in records:
             outcome = None
             if transferred.encoded_outcome:
-                outcome = codec.decode_outcome(transferred.encoded_outcome)
+                outcome = codec.decode_transferred(transferred.encoded_outcome)
+            idle_seconds = transferred.idle_seconds
+            if not (math.isfinite(idle_seconds) and idle_seconds >= 0.0):
+                idle_seconds = 0.0
             state = RecordState.COMPLETED if outcome else RecordState.SENT
             self._records.setdefault(
                 transferred.key,
@@ -230,7 +234,7 @@
                     transferred.fingerprint,
                     state,
                     outcome,
-                    now - transferred.idle_seconds,
+                    now - idle_seconds,
                     0.0,
                     is_run_by_previous_owner=outcome is None,
                 ),
--- a/packages/core/src/hyssopwind/core/ownership/tickets.py
+++ b/packages/core/src/hyssopwind/core/ownership/tickets.py
@@ -7,7 +7,6 @@
 """
 
 import base64
-import binascii
 import dataclasses
 import enum
 import hashlib
@@ -15,6 +14,7 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import messages
 from hyssopwind.core.settings import documents
@@ -53,7 +53,7 @@
     expires: float
 
 
-_PAYLOAD_DECODER = msgspec.msgpack.Decoder(_Payload)
+_PAYLOAD_DECODER = decoding.MessagePackDecoder[_Payload](_Payload)
 
 
 def _sign(payload: bytes, key: str) -> bytes:
@@ -98,13 +98,10 @@
     if len(text) > _MAX_TICKET_CHARACTERS:
         return BadTicket.UNREADABLE
     try:
-        signed = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
-    except (binascii.Error, ValueError):
-        return BadTicket.UNREADABLE
-    mac, payload = signed[:_MAC_BYTES], signed[_MAC_BYTES:]
-    try:
+        signed = decoding.decode_urlsafe_base64(text + "=" * (-len(text) % 4))
+        mac, payload = signed[:_MAC_BYTES], signed[_MAC_BYTES:]
         decoded = _PAYLOAD_DECODER.decode(payload)
-    except msgspec.DecodeError:
+    except decoding.DecodeError:
         return BadTicket.UNREADABLE
     for key in keys:
         if hmac.compare_digest(mac, _sign(payload, key)):
--- a/packages/core/src/hyssopwind/core/settings/parsing.py
+++ b/packages/core/src/hyssopwind/core/settings/parsing.py
@@ -7,7 +7,6 @@
 import dataclasses
 import enum
 import re
-import tomllib
 import typing
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -17,6 +16,7 @@
 
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import findings
 from hyssopwind.core import units
 from hyssopwind.core.settings import documents
@@ -28,6 +28,7 @@
 Problem = tuple[key_locations.KeyPath, str]
 
 MAX_DOCUMENT_BYTES = 1_000_000
+MAX_NUMBER = 1_000_000  # of slots, attempts and the like
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
 _ROUTE = re.compile(r"(/[A-Za-z0-9._~-]+)+")
@@ -76,15 +77,30 @@
         message = f"expected at most {MAX_DOCUMENT_BYTES} bytes, got {size}"
         return ParseResult(None, (findings.Finding(source, 1, "", message),))
     try:
-        raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        raw = decoding.decode_toml(text)
+    except decoding.DecodeError as error:
         return ParseResult(None, (_syntax_finding(source, error),))
+    try:
+        return decoding.apply(_check, text, raw, source, kind, validate)
+    except decoding.DecodeError as error:
+        # A value that the checks below do not foresee.
+        return ParseResult(None, (findings.Finding(source, 1, "", str(error)),))
+
+
+def _check(
+    text: str,
+    raw: dict[str, Any],
+    source: str,
+    kind: type[T],
+    validate: Callable[[T], Iterator[Problem]],
+) -> ParseResult[T]:
+    """Returns the settings in a decoded document, or its findings."""
     lines = key_locations.locate_keys(text)
     # `msgspec.convert` stops at the first error, so all are collected before.
     problems = list(_find_struct_problems(kind, raw, ()))
     value = None
     if not problems:
-        value = msgspec.convert(raw, kind, dec_hook=units.decode_quantity)
+        value = decoding.convert(raw, kind, units.decode_quantity)
         problems = list(validate(value))
     located_findings = [
         findings.Finding(
@@ -101,7 +117,7 @@
 
 
 def _syntax_finding(
-    source: str, error: tomllib.TOMLDecodeError
+    source: str, error: decoding.DecodeError
 ) -> findings.Finding:
     match = _TOML_ERROR_LINE.search(str(error))
     line = int(match[1]) if match else 1
@@ -112,7 +128,7 @@
     kind: type, raw: Any, path: key_locations.KeyPath
 ) -> Iterator[Problem]:
     if not isinstance(raw, dict):
-        yield path, f"expected a table, got {raw!r}"
+        yield path, f"expected a table, got {decoding.shorten(repr(raw))}"
         return
     fields = {field.name: field for field in msgspec.structs.fields(kind)}
     for key in raw:
@@ -142,15 +158,15 @@
             yield from _find_value_problems(value_type, value, (*path, key))
         return
     try:
-        msgspec.convert(raw, kind, dec_hook=units.decode_quantity)
-    except msgspec.ValidationError as error:
+        decoding.convert(raw, kind, units.decode_quantity)
+    except decoding.DecodeError as error:
         yield path, _describe_error(kind, raw, error)
 
 
-def _describe_error(kind: Any, raw: Any, error: msgspec.ValidationError) -> str:
+def _describe_error(kind: Any, raw: Any, error: decoding.DecodeError) -> str:
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         expected = ", ".join(f'"{member.value}"' for member in kind)
-        return f"expected one of {expected}, got {raw!r}"
+        return f"expected one of {expected}, got {decoding.shorten(repr(raw))}"
     text = str(error).partition(" - at `")[0]
     return text[:1].lower() + text[1:]
 
@@ -206,9 +222,10 @@
         message = f'no data centre is named "{data_centre}"'
         yield (*path, "load", data_centre), message
     for key, value, lowest in _service_minimums(service):
-        if value >= lowest:
+        if lowest <= value <= MAX_NUMBER:
             continue
-        message = f"expected at least {lowest}, got {value}"
+        limit = f"at least {lowest}" if value < lowest else "a smaller number"
+        message = f"expected {limit}, got {value}"
         yield (*path, *key.split(".")), message
     if service.cold_start.limit > service.slots:
         yield (
--- a/packages/core/src/hyssopwind/core/settings/tests/test_parsing.py
+++ b/packages/core/src/hyssopwind/core/settings/tests/test_parsing.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 
 from hyssopwind.core.settings import parsing
@@ -55,6 +56,42 @@
         result = parsing.parse_team("a = 1\nb = \n", "a.toml")
         self.assertEqual(result.findings[0].line, 2)
 
+    # The exception of the parser ended the daemon.
+    def test_document_that_no_parser_foresees_is_a_finding(self):
+        texts = [
+            "a = " + "[" * 1_500,
+            "a = " + "{a=" * 1_500,
+            "a = 1" + "0" * 5_000,
+            'a = "\\ud800"',
+            VALID_TEAM_DOCUMENT.replace('"in"', "[" * 90 + "]" * 90),
+            VALID_TEAM_DOCUMENT.replace('"500ms"', f'"{"9" * 400}s"'),
+            VALID_TEAM_DOCUMENT.replace('"100/s"', f'"{"9" * 400}/s"'),
+            VALID_TEAM_DOCUMENT.replace(
+                'deadline = "500ms"', f'max_answer = "{"9" * 400}MB"'
+            ),
+            VALID_TEAM_DOCUMENT.replace(
+                'deadline = "500ms"', "slots = " + "9" * 30
+            ),
+            VALID_TEAM_DOCUMENT.replace(
+                'deadline = "500ms"', "retries = { ratio = nan }"
+            ),
+            VALID_TEAM_DOCUMENT.replace(
+                'deadline = "500ms"', "retries = { ratio = inf }"
+            ),
+        ]
+        for text in texts:
+            result = parsing.parse_team(text, "a.toml")
+            self.assertIsNone(result.value, text[:80])
+            self.assertLess(len(str(result.findings[0])), 600)
+
+    # One key of 40 KB held the event loop up for 9 s at each daemon.
+    def test_key_of_many_parts_is_refused_without_parsing_it(self):
+        for key in ("a." * 20_000 + "a", '"a" . ' * 20_000 + "a"):
+            started_at = time.process_time()
+            result = parsing.parse_team(f"x = 1\n{key} = 1", "a.toml")
+            self.assertLess(time.process_time() - started_at, 0.5)
+            self.assertEqual(result.findings[0].line, 2)
+
     def test_load_in_undeclared_data_centre_is_reported(self):
         text = VALID_TEAM_DOCUMENT.replace(
             'chicago = "100/s"', 'boston = "1/s"'
--- a/packages/core/src/hyssopwind/core/units.py
+++ b/packages/core/src/hyssopwind/core/units.py
@@ -13,6 +13,12 @@
 _RATE_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*/\s*(s|min|h)")
 
 
+# Larger quantities are mistakes, and could not be computed with.
+MAX_SECONDS = 1e9
+MAX_EVENTS_PER_SECOND = 1e9
+MAX_BYTES = 1e15
+
+
 class Duration(float):
     """A length of time in seconds."""
 
@@ -29,7 +35,8 @@
     """Parses a duration with its unit: us, ms, s, min or h.
 
     Raises:
-        ValueError: `text` is not a number followed by one of the units.
+        ValueError: `text` is not a number followed by one of the units, or too
+            large.
 
     Examples:
         >>> parse_duration("250ms")
@@ -38,7 +45,8 @@
     match = _QUANTITY_PATTERN.fullmatch(text.strip())
     if match is None or match[2] not in _SECONDS_PER_UNIT:
         raise ValueError(f'expected a duration such as "250ms", got "{text}"')
-    return Duration(float(match[1]) * _SECONDS_PER_UNIT[match[2]])
+    seconds = float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+    return Duration(_check_size(seconds, MAX_SECONDS, "s"))
 
 
 def parse_rate(text: str) -> Rate:
@@ -54,7 +62,8 @@
     match = _RATE_PATTERN.fullmatch(text.strip())
     if match is None:
         raise ValueError(f'expected a rate such as "20/s", got "{text}"')
-    return Rate(float(match[1]) / _SECONDS_PER_UNIT[match[2]])
+    rate = float(match[1]) / _SECONDS_PER_UNIT[match[2]]
+    return Rate(_check_size(rate, MAX_EVENTS_PER_SECOND, "/s"))
 
 
 def parse_byte_size(text: str) -> ByteSize:
@@ -70,7 +79,19 @@
     match = _QUANTITY_PATTERN.fullmatch(text.strip())
     if match is None or match[2] not in _BYTES_PER_UNIT:
         raise ValueError(f'expected a size such as "1MB", got "{text}"')
-    return ByteSize(float(match[1]) * _BYTES_PER_UNIT[match[2]])
+    size = float(match[1]) * _BYTES_PER_UNIT[match[2]]
+    return ByteSize(_check_size(size, MAX_BYTES, "B"))
+
+
+def _check_size(value: float, highest: float, unit: str) -> float:
+    """Returns a quantity.
+
+    Raises:
+        ValueError: it is larger than `highest`.
+    """
+    if value > highest:
+        raise ValueError(f"expected at most {highest:g}{unit}, got {value:g}")
+    return value
 
 
 _PARSERS = {
--- a/packages/daemon/src/hyssopwind/daemon/admin.py
+++ b/packages/daemon/src/hyssopwind/daemon/admin.py
@@ -10,10 +10,13 @@
 from aiohttp import web
 
 from hyssopwind.core import ids
+from hyssopwind.core import left_out
 from hyssopwind.core.node import node
 from hyssopwind.core.settings import snapshot
 from hyssopwind.daemon import metrics
 
+MAX_LISTED = 100  # parts that were left out
+
 
 class Admin:
     """Serves the endpoints for operators on the admin address."""
@@ -22,10 +25,12 @@
         self,
         daemon_node: node.Node,
         counters: metrics.Metrics,
+        left_out_parts: left_out.LeftOutParts,
         is_ready: Callable[[], bool],
     ):
         self._node = daemon_node
         self._counters = counters
+        self._left_out_parts = left_out_parts
         self._is_ready = is_ready
         self._runner: web.AppRunner | None = None
 
@@ -99,8 +104,14 @@
             "key_records": len(self._node.keys.key_record_store),
             "machines_revision": self._node.pools.vm_list.revision,
             "unreadable_machines": [
-                str(f) for f in self._node.pools.vm_list.record_findings
+                str(f)
+                for f in self._node.pools.vm_list.record_findings[:MAX_LISTED]
             ],
+            "left_out": self._left_out_parts.describe()[:MAX_LISTED],
+            "left_out_counts": {
+                source.value: count
+                for source, count in self._left_out_parts.counts.items()
+            },
             "stale_listings": self._node.configuration.stale_listing_count,
             "breaches": {
                 invariant.name.lower(): count
@@ -168,6 +179,8 @@
         ) in self._node.configuration.document_store.teams.items():
             counters.settings_revision.labels(team).set(state.latest.revision)
             counters.settings_findings.labels(team).set(len(state.findings))
+        for source, count in self._left_out_parts.counts.items():
+            counters.left_out_parts.labels(source.value).set(count)
         counters.stale_listings.set(
             self._node.configuration.stale_listing_count
         )
--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -4,13 +4,18 @@
 import random
 import secrets
 import signal
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 import aiohttp
 import logbook
-from reactivex import operators
+import reactivex
 
 from hyssopwind.core import ids
 from hyssopwind.core import invariants
+from hyssopwind.core import left_out
 from hyssopwind.core import messages
 from hyssopwind.core.configuration import configuration_store
 from hyssopwind.core.membership import vm_records
@@ -27,6 +32,7 @@
 from hyssopwind.daemon import prefix_watcher
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import streams
+from hyssopwind.daemon import supervision
 from hyssopwind.daemon import tracing
 from hyssopwind.daemon import upstream
 
@@ -36,6 +42,8 @@
 POLL_INTERVAL_SECONDS = 0.05
 HANDOVER_TIMEOUT_SECONDS = 5.0
 
+T = TypeVar("T")
+
 _log = logbook.Logger("daemon")
 
 
@@ -63,10 +71,16 @@
         )
         self._is_ready = False
         self._has_vm_list = False
+        self._has_task_ended = False
+        self._left_out_parts = left_out.LeftOutParts()
         self._stop = asyncio.Event()
 
-    async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, then drains and stops."""
+    async def run(self) -> int:
+        """Serves until SIGTERM or SIGINT, then drains and stops.
+
+        Returns:
+            The exit status of the process: 0 unless a background task ended.
+        """
         self._install_signal_handlers()
         self._build()
         self._subscribe()
@@ -74,25 +88,24 @@
         await self._frontend.start(self._settings.callers)
         self._links.start(self._serving.receive)
         tasks = [
-            asyncio.create_task(coroutine)
-            for coroutine in (
-                self._tick(),
-                self._probe(),
-                self._settings_watcher.run(),
-                self._vm_watcher.run(),
-            )
+            self._start_task("tick", self._tick, TICK_INTERVAL_SECONDS),
+            self._start_task("probes", self._probe),
+            self._start_task("settings", self._settings_watcher.run),
+            self._start_task("virtual-machines", self._vm_watcher.run),
         ]
-        for task in tasks:
-            task.add_done_callback(self._handle_task_end)
         await self._become_ready()
         await self._stop.wait()
         deadline = await self._drain()
         await self._close(tasks, deadline)
+        return supervision.EXIT_TASK_ENDED if self._has_task_ended else 0
 
     def _build(self) -> None:
         settings = self._settings
         self._links = peer_links.PeerLinks(
-            settings.peers, self._node.identity, self._counters
+            settings.peers,
+            self._node.identity,
+            self._counters,
+            self._left_out_parts,
         )
         self._session = aiohttp.ClientSession()
         platform = settings.platform
@@ -102,6 +115,8 @@
             platform.settings_prefix,
             self._session,
             self._counters,
+            self._left_out_parts,
+            left_out.Source.CONFIGURATION_LISTING,
         )
         self._vm_watcher = prefix_watcher.PrefixWatcher(
             "virtual-machines",
@@ -109,7 +124,10 @@
             platform.virtual_machines_prefix,
             self._session,
             self._counters,
+            self._left_out_parts,
+            left_out.Source.VM_LISTING,
         )
+        self._vm_list_builder = vm_records.VmListBuilder(self._left_out_parts)
         self._upstream = upstream.UpstreamClient()
         self._forwarder = forwarding.Forwarder()
         self._serving = serving.Serving(
@@ -129,31 +147,60 @@
             self._counters,
         )
         self._admin = admin.Admin(
-            self._node, self._counters, lambda: self._is_ready
+            self._node,
+            self._counters,
+            self._left_out_parts,
+            lambda: self._is_ready,
         )
 
     def _subscribe(self) -> None:
         """Passes the platform's listings and changes to the node."""
-        self._settings_watcher.listings.subscribe(self._apply_settings_listing)
-        streams.select_type(
-            self._settings_watcher.changes.pipe(operators.map(_read_document)),
-            configuration_store.TeamDocument,
-        ).subscribe(self._apply_settings_document)
-        vm_list_builder = _VmListBuilder()
-        self._vm_watcher.listings.pipe(
-            operators.map(vm_list_builder.apply_listing)
-        ).subscribe(self._apply_vm_list)
-        self._vm_watcher.changes.pipe(
-            operators.map(vm_list_builder.apply_change)
-        ).subscribe(self._apply_vm_list)
-        streams.select_type(
-            self._serving.events, events.SettingsChanged
-        ).subscribe(self._log_settings)
+        self._handle_all(
+            self._settings_watcher.listings, self._apply_settings_listing
+        )
+        self._handle_all(
+            self._settings_watcher.changes, self._apply_settings_change
+        )
+        self._handle_all(self._vm_watcher.listings, self._apply_vm_listing)
+        self._handle_all(self._vm_watcher.changes, self._apply_vm_change)
+        self._handle_all(
+            streams.select_type(self._serving.events, events.SettingsChanged),
+            self._log_settings,
+        )
+
+    def _handle_all(
+        self, source: reactivex.Observable[T], handler: Callable[[T], None]
+    ) -> None:
+        failures = self._counters.task_failures.labels("streams")
+        streams.subscribe(source, handler, failures.inc)
+
+    def _start_task(
+        self,
+        name: str,
+        run: Callable[[], Coroutine[Any, Any, None]],
+        restart_seconds: float = supervision.RESTART_SECONDS,
+    ) -> "asyncio.Task[None]":
+        """Starts a background task, which runs again when it fails."""
+        task = asyncio.create_task(
+            supervision.supervise(
+                name,
+                run,
+                on_failure=self._counters.task_failures.labels(name).inc,
+                restart_seconds=restart_seconds,
+            )
+        )
+        task.add_done_callback(self._handle_task_end)
+        return task
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
+        # Its default action would end the process.
+        loop.add_signal_handler(signal.SIGHUP, self._log_hangup)
+
+    def _log_hangup(self) -> None:
+        _log.warn("SIGHUP ignored: changed settings need a restart")
 
     async def _become_ready(self) -> None:
         """Waits for settings, the list of VMs and the right to back leases.
@@ -287,21 +334,41 @@
             )
             if document is not None:
                 team_documents.append(document)
+        unreadable_teams = {
+            team
+            for team in map(_find_team, listing.unreadable_keys)
+            if team is not None
+        }
         self._node.apply_settings_listing(
-            team_documents, listing.revision, self._clock.timestamps()
+            team_documents,
+            listing.revision,
+            self._clock.timestamps(),
+            unreadable_teams,
         )
         self._serving.flush()
 
-    def _apply_settings_document(
-        self, document: configuration_store.TeamDocument
-    ) -> None:
+    def _apply_settings_change(self, change: prefix_watcher.Change) -> None:
+        document = _read_document(change)
+        if document is None:
+            return
         self._node.apply_settings_document(document, self._clock.timestamps())
         self._serving.flush()
 
+    def _apply_vm_listing(self, listing: prefix_watcher.Listing) -> None:
+        values = {key: entry.value for key, entry in listing.entries.items()}
+        self._apply_vm_list(
+            self._vm_list_builder.apply_listing(values, listing.revision)
+        )
+
+    def _apply_vm_change(self, change: prefix_watcher.Change) -> None:
+        self._apply_vm_list(
+            self._vm_list_builder.apply_change(
+                change.key, change.value, change.revision
+            )
+        )
+
     def _apply_vm_list(self, vm_list: vm_records.VmList) -> None:
         self._has_vm_list = True
-        for finding in vm_list.record_findings:
-            _log.warn("unreadable VM record", extra={"finding": str(finding)})
         self._node.apply_vm_list(vm_list, self._clock.timestamps())
         addresses = {record.address for record in vm_list.servers.values()}
         self._upstream.retain(addresses)
@@ -322,60 +389,38 @@
         )
 
     def _handle_task_end(self, task: "asyncio.Task[None]") -> None:
-        """Stops the daemon when one of its background tasks fails."""
-        if task.cancelled() or task.exception() is None:
+        """Stops the daemon when a background task ends, which none should."""
+        if task.cancelled():
             return
         _log.error(
-            "background task failed; stopping the daemon",
-            exc_info=task.exception(),
+            "background task ended; stopping the daemon",
+            extra={"error": repr(task.exception())},
         )
+        self._has_task_ended = True
         self._stop.set()
 
 
-class _VmListBuilder:
-    """Builds the list of VMs from listings and changes."""
-
-    def __init__(self) -> None:
-        self._values: dict[str, bytes] = {}
-        self._revision = -1
-
-    def apply_listing(
-        self, listing: prefix_watcher.Listing
-    ) -> vm_records.VmList:
-        """Returns the list; a listing older than the last one is ignored."""
-        if listing.revision >= self._revision:
-            self._revision = listing.revision
-            self._values = {
-                key: entry.value for key, entry in listing.entries.items()
-            }
-        return vm_records.parse_vm_list(self._values, self._revision)
-
-    def apply_change(self, change: prefix_watcher.Change) -> vm_records.VmList:
-        """Returns the list after one change; an older change is ignored."""
-        if change.revision >= self._revision:
-            self._revision = change.revision
-            if change.value is None:
-                self._values.pop(change.key, None)
-            else:
-                self._values[change.key] = change.value
-        return vm_records.parse_vm_list(self._values, self._revision)
-
-
 def _read_document(
     change: prefix_watcher.Change,
 ) -> configuration_store.TeamDocument | None:
     """Returns the document of a key `TEAM/settings.toml`, or `None`."""
-    team, _, name = change.key.partition("/")
-    if name != SETTINGS_FILE or not team:
+    team = _find_team(change.key)
+    if team is None:
         return None
     text = None
     if change.value is not None:
         text = change.value.decode("utf-8", errors="replace")
-    return configuration_store.TeamDocument(
-        ids.TeamId(team), change.revision, text
-    )
+    return configuration_store.TeamDocument(team, change.revision, text)
+
+
+def _find_team(key: str) -> ids.TeamId | None:
+    """Returns the team of a key `TEAM/settings.toml`; `None` for others."""
+    team, _, name = key.partition("/")
+    if name != SETTINGS_FILE or not team:
+        return None
+    return ids.TeamId(team)
 
 
-async def run(settings: documents.DaemonSettings) -> None:
-    """Runs a daemon until SIGTERM or SIGINT."""
-    await Daemon(settings).run()
+async def run(settings: documents.DaemonSettings) -> int:
+    """Runs a daemon until SIGTERM or SIGINT; returns the exit status."""
+    return await Daemon(settings).run()
--- a/packages/daemon/src/hyssopwind/daemon/forwarding.py
+++ b/packages/daemon/src/hyssopwind/daemon/forwarding.py
@@ -7,6 +7,7 @@
 import msgspec
 import yarl
 
+from hyssopwind.core import decoding
 from hyssopwind.core import outcomes
 from hyssopwind.core.node import key_component
 from hyssopwind.core.requests import classification
@@ -27,7 +28,7 @@
     retry_after: float | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Problem)
+_DECODER = decoding.JsonDecoder[_Problem](_Problem)
 
 
 class Forwarder:
@@ -109,7 +110,7 @@
         reason = outcomes.Reason.from_slug(
             problem.type.removeprefix(problems.TYPE_PREFIX)
         )
-    except (msgspec.DecodeError, ValueError):
+    except ValueError:
         return outcomes.Unknown(
             outcomes.Reason.KEY_OWNER_UNKNOWN,
             "the daemon that decides about the key gave no readable answer",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import outcomes
 from hyssopwind.core.discovery import items
 from hyssopwind.core.discovery import positions
@@ -247,8 +247,7 @@
             revision = await self._pull_once(ip, pulls_all=pulls_all)
         except (
             connection.ExchangeError,
-            change_encoding.ChangeDecodeError,
-            msgspec.DecodeError,
+            decoding.DecodeError,
         ) as error:
             self._planner.fail(ip, boot_clock.now())
             self.counts["failed"] += 1
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 import logbook
-import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import quarantine
@@ -27,6 +27,7 @@
 from hyssopwind.core.stopping import stop_plan
 from hyssopwind.daemon import headers
 from hyssopwind.daemon import log_output
+from hyssopwind.daemon import supervision
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import gateway_metrics
@@ -44,7 +45,6 @@
 
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 DRAIN_CHECK_SECONDS = 0.05
-TASK_RESTART_SECONDS = 0.5  # after the failure of a background task
 # Ratio of the memory of the process for answers that are being received. A
 # complete answer is copied twice before it is sent to the caller.
 ANSWERS_MEMORY_RATIO = 0.12
@@ -76,6 +76,7 @@
         self._listener = listener
         self._metrics_port = metrics_port
         self._loop = asyncio.get_running_loop()
+        self._has_task_ended = False
         self._stop_event = asyncio.Event()
         self._stop_plan: stop_plan.StopPlan | None = None
         self._random = random.Random()
@@ -146,8 +147,12 @@
         )
         self._metrics.attach(self._gauge_sources(log_stream))
 
-    async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, then drains and stops."""
+    async def run(self) -> int:
+        """Serves until SIGTERM or SIGINT, then drains and stops.
+
+        Returns:
+            The exit status of the process: 0 unless a background task ended.
+        """
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(signal_number, self._request_stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
@@ -164,7 +169,7 @@
             ("reloader", self._reloader.run),
             ("housekeeping", self._run_housekeeping),
         ):
-            self._start_task(self._supervise(name, run))
+            self._start_task(supervision.supervise(name, run))
         _log.info(
             "started",
             extra={
@@ -179,6 +184,7 @@
             task.cancel()
         self._gossip.stop()
         self._request_path.stop()
+        return supervision.EXIT_TASK_ENDED if self._has_task_ended else 0
 
     def _request_stop(self) -> None:
         """Starts the planned stop; a second signal changes nothing."""
@@ -251,7 +257,7 @@
         """Serves a request that a peer handed over."""
         try:
             terms = handovers.decode_terms(request.fields[headers.HANDOVER])
-        except msgspec.DecodeError as error:
+        except decoding.DecodeError as error:
             _log.warn(
                 "unreadable handover refused", extra={"error": str(error)}
             )
@@ -489,6 +495,10 @@
             restorations=lambda: platform_state.restoration_count,
             missed_changes=lambda: self._store_reader.missed_count,
             failed_items=lambda: platform_state.failed_item_count,
+            unreadable_items=lambda: (
+                platform_state.unreadable_item_count
+                + self._store_client.left_out_count
+            ),
             version=lambda: platform_state.catalogue.configuration_version,
             version_age=platform_state.configuration_age_seconds,
             servers=lambda: platform_state.catalogue.server_count,
@@ -510,21 +520,6 @@
             cut_off=lambda: float(not self._request_path.monitor.is_reachable),
         )
 
-    async def _supervise(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Runs a background task, and again each time it fails."""
-        while True:
-            try:
-                await run()
-                return
-            except Exception as error:  # Requests do not need each task.
-                _log.error(
-                    "background task failed; starting it again",
-                    extra={"task": name, "error": repr(error)},
-                )
-            await asyncio.sleep(TASK_RESTART_SECONDS)
-
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
@@ -538,4 +533,5 @@
             "background task failed; stopping",
             extra={"error": repr(task.exception())},
         )
+        self._has_task_ended = True
         self._request_stop()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -42,6 +42,7 @@
         restorations: restorations of the platform that were seen.
         missed_changes: changes that a listing showed to have been missed.
         failed_items: items that a defect kept from being applied.
+        unreadable_items: items that could not be decoded in whole.
         version: version of the configuration in force.
         version_age: seconds for which it has been in force.
         servers: listed servers.
@@ -64,6 +65,7 @@
     restorations: Callable[[], float]
     missed_changes: Callable[[], float]
     failed_items: Callable[[], float]
+    unreadable_items: Callable[[], float]
     version: Callable[[], float]
     version_age: Callable[[], float]
     servers: Callable[[], float]
@@ -88,6 +90,7 @@
     "restorations": "Restorations of the platform that were seen",
     "missed_changes": "Changes of the platform that had been missed",
     "failed_items": "Items that a defect kept from being applied",
+    "unreadable_items": "Items that could not be decoded in whole",
     "version": "Version of the configuration in force",
     "version_age": "Seconds for which this version has been in force",
     "servers": "Listed servers",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -19,6 +19,7 @@
 import logbook
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core.attempts import quarantine
 from hyssopwind.core.discovery import items
@@ -230,11 +231,7 @@
         """Handles a message of another daemon."""
         try:
             message = gossip_messages.decode(data)
-        except (
-            msgspec.DecodeError,
-            UnicodeDecodeError,
-            RecursionError,
-        ) as error:
+        except decoding.DecodeError as error:
             _log.warn(
                 "undecodable datagram ignored", extra={"error": str(error)}
             )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
@@ -8,6 +8,7 @@
 import logbook
 import msgspec
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
@@ -204,7 +205,7 @@
         return None
     try:
         return handovers.decode_result(results[0])
-    except msgspec.DecodeError:
+    except decoding.DecodeError:
         return None
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -7,6 +7,7 @@
 import logbook
 
 from hyssopwind.core import ids
+from hyssopwind.core import left_out
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import freshness
 from hyssopwind.core.discovery import items
@@ -42,7 +43,7 @@
         self._configured_at = float("-inf")
         self._restoration_count = 0
         self._failed_item_count = 0
-        self._unreadable_keys: set[str] = set()
+        self._left_out_parts = left_out.LeftOutParts()
         self._revisions: subject.Subject[int] | None = None
 
     @property
@@ -70,6 +71,11 @@
         """Number of items that a defect kept from being applied."""
         return self._failed_item_count
 
+    @property
+    def unreadable_item_count(self) -> int:
+        """Number of items that could not be decoded in whole."""
+        return self._left_out_parts.counts[left_out.Source.STORE_ITEM]
+
     def configuration_age_seconds(self) -> float:
         """Returns the time for which the configuration has been in force."""
         return boot_clock.now() - self._configured_at
@@ -216,19 +222,18 @@
             _log.info(change.value, extra=fields)
 
     def _log_unreadable(self, item: items.Item, record: records.Record) -> None:
-        """Logs an item that cannot be decoded, once for each server entry."""
-        is_server = isinstance(record, records.UnreadableServer)
-        if is_server and item.key in self._unreadable_keys:
+        """Counts an item that cannot be decoded, and logs new findings."""
+        findings = [str(finding) for finding in getattr(record, "findings", ())]
+        source = left_out.Source.STORE_ITEM
+        if not self._left_out_parts.record(source, item.key, findings):
             return
-        if len(self._unreadable_keys) > items.MAX_TOMBSTONES:
-            self._unreadable_keys.clear()
-        self._unreadable_keys.add(item.key)
-        findings = getattr(record, "findings", ())
         _log.warn(
             "unreadable item or part of one ignored",
             extra={
                 "key": item.key,
                 "revision": positions.revision_of(item.revision),
-                "findings": [str(finding) for finding in findings],
+                "findings": list(
+                    self._left_out_parts.reasons(source, item.key)
+                ),
             },
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/starting.py
@@ -80,13 +80,13 @@
         print(f"hyssopwindd: {METRICS_PORT_VARIABLE} is not a port number")
         return EXIT_FINDINGS
     garbage_collection.configure()
-    asyncio.run(
+    status = asyncio.run(
         _serve(
             gateway_settings, gateway_tuning, listener, int(port), log_stream
         )
     )
     log_stream.close(LOG_CLOSE_TIMEOUT_SECONDS)
-    return 0
+    return status
 
 
 async def _serve(
@@ -95,7 +95,7 @@
     listener: socket.socket,
     metrics_port: int,
     log_stream: log_output.BoundedStream,
-) -> None:
-    await gateway.Gateway(
+) -> int:
+    return await gateway.Gateway(
         gateway_settings, gateway_tuning, listener, metrics_port, log_stream
     ).run()
--- a/packages/daemon/src/hyssopwind/daemon/key_stage.py
+++ b/packages/daemon/src/hyssopwind/daemon/key_stage.py
@@ -40,8 +40,9 @@
 
     def subscribe(self, stream: reactivex.Observable[events.Event]) -> None:
         """Subscribes to the completion of keys among the node's events."""
-        streams.select_type(stream, events.KeyCompleted).subscribe(
-            self._handle_completion
+        streams.subscribe(
+            streams.select_type(stream, events.KeyCompleted),
+            self._handle_completion,
         )
 
     async def apply(
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -46,8 +46,7 @@
             return EXIT_FINDINGS
         log_output.install_handler(settings.logs)
         garbage_collection.configure()
-        uvloop.run(daemon.run(settings))
-        return 0
+        return uvloop.run(daemon.run(settings))
 
 
 def main() -> None:
--- a/packages/daemon/src/hyssopwind/daemon/metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/metrics.py
@@ -84,6 +84,18 @@
             ["service", "result"],
             registry=self.registry,
         )
+        self.left_out_parts = prometheus_client.Gauge(
+            "hyssopwind_left_out_parts",
+            "Parts of what others write that were left out so far",
+            ["source"],
+            registry=self.registry,
+        )
+        self.task_failures = prometheus_client.Counter(
+            "hyssopwind_task_failures",
+            "Failures of background tasks, which were started again",
+            ["task"],
+            registry=self.registry,
+        )
         self.settings_revision = prometheus_client.Gauge(
             "hyssopwind_settings_revision",
             "Newest revision known of the settings of a team",
--- a/packages/daemon/src/hyssopwind/daemon/peer_links.py
+++ b/packages/daemon/src/hyssopwind/daemon/peer_links.py
@@ -12,7 +12,9 @@
 import logbook
 import zmq
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
+from hyssopwind.core import left_out
 from hyssopwind.core import messages
 from hyssopwind.daemon import metrics
 
@@ -35,7 +37,9 @@
         address: str,
         sender: messages.DaemonIdentity,
         counters: metrics.Metrics,
+        left_out_parts: left_out.LeftOutParts,
     ):
+        self._left_out_parts = left_out_parts
         self._sender = sender
         self._counters = counters
         self._context = zmq.Context(io_threads=1)
@@ -70,11 +74,11 @@
             if addresses.get(daemon) != self._push_sockets[daemon][0]:
                 self._push_sockets.pop(daemon)[1].close(linger=0)
         for daemon, address in addresses.items():
-            if daemon not in self._push_sockets:
-                self._push_sockets[daemon] = (
-                    address,
-                    self._open_push_socket(address),
-                )
+            if daemon in self._push_sockets:
+                continue
+            push_socket = self._open_push_socket(address)
+            if push_socket is not None:
+                self._push_sockets[daemon] = (address, push_socket)
 
     def send(self, outgoing: messages.Outgoing) -> None:
         """Sends a message, or drops it if it cannot be queued for the peer."""
@@ -82,11 +86,15 @@
         if connection is None:
             return
         envelope = messages.Envelope(self._sender, outgoing.body)
-        data = messages.encode_envelope(envelope)
         try:
+            data = messages.encode_envelope(envelope)
             connection[1].send(data, flags=zmq.NOBLOCK)
         except zmq.Again:
             return
+        except Exception as error:
+            # The messages behind it must be sent all the same.
+            self._record(f"to {outgoing.receiver}", decoding.describe(error))
+            return
         self._sent.inc()
         self._sent_bytes.inc(len(data))
 
@@ -120,7 +128,18 @@
                 },
             )
 
-    def _open_push_socket(self, address: str) -> "zmq.Socket[bytes]":
+    def _record(self, name: str, reason: str) -> None:
+        """Records a message or a peer that is left out."""
+        if self._left_out_parts.record(
+            left_out.Source.PEER_MESSAGE, name, [reason]
+        ):
+            _log.warn(
+                "message or peer left out",
+                extra={"name": decoding.shorten(name), "error": reason},
+            )
+
+    def _open_push_socket(self, address: str) -> "zmq.Socket[bytes] | None":
+        """Returns a socket that connects to a peer; `None` if it cannot."""
         push_socket = self._context.socket(zmq.PUSH)
         push_socket.setsockopt(zmq.LINGER, 0)
         push_socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
@@ -128,7 +147,12 @@
         push_socket.setsockopt(zmq.RECONNECT_IVL, 100)
         push_socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
         self._set_heartbeat(push_socket)
-        push_socket.connect(f"tcp://{address}")
+        try:
+            push_socket.connect(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            push_socket.close(linger=0)
+            self._record(address, decoding.describe(error))
+            return None
         return push_socket
 
     def _set_heartbeat(self, socket: "zmq.Socket[bytes]") -> None:
@@ -147,9 +171,11 @@
                 return
             self._received.inc()
             self._received_bytes.inc(len(data))
-            envelope = messages.decode_envelope(data)
-            if envelope is None:
-                _log.warn("dropped a message that cannot be decoded")
+            try:
+                envelope = messages.read_envelope(data)
+                messages.check_addresses(envelope)
+            except decoding.DecodeError as error:
+                self._record("received", str(error))
                 continue
             self._deliver(envelope)
         asyncio.get_running_loop().call_soon(self._read)
--- a/packages/daemon/src/hyssopwind/daemon/slots.py
+++ b/packages/daemon/src/hyssopwind/daemon/slots.py
@@ -64,11 +64,11 @@
 
     def subscribe(self, stream: reactivex.Observable[events.Event]) -> None:
         """Subscribes to the answers of pool owners among the node's events."""
-        streams.select_type(stream, events.Granted).subscribe(
-            self._handle_answer
+        streams.subscribe(
+            streams.select_type(stream, events.Granted), self._handle_answer
         )
-        streams.select_type(stream, events.Refused).subscribe(
-            self._handle_answer
+        streams.subscribe(
+            streams.select_type(stream, events.Refused), self._handle_answer
         )
 
     async def acquire(
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_prefix_watcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_prefix_watcher.py
@@ -134,6 +134,70 @@
         received = await self.watch([*malformed, make_listing(7)], [], 1)
         self.assertEqual(received, [prefix_watcher.Listing({}, 7)])
 
+    # One such entry made each listing fail, so that the list was not followed.
+    async def test_entry_that_cannot_be_decoded_is_left_out_of_a_listing(self):
+        no_utf8 = {"key": "//4=", "value": "", "mod_revision": "6"}
+        no_revision = {"key": encode_base64("/p/b"), "value": ""}
+        no_base64 = {**key_value("/p/c", "", 6), "value": "%"}
+        deep = {**key_value("/p/d", "", 6), "value": [[[["a"]]]]}
+        received = await self.watch(
+            [
+                make_listing(
+                    7,
+                    no_utf8,
+                    no_revision,
+                    no_base64,
+                    deep,
+                    "no entry",
+                    key_value("/p/a", "1", 5),
+                )
+            ],
+            [],
+            1,
+        )
+        self.assertEqual(
+            received,
+            [
+                prefix_watcher.Listing(
+                    {"a": prefix_watcher.Entry(b"1", 5)},
+                    7,
+                    frozenset({"b", "c", "d"}),
+                )
+            ],
+        )
+
+    async def test_change_behind_an_odd_key_is_published(self):
+        odd = {"kv": {"key": "//4=", "value": "", "mod_revision": "8"}}
+        put = {"kv": key_value("/p/a", "2", 9)}
+        received = await self.watch(
+            [make_listing(7)], [[make_event_line(odd, put)]], 2
+        )
+        self.assertEqual(received[1], prefix_watcher.Change("a", b"2", 9))
+
+    async def test_change_that_cannot_be_decoded_is_followed_by_a_listing(self):
+        odd = {"kv": {**key_value("/p/a", "", 8), "value": "%"}}
+        put = {"kv": key_value("/p/b", "2", 9)}
+        received = await self.watch(
+            [make_listing(7), make_listing(9)],
+            [[make_event_line(odd, put)]],
+            3,
+        )
+        self.assertEqual(received[1], prefix_watcher.Change("b", b"2", 9))
+        self.assertEqual(received[2].revision, 9)
+
+    async def test_revision_out_of_range_is_left_out(self):
+        # It could not be sent to peers.
+        received = await self.watch(
+            [
+                make_listing(
+                    7, {**key_value("/p/a", "1", 5), "mod_revision": "9" * 30}
+                )
+            ],
+            [],
+            1,
+        )
+        self.assertEqual(received[0].unreadable_keys, frozenset({"a"}))
+
     async def test_watch_that_ends_is_followed_by_a_listing(self):
         received = await self.watch(
             [make_listing(7), make_listing(9)], [[None]], 2
--- a/packages/daemon/src/hyssopwind/daemon/upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/upstream.py
@@ -10,12 +10,14 @@
 
 import asyncio
 import dataclasses
-import json
+import math
 import secrets
 import time
+from typing import Any
 
 import multidict
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
@@ -94,9 +96,7 @@
                 address, LOAD_PATH, PROBE_TIMEOUT_SECONDS, _is_load_report
             )
             return _read_load_report(answer.body)
-        except connection.ExchangeError:
-            return None
-        except (ValueError, KeyError, TypeError, RecursionError):
+        except (connection.ExchangeError, decoding.DecodeError):
             return None
 
     def retain(self, addresses: set[str]) -> None:
@@ -181,14 +181,20 @@
     """Returns a load report.
 
     Raises:
-        ValueError: it is not valid.
+        DecodeError: it is not valid.
     """
-    report = json.loads(body)
+    return decoding.apply(_translate_load_report, decoding.decode_json(body))
+
+
+def _translate_load_report(report: dict[str, Any]) -> server_load.LoadReport:
+    age_ms = float(report.get("age_ms", 0))
+    if not (math.isfinite(age_ms) and age_ms >= 0.0):
+        raise ValueError(f"age_ms is {age_ms}, expected a number from 0")
     return server_load.LoadReport(
         start_id=str(report["start"]),
         is_cold=bool(report["cold"]),
         is_draining=bool(report["draining"]),
-        age_seconds=float(report.get("age_ms", 0)) / 1000,
+        age_seconds=age_ms / 1000,
     )
 
 
--- a/packages/operator/src/hyssopwind/operator/admin_client.py
+++ b/packages/operator/src/hyssopwind/operator/admin_client.py
@@ -7,8 +7,12 @@
 
 import aiohttp
 
+from hyssopwind.core import decoding
+
 TIMEOUT_SECONDS = 3.0
 
+_REPLY_DECODER = decoding.JsonDecoder[dict[str, Any]](dict[str, Any])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -53,10 +57,18 @@
         async with session.get(
             f"http://{address}{path}", params=query
         ) as response:
-            content = await response.json()
+            body = await response.read()
     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
         reason = str(error) or type(error).__name__
         return Reply(address, {}, f"no answer: {reason}")
+    try:
+        return decoding.apply(_read_reply, address, body)
+    except decoding.DecodeError as error:
+        return Reply(address, {}, f"unreadable answer: {error}")
+
+
+def _read_reply(address: str, body: bytes) -> Reply:
+    content = _REPLY_DECODER.decode(body)
     if "error" in content:
         known_names = ", ".join(content.get("known", []))
         return Reply(address, {}, f"{content['error']}; known: {known_names}")
--- a/packages/operator/src/hyssopwind/operator/checking.py
+++ b/packages/operator/src/hyssopwind/operator/checking.py
@@ -1,8 +1,8 @@
 """Checks settings files of teams and of daemons."""
 
 import pathlib
-import tomllib
 
+from hyssopwind.core import decoding
 from hyssopwind.core import findings
 from hyssopwind.core.settings import documents
 from hyssopwind.core.settings import parsing
@@ -39,10 +39,17 @@
     return parsing.parse_team(text, str(path))
 
 
-def read_text(path: pathlib.Path) -> str | findings.Finding:
-    """Returns the text of a file, or why it cannot be read."""
+def read_text(
+    path: pathlib.Path, errors: str = "strict"
+) -> str | findings.Finding:
+    """Returns the text of a file, or why it cannot be read.
+
+    Args:
+        path: path of the file.
+        errors: how bytes that are not UTF-8 are handled, as in `bytes.decode`.
+    """
     try:
-        return path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8", errors=errors)
     except OSError as error:
         reason = error.strerror or str(error)
         return findings.Finding(str(path), 0, "", f"cannot read: {reason}")
@@ -52,6 +59,6 @@
 
 def _has_any_key(text: str, keys: frozenset[str]) -> bool:
     try:
-        return not keys.isdisjoint(tomllib.loads(text))
-    except tomllib.TOMLDecodeError:
+        return not keys.isdisjoint(decoding.decode_toml(text))
+    except decoding.DecodeError:
         return False
--- a/packages/operator/src/hyssopwind/operator/main.py
+++ b/packages/operator/src/hyssopwind/operator/main.py
@@ -119,9 +119,10 @@
             return EXIT_USAGE
         replies = self.query_daemons("/status", {})
         if not self.option("json"):
-            for reply in replies:
-                for line in rendering.render_status(reply):
-                    self.line(line)
+            for line in rendering.render_replies(
+                replies, rendering.render_status
+            ):
+                self.line(line)
         return self.show_replies(replies)
 
 
@@ -142,9 +143,10 @@
             "/explain", {"service": self.argument("service")}
         )
         if not self.option("json"):
-            for reply in replies:
-                for line in rendering.render_explanation(reply):
-                    self.line(line)
+            for line in rendering.render_replies(
+                replies, rendering.render_explanation
+            ):
+                self.line(line)
         return self.show_replies(replies)
 
 
@@ -162,7 +164,8 @@
         """Reads the log files and writes the history."""
         texts: list[str] = []
         for name in self.argument("file"):
-            text = checking.read_text(pathlib.Path(name))
+            # Other programs may write other bytes into the same file.
+            text = checking.read_text(pathlib.Path(name), errors="replace")
             if isinstance(text, findings.Finding):
                 self.line_error(str(text))
                 return EXIT_USAGE
--- a/packages/operator/src/hyssopwind/operator/rendering.py
+++ b/packages/operator/src/hyssopwind/operator/rendering.py
@@ -1,11 +1,37 @@
 """Renders the replies of daemons as text for operators."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
+from hyssopwind.core import decoding
 from hyssopwind.operator import admin_client
 
 
+def render_replies(
+    replies: Iterable[admin_client.Reply],
+    render: Callable[[admin_client.Reply], Iterator[str]],
+) -> Iterator[str]:
+    """Yields the lines about all daemons.
+
+    A reply without the expected values, such as that of another release, costs
+    no other one.
+    """
+    for reply in replies:
+        try:
+            yield from decoding.apply(_render_lines, render, reply)
+        except decoding.DecodeError as error:
+            yield f"{reply.address}: unreadable answer: {error}"
+
+
+def _render_lines(
+    render: Callable[[admin_client.Reply], Iterator[str]],
+    reply: admin_client.Reply,
+) -> list[str]:
+    return list(render(reply))
+
+
 def render_status(reply: admin_client.Reply) -> Iterator[str]:
     """Yields the lines about one daemon."""
     if reply.error:
@@ -27,6 +53,10 @@
         yield from _render_team(team)
     for finding in status["unreadable_machines"]:
         yield f"  VM record {finding}"
+    for part in status.get("left_out", ()):
+        yield f"  left out: {part}"
+    for source, count in status.get("left_out_counts", {}).items():
+        yield f"  left out so far, {source}: {count}"
     for invariant, count in status["breaches"].items():
         yield f"  breaches of {invariant}: {count}"
 
--- a/packages/operator/src/hyssopwind/operator/request_history.py
+++ b/packages/operator/src/hyssopwind/operator/request_history.py
@@ -9,10 +9,11 @@
 
 import dataclasses
 import datetime
-import json
 from collections.abc import Iterable
 from typing import Any
 
+from hyssopwind.core import decoding
+
 LOOK_BACK_SECONDS = 10.0  # a change is in force within 5 seconds
 _DEPENDENCY_LOGGERS = frozenset(
     {"store", "fleet", "settings", "gateway", "reachability"}
@@ -44,16 +45,26 @@
         if json_start < 0:
             continue
         try:
-            values = json.loads(text[json_start:])
-            written_at = datetime.datetime.fromisoformat(values["time"])
-        except (ValueError, KeyError, TypeError):
+            values = decoding.decode_json(text[json_start:])
+            written_at = decoding.apply(_read_line, values)
+        except decoding.DecodeError:
             continue  # Other programs may write into the same file.
         values["source"] = "".join(text[:json_start].split()[-1:])
-        log_lines.append(LogLine(written_at.timestamp(), values))
+        log_lines.append(LogLine(written_at, values))
     log_lines.sort(key=lambda line: line.written_at)
     return log_lines
 
 
+def _read_line(values: dict[str, Any]) -> float:
+    """Returns the time of a line; raises any exception if it is not of ours."""
+    servers = [values.get("server", ""), *values.get("servers", ())]
+    if not all(isinstance(server, str) for server in servers):
+        raise TypeError("expected the names of servers as text")
+    if not isinstance(values.get("message", ""), str):
+        raise TypeError("expected the message as text")
+    return datetime.datetime.fromisoformat(values["time"]).timestamp()
+
+
 def describe_request(lines: list[LogLine], request_id: str) -> list[str]:
     """Returns the history of a request, one text per log line.
 
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/fuzzing/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of the places where a process decodes what others write."""
--- a/packages/standins/src/hyssopwind/standins/processes.py
+++ b/packages/standins/src/hyssopwind/standins/processes.py
@@ -65,6 +65,10 @@
         """Waits for the end of a process and returns its exit status."""
         return self._processes[name].wait(STOP_TIMEOUT_SECONDS)
 
+    def has_ended(self, name: str) -> bool:
+        """Whether a process has ended."""
+        return self._processes[name].poll() is not None
+
     def read_log(self, name: str) -> str:
         """Returns the output of a process, over all starts under its name."""
         path = self._log_directory / f"{name}.log"
--- a/packages/transport/src/hyssopwind/transport/answers.py
+++ b/packages/transport/src/hyssopwind/transport/answers.py
@@ -290,7 +290,7 @@
             self.body_length = 0
         elif "chunked" in self.fields.get("Transfer-Encoding", "").lower():
             self.is_chunked = True
-        elif length.isdigit():
+        elif length.isascii() and length.isdigit():
             self.body_length = int(length)
         else:
             self.ends_with_connection = True
--- a/packages/transport/src/hyssopwind/transport/connection_pools.py
+++ b/packages/transport/src/hyssopwind/transport/connection_pools.py
@@ -253,7 +253,7 @@
             transport.get_extra_info("socket").setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise connection.ExchangeError(
                 attempt_results.FailureKind.NOT_CONNECTED, repr(error)
             ) from error
