Give daemons that start the version that a restored store has lost

Cause: the replica of the later era holds the copy's version, and peers sent only their replicas. Done: heartbeats state a version in force that the platform has lost; a daemon with an older one pulls all items, and the answer carries that version. Both fields are at the end of their messages.

--- a/packages/core/src/hyssopwind/core/discovery/items.py
+++ b/packages/core/src/hyssopwind/core/discovery/items.py
@@ -57,6 +57,8 @@
             already.
         era: era that the platform stated with them; `None` if it stated none,
             or if they come from a replica.
+        kept: items in force that the platform has lost, with the revisions of
+            an earlier era. The platform has older values of their keys.
     """
 
     items: tuple[Item, ...]
@@ -64,6 +66,7 @@
     is_complete: bool
     unchanged_keys: frozenset[str] = frozenset()
     era: int | None = None
+    kept: tuple[Item, ...] = ()
 
 
 def max_useful_bytes(replica: "ItemReplica") -> int:
--- a/packages/core/src/hyssopwind/core/fleet/change_encoding.py
+++ b/packages/core/src/hyssopwind/core/fleet/change_encoding.py
@@ -63,6 +63,8 @@
     age_ms: int
     is_deflated: bool
     changes: bytes
+    # Items that the platform has lost, each with a deflated value.
+    kept: list[_Change] = []
 
 
 _MESSAGE_DECODER = decoding.MessagePackDecoder[_Message](_Message)
@@ -108,7 +110,11 @@
         return self._newest_large[1]
 
     def encode(
-        self, revision: int, held_revisions: Collection[int], age_ms: int
+        self,
+        revision: int,
+        held_revisions: Collection[int],
+        age_ms: int,
+        kept: Iterable[items.Item] = (),
     ) -> bytes:
         """Returns the changes that a replica at `revision` lacks.
 
@@ -116,6 +122,7 @@
             revision: revision of the replica of the peer.
             held_revisions: revisions of the large values of the peer.
             age_ms: age of the replica of this daemon in milliseconds.
+            kept: items in force that the platform has lost.
         """
         cache_key = (
             self._replica.revision,
@@ -130,7 +137,19 @@
             if len(self._messages) > MAX_CACHED_MESSAGES:
                 self._messages.popitem(last=False)
         is_deflated, data = cached
-        return msgspec.msgpack.encode(_Message(age_ms, is_deflated, data))
+        encoded_kept = [
+            _Change(
+                item.key,
+                item.revision,
+                None,
+                self._encode_value(item, item.value, ()),
+            )
+            for item in kept
+            if item.value is not None
+        ]
+        return msgspec.msgpack.encode(
+            _Message(age_ms, is_deflated, data, encoded_kept)
+        )
 
     def _encode_changes(
         self, revision: int, held_revisions: Collection[int]
@@ -211,6 +230,7 @@
         changes.revision,
         changes.is_complete,
         frozenset(changes.unchanged_keys),
+        kept=tuple(_decode_change(c, replica) for c in message.kept),
     )
     return delta, message.age_ms
 
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -41,6 +41,8 @@
             be large.
         era: era of the revisions.
         digest: digest of its replica; 0 if it does not read the platform.
+        kept_version: version of its configuration in force if the platform has
+            lost it and has an older one; 0 otherwise.
     """
 
     name: str
@@ -56,6 +58,7 @@
     is_receiving: bool = False
     era: int = 0
     digest: int = 0
+    kept_version: int = 0
 
     @property
     def position(self) -> int:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/change_transfers.py
@@ -105,9 +105,10 @@
             self._pull_if_behind()
 
     def replace_replica(self, ip: str) -> None:
-        """Pulls all items from a peer, whose replica of this revision differs.
+        """Pulls all items from a peer, whose state of this revision differs.
 
-        The peer reads the platform, so this daemon has missed a change.
+        The peer reads the platform, so that this daemon has missed a change, or
+        it has kept an item that the platform has lost.
         """
         now = boot_clock.now()
         if now - self._replaced_at < REPLACE_INTERVAL_SECONDS:
@@ -115,7 +116,7 @@
         self._replaced_at = now
         self.counts["replaced"] += 1
         _log.warn(
-            "the replica differs from that of a reader; pulling all items",
+            "the state of a peer at this revision differs; pulling all items",
             extra={"peer": ip, **self._platform_state.log_fields()},
         )
         self._start_pull(ip, pulls_all=True)
@@ -208,7 +209,11 @@
         self._queue_changed = asyncio.Event()
 
     def _encode(self, revision: int, held_revisions: list[int]) -> bytes:
-        return self._encoder.encode(revision, held_revisions, self._age_ms())
+        # The others were there when the platform lost it.
+        kept = () if revision else self._platform_state.kept_items()
+        return self._encoder.encode(
+            revision, held_revisions, self._age_ms(), kept
+        )
 
     def _count_sent(self, answer: outcomes.Answered) -> outcomes.Answered:
         self.counts["sent"] += 1
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -368,6 +368,7 @@
             self._is_receiving(),
             era,
             digest,
+            self._platform_state.kept_version,
         )
 
     def _make_leaving_notice(
@@ -470,7 +471,7 @@
                     self._make_leaving_notice(instance), matching_peers
                 )
         self._platform_state.record_announced_configuration(
-            heartbeat.configuration_position
+            heartbeat.configuration_position, heartbeat.kept_version
         )
         position = heartbeat.position
         self.transfers.handle_announcement(heartbeat.ip, position)
@@ -486,6 +487,13 @@
         if positions.era_of(position) != positions.era_of(own_position):
             # The peer has not seen that the platform was restored.
             return
+        if (
+            position == own_position
+            and heartbeat.kept_version
+            > self._platform_state.catalogue.configuration_version
+        ):
+            self.transfers.replace_replica(heartbeat.ip)
+            return
         if (
             position == own_position
             and heartbeat.digest not in (0, self._platform_state.replica.digest)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -41,6 +41,11 @@
         self._configured = asyncio.Event()
         self._configuration_source = ""
         self._configured_at = float("-inf")
+        # The configuration in force as an item, and whether the platform has
+        # lost it and has an older one.
+        self._configuration_item: items.Item | None = None
+        self._is_configuration_kept = False
+        self._announced_kept_version = 0
         self._restoration_count = 0
         self._failed_item_count = 0
         self._left_out_parts = left_out.LeftOutParts()
@@ -61,6 +66,13 @@
         """Revision of the configuration in the replica; 0 without one."""
         return self._configuration_revision
 
+    @property
+    def kept_version(self) -> int:
+        """Version in force that the platform has lost; 0 if it has it."""
+        if not self._is_configuration_kept:
+            return 0
+        return self.catalogue.configuration_version
+
     @property
     def restoration_count(self) -> int:
         """How often the platform was found to be restored from a copy."""
@@ -90,11 +102,27 @@
             "version_source": self._configuration_source,
         }
 
-    def record_announced_configuration(self, revision: int) -> None:
-        """Records the revision of the configuration that a peer has."""
+    def record_announced_configuration(
+        self, revision: int, kept_version: int = 0
+    ) -> None:
+        """Records the configuration that a peer has.
+
+        Args:
+            revision: its revision.
+            kept_version: its version if the platform has lost it, or 0.
+        """
         self._announced_configuration_revision = max(
             self._announced_configuration_revision, revision
         )
+        self._announced_kept_version = max(
+            self._announced_kept_version, kept_version
+        )
+
+    def kept_items(self) -> tuple[items.Item, ...]:
+        """Returns the items in force that the platform has lost."""
+        if not self._is_configuration_kept or self._configuration_item is None:
+            return ()
+        return (self._configuration_item,)
 
     def may_lack_configuration(self, bound_seconds: float) -> bool:
         """Whether a configuration may be in force that the replica lacks.
@@ -104,6 +132,8 @@
         """
         return (
             self._announced_configuration_revision > self.replica.revision
+            or self._announced_kept_version
+            > self.catalogue.configuration_version
             or self.catalogue.lacks_routes
             or self.age_seconds() > bound_seconds
         )
@@ -148,6 +178,7 @@
         if is_restored:
             self._record_restoration(delta.revision, now, source)
         changed = self.replica.apply(delta)
+        changed.extend(filter(self._is_later_configuration, delta.kept))
         for item in changed:
             try:
                 self._apply_item(item, now, source, is_restored=is_restored)
@@ -197,6 +228,7 @@
         change = self.catalogue.apply_record(
             record, now, is_restored=is_restored
         )
+        self._record_configuration(item, change)
         if change is catalogue.CatalogueChange.NOTHING:
             return
         if change is catalogue.CatalogueChange.ITEM_UNREADABLE:
@@ -221,6 +253,37 @@
                 self._configured_at = now
             _log.info(change.value, extra=fields)
 
+    def _is_later_configuration(self, item: items.Item) -> bool:
+        """Whether a peer has kept a later configuration than that in force."""
+        record = platform_items.decode_item(item)
+        return (
+            isinstance(record, records.ConfigurationRecord)
+            and record.configuration.version
+            > self.catalogue.configuration_version
+        )
+
+    def _record_configuration(
+        self, item: items.Item, change: catalogue.CatalogueChange
+    ) -> None:
+        """Records the item in force and whether the platform has lost it."""
+        in_force = self._configuration_item
+        is_removed = (
+            in_force is not None
+            and item.value is None
+            and item.key == in_force.key
+        )
+        if (
+            is_removed
+            or change is catalogue.CatalogueChange.OLDER_CONFIGURATION_IGNORED
+        ):
+            self._is_configuration_kept = True
+        elif change is catalogue.CatalogueChange.CONFIGURATION_APPLIED:
+            self._configuration_item = item
+            # An item that a peer has kept is not that of the replica.
+            self._is_configuration_kept = (
+                self.replica.items.get(item.key) != item
+            )
+
     def _log_unreadable(self, item: items.Item, record: records.Record) -> None:
         """Counts an item that cannot be decoded, and logs new findings."""
         findings = [str(finding) for finding in getattr(record, "findings", ())]
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_restored_store.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_restored_store.py
@@ -111,6 +111,57 @@
                         functools.partial(self.run_seed, seed, era)
                     )
 
+    # A daemon that started before the operator had written the newest version
+    # again took the older one of the copy, although its peers had the newer.
+    def test_daemon_that_starts_before_the_version_is_written_again(self):
+        for seed in range(1, 6):
+            for era in (1, None):
+                with self.subTest(seed=seed, era=era):
+                    site_fleet_case.run_in_virtual_time(
+                        functools.partial(self.run_start, seed, era)
+                    )
+
+    async def run_start(self, seed, era):
+        fleet = self.start_fleet(seed)
+        fleet.store.era = era
+        self.version = 0
+        self.write_version(fleet)
+        await asyncio.sleep(5.0)
+        revision = fleet.store.revision
+        self.write_version(fleet)
+        await asyncio.sleep(3.0)
+        for daemon in fleet.daemons.values():
+            daemon.store_silent = True
+            daemon.silence_count += 1
+        await asyncio.sleep(1.0)
+        fleet.store.restore(revision)
+        for daemon in fleet.daemons.values():
+            daemon.store_silent = False
+        await asyncio.sleep(2.0)
+        started = fleet.random_source.sample(sorted(fleet.daemons), 6)
+        for ip in started:
+            fleet.kill(ip)
+            fleet.start(ip)
+        await asyncio.sleep(site_fleet_case.FAULT_FREE_SECONDS)
+        for ip, daemon in fleet.daemons.items():
+            state = daemon.platform_state
+            self.assertEqual(state.catalogue.configuration_version, 2, ip)
+        # One that starts later has only daemons as peers that have started.
+        for ip in set(fleet.daemons) - set(started):
+            fleet.kill(ip)
+            fleet.start(ip)
+        await asyncio.sleep(site_fleet_case.FAULT_FREE_SECONDS)
+        for ip, daemon in fleet.daemons.items():
+            state = daemon.platform_state
+            self.assertEqual(state.catalogue.configuration_version, 2, ip)
+            self.assertEqual(state.kept_version, 2, ip)
+        self.write_version(fleet)
+        await asyncio.sleep(site_fleet_case.CHANGE_BOUND_SECONDS)
+        for ip, daemon in fleet.daemons.items():
+            state = daemon.platform_state
+            self.assertEqual(state.catalogue.configuration_version, 3, ip)
+            self.assertEqual(state.kept_version, 0, ip)
+
     # Without eras, a watch from a revision that was given out again looks right
     # although the changes before it were missed.
     def test_changes_hidden_by_repeated_revisions_are_found(self):
