Use no connection again to a server that does not state the attempt

Cause: without a token nothing tells two answers on one connection apart, and connections were used again all the same. Done: idempotent requests use a kept connection only at servers that state the token; others get a new connection, which costs a round trip. Measured: test_late_answer_without_a_token_is_no_answer_to_another and test_late_answer_to_a_probe_is_no_answer_to_a_request fail on the code before. Three tests of kept connections now use answers that state the token, as connections of other servers are not kept; what they check is unchanged.

--- a/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_upstream.py
@@ -15,6 +15,10 @@
     b"HTTP/1.1 200 OK\r\nServer-Start: a\r\nConnection: keep-alive, X-Once\r\n"
     b"X-Once: 1\r\nContent-Length: 5\r\n\r\nwhole"
 )
+# States which attempt it answers.
+STATED_ANSWER = WHOLE_ANSWER.replace(
+    b"Server-Start", b"Hyssopwind-Attempt: TOKEN\r\nServer-Start"
+)
 SHORT_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"
 SHED_ANSWER = (
     b"HTTP/1.1 503 Busy\r\nServer-Shed: full\r\nRetry-After: 2\r\n"
@@ -139,7 +143,7 @@
         self.assertEqual(self.server.opened_count, 0)
 
     async def test_silent_connection_is_replaced_after_a_time_out(self):
-        await self.start([WHOLE_ANSWER, None], [WHOLE_ANSWER])
+        await self.start([STATED_ANSWER, None], [STATED_ANSWER])
         await self.attempt()
         result = await self.attempt(timeout_seconds=0.2)
         timed_out = attempt_results.Failed(
@@ -150,7 +154,7 @@
         self.assertEqual(self.server.opened_count, 2)
 
     async def test_open_connection_is_not_reused_for_non_idempotent(self):
-        await self.start([WHOLE_ANSWER, None], [WHOLE_ANSWER])
+        await self.start([STATED_ANSWER, None], [STATED_ANSWER])
         await self.attempt()
         result = await self.attempt(is_idempotent=False)
         self.assertEqual(result.answer.body, b"whole")
@@ -167,12 +171,42 @@
 
     # The bytes were read as the answer to the next request.
     async def test_late_answer_ends_an_idle_connection(self):
-        await self.start([WHOLE_ANSWER, WHOLE_ANSWER], [SHED_ANSWER])
+        shed = SHED_ANSWER.replace(
+            b"Server-Shed", b"Hyssopwind-Attempt: TOKEN\r\nServer-Shed"
+        )
+        await self.start([STATED_ANSWER, STATED_ANSWER], [shed])
         await self.attempt()
         self.server.send_unsolicited(WHOLE_ANSWER)
         await asyncio.sleep(0.05)
         self.assertEqual(await self.attempt(), attempt_results.Shed("", 2.0))
 
+    # Without a token, the answer to an earlier request was taken for that to
+    # the next one on the connection.
+    async def test_late_answer_without_a_token_is_no_answer_to_another(self):
+        late = WHOLE_ANSWER.replace(b"whole", b"other")
+        await self.start([WHOLE_ANSWER, late], [WHOLE_ANSWER], [WHOLE_ANSWER])
+        for _ in range(3):
+            result = await self.attempt()
+            self.assertEqual(result.answer.body, b"whole")
+        self.assertEqual(self.server.opened_count, 3)
+
+    async def test_late_answer_to_a_probe_is_no_answer_to_a_request(self):
+        report = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 51\r\n\r\n"
+            b'{"start": "a", "cold": false, "draining": false   }'
+        )
+        await self.start([report, report], [WHOLE_ANSWER])
+        self.assertIsNotNone(await self.upstream.probe(self.address))
+        result = await self.attempt()
+        self.assertEqual(result.answer.body, b"whole")
+
+    async def test_connection_of_a_stating_server_is_used_again(self):
+        await self.start([STATED_ANSWER, STATED_ANSWER])
+        for _ in range(2):
+            result = await self.attempt()
+            self.assertEqual(result.answer.body, b"whole")
+        self.assertEqual(self.server.opened_count, 1)
+
     async def test_answer_to_another_attempt_is_skipped(self):
         other = WHOLE_ANSWER.replace(
             b"Server-Start", b"Hyssopwind-Attempt: 0\r\nServer-Start"
--- a/packages/daemon/src/hyssopwind/daemon/upstream.py
+++ b/packages/daemon/src/hyssopwind/daemon/upstream.py
@@ -1,11 +1,11 @@
 """Connections to servers, and the sending of one attempt.
 
 Each attempt has a token, which servers may state in their answers; a late
-answer to another attempt is then recognised. Not all servers do, so requests
-that are not idempotent get new connections, on which no earlier answer can
-come. When an attempt times out, all open connections to the server are retired,
-because one network fault may have broken them all; whether the server itself
-failed is judged elsewhere.
+answer to another attempt is then recognised. Requests to servers that do not
+state it, and requests that are not idempotent, get new connections, on which no
+earlier answer can come. When an attempt times out, all open connections to the
+server are retired, because one network fault may have broken them all; whether
+the server itself failed is judged elsewhere.
 """
 
 import asyncio
@@ -120,9 +120,10 @@
             ExchangeError: there is none.
         """
         address = attempt_request.address
-        # A refusal on a connection that was used before may be a late one of
-        # another request, and would let this one run twice.
-        if attempt_request.is_idempotent:
+        # On a connection that was used before, a late answer to another request
+        # may come. A late refusal would let this request run twice.
+        is_stating = address in self._stating_addresses
+        if attempt_request.is_idempotent and is_stating:
             server_connection = await self._pool.acquire(address)
         else:
             server_connection = await self._pool.open(address)
@@ -144,9 +145,11 @@
             is_own,
             check_size,
         )
-        if headers.ATTEMPT in answer.fields:
+        states_attempt = headers.ATTEMPT in answer.fields
+        if states_attempt:
             self._stating_addresses.add(address)
-        if self._retired_at.get(address, 0.0) > started_at:
+        is_retired = self._retired_at.get(address, 0.0) > started_at
+        if is_retired or not states_attempt:
             server_connection.abort()
         else:
             self._pool.release(server_connection)
