Add a soak of overlapping faults to the rig of stops

Faults of the rig found on the way: two starts of one gateway at a time, a caller that never ended, a store that took a minute to stop; an answer of another request is now a finding instead of an exception that ended the run.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/core packages/transport platform packages/daemon packages/operator packages/standins
 
-.PHONY: run test check bench faults
+.PHONY: run test check bench faults soak
 
 $(VENV)/ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -30,3 +30,10 @@
 
 faults: $(VENV)/ready
 	$(BIN)/python -m hyssopwind.standins.faults
+
+# SEEDS=1-50 JOBS=4; the plan and logs of a run that fails are kept in target/soak.
+SEEDS ?= 1-4
+JOBS ?= 4
+soak: $(VENV)/ready
+	$(BIN)/python -m hyssopwind.standins.stops.soak --seeds $(SEEDS) \
+		--jobs $(JOBS) --keep target/soak --shrink
--- a/packages/standins/src/hyssopwind/standins/site/store.py
+++ b/packages/standins/src/hyssopwind/standins/site/store.py
@@ -12,6 +12,7 @@
 from hyssopwind.platform import field_names
 
 MAX_PAGE_ITEMS = 50
+STOP_TIMEOUT_SECONDS = 0.1  # for calls that a silent store does not answer
 
 
 class StoreMode(enum.Enum):
@@ -55,7 +56,9 @@
 
     async def start(self) -> None:
         """Listens on a free port of the loopback address."""
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            web.Server(self._handle), shutdown_timeout=STOP_TIMEOUT_SECONDS
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
--- a/packages/standins/src/hyssopwind/standins/stops/callers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/callers.py
@@ -228,7 +228,7 @@
         """Reads the head of an answer; returns whether it is a final one.
 
         Raises:
-            ValueError: it is no head, or that of another request's answer.
+            ValueError: it is no head.
         """
         lines = head.split("\r\n")
         status = int(lines[0].split()[1])
@@ -238,7 +238,7 @@
         fields = dict(line.lower().split(": ", 1) for line in lines[1:])
         answered_id = fields.get(field_names.REQUEST_ID.lower())
         if answered_id not in (None, record.request_id):
-            raise ValueError(f"{record.request_id} got {head!r}")
+            record.foreign_id = answered_id
         record.status = status
         record.is_stamped = field_names.SERVER_STAMP.lower() in fields
         self._body_left = int(fields.get("content-length", "0"))
@@ -384,7 +384,8 @@
     """Keeps `depth` requests under way, each in its own write."""
     while caller.is_active and connection.is_usable:
         while (
-            connection.is_usable
+            caller.is_active
+            and connection.is_usable
             and connection.unanswered_count < caller.plan.depth
         ):
             await connection.send(*caller.next_request())
--- a/packages/standins/src/hyssopwind/standins/stops/plans.py
+++ b/packages/standins/src/hyssopwind/standins/stops/plans.py
@@ -86,6 +86,57 @@
 KINDS = (BROWSE, BOOK, ROSTER, VENUE)
 
 
+class WorldActionKind(enum.Enum):
+    """What is done to the store, the operator or the servers.
+
+    Attributes:
+        CONFIGURE: the operator writes the next version, which moves all routes
+            to the other service.
+        SILENCE: the store answers nothing.
+        TURN_AWAY: the store answers 503.
+        SERVE: the store answers normally again.
+        COPY: a copy of the store is made.
+        RESTORE: the store comes back from the last copy; the operator and the
+            servers write again what it lost.
+        DROP_HISTORY: the store drops its history.
+        PUT_ODD: another writer leaves an odd entry; `target` selects it.
+        REMOVE_ODD: the odd entry is removed.
+        CRASH: the server `target` resets its connections and listens no more.
+        RECOVER: the server `target` listens again.
+        DRAIN: the server `target` reports that it is draining.
+        UNDRAIN: the server `target` reports that it is ready.
+    """
+
+    CONFIGURE = "configure"
+    SILENCE = "silence"
+    TURN_AWAY = "turn-away"
+    SERVE = "serve"
+    COPY = "copy"
+    RESTORE = "restore"
+    DROP_HISTORY = "drop-history"
+    PUT_ODD = "put-odd"
+    REMOVE_ODD = "remove-odd"
+    CRASH = "crash"
+    RECOVER = "recover"
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorldAction:
+    """Something that is done to the store, the operator or a server.
+
+    Attributes:
+        at: when it is done.
+        kind: what is done.
+        target: index of the server or of the odd entry.
+    """
+
+    at: float
+    kind: WorldActionKind
+    target: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Action:
     """Something that is done to a gateway.
@@ -160,6 +211,9 @@
         busy_processes: processes that compete for the processor.
         shares_core: whether gateways and busy processes run on one core.
         grace_seconds: time between SIGTERM and SIGKILL.
+        world_actions: what is done to the store, the operator and the servers,
+            in the order of time.
+        service_count: number of services, which share the servers.
     """
 
     scenario: str
@@ -171,6 +225,8 @@
     busy_processes: int = 0
     shares_core: bool = False
     grace_seconds: float = 6.0
+    world_actions: tuple[WorldAction, ...] = ()
+    service_count: int = 1
 
     def describe(self) -> str:
         """Returns the plan as text, one line for each action and caller."""
@@ -186,6 +242,10 @@
                 f" {action.kind.value}"
                 f"{' once it listens' if action.waits_for_listener else ''}"
             )
+        for change in self.world_actions:
+            lines.append(
+                f"  {change.at:7.3f} {change.kind.value} {change.target}"
+            )
         lines += [
             f"  caller {number}: {caller}"
             for number, caller in enumerate(self.callers)
--- a/packages/standins/src/hyssopwind/standins/stops/records.py
+++ b/packages/standins/src/hyssopwind/standins/stops/records.py
@@ -39,6 +39,7 @@
         status: status of its answer, 0 if no head came.
         is_stamped: whether the answer is a server's.
         bytes_received: bytes of the body of the answer.
+        foreign_id: id of another request whose answer came in place of its own.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     status: int = 0
     is_stamped: bool = False
     bytes_received: int = 0
+    foreign_id: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +78,23 @@
     disconnected_at: float | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class WorldTimeline:
+    """What was done to the store, the operator and the servers.
+
+    Attributes:
+        confirmed: time of the confirmation and number of the service, from 0,
+            of each version.
+        disturbed: start and end of each impairment of the store, and of each
+            restoration until what it lost is written again.
+    """
+
+    confirmed: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    disturbed: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class GatewayTimeline:
     """What was done to one gateway.
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -24,6 +24,7 @@
 from hyssopwind.standins.stops import plans
 from hyssopwind.standins.stops import records
 from hyssopwind.standins.stops import servers
+from hyssopwind.standins.stops import world
 
 ROOT = pathlib.Path(__file__).resolve().parents[6]
 BUILD_INPUTS = ("deploy", "packages", "platform")
@@ -47,12 +48,21 @@
         judged: all requests with their verdicts.
         timelines: what was done to each gateway.
         logs: the log file of each gateway, for a trace only.
+        world: what was done to the store, the operator and the servers.
     """
 
     plan: plans.Plan
     judged: tuple[judging.Judged, ...]
     timelines: tuple[records.GatewayTimeline, ...]
     logs: tuple[pathlib.Path, ...]
+    world: records.WorldTimeline = dataclasses.field(
+        default_factory=records.WorldTimeline
+    )
+
+    @property
+    def foreign(self) -> list[judging.Judged]:
+        """The requests that got the answer to another one."""
+        return [each for each in self.judged if each.caller.foreign_id]
 
     @property
     def broken(self) -> list[judging.Judged]:
@@ -72,7 +82,7 @@
     @property
     def is_passed(self) -> bool:
         """Whether no answer was lost and no gateway crashed."""
-        return not self.broken and not self.crashes
+        return not (self.broken or self.crashes or self.foreign)
 
 
 async def build(root: pathlib.Path) -> None:
@@ -127,6 +137,7 @@
         self._settings = tomllib.loads(settings_path.read_text())
         self._process: asyncio.subprocess.Process | None = None
         self._is_stopping = False
+        self._start: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -174,7 +185,9 @@
     async def act(self, kind: plans.ActionKind) -> None:
         """Does what an action says."""
         if kind is plans.ActionKind.START:
-            self._start_task(self.start())
+            # Two successors of one process would need the same ports.
+            if self._start is None or self._start.done():
+                self._start = self._start_task(self.start())
             return
         process = self._process
         if process is None or process.returncode is not None:
@@ -272,10 +285,11 @@
         status = await process.wait()
         self.timeline.exits.append((time.monotonic(), status))
 
-    def _start_task(self, coroutine: Any) -> None:
+    def _start_task(self, coroutine: Any) -> "asyncio.Task[None]":
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 class _Run:
@@ -318,6 +332,10 @@
                 for number, caller_plan in enumerate(self._plan.callers)
             )
         )
+        world_ended = asyncio.ensure_future(
+            self._world.run(self._plan.world_actions, traffic_start)
+        )
+        self._stack.callback(world_ended.cancel)
         for action in self._plan.actions:
             delay_seconds = traffic_start + action.at - time.monotonic()
             await asyncio.sleep(max(0.0, delay_seconds))
@@ -326,6 +344,7 @@
                 await gateway.wait_for_listener()
             await gateway.act(action.kind)
         await callers_ended
+        await world_ended
         timelines = tuple(each.timeline for each in self._gateways)
         judged = judging.judge_run(
             self._caller_records,
@@ -338,6 +357,7 @@
             tuple(judged),
             timelines,
             tuple(each.log_path for each in self._gateways),
+            self._world.timeline,
         )
 
     async def _start(self) -> None:
@@ -352,13 +372,10 @@
             await server.start()
             self._stack.push_async_callback(server.close)
             self._servers.append(server)
-            await platform_store.put(
-                f"servers/{server.server_id}",
-                documents.make_server_entry(
-                    server.address, slots=servers.SLOTS
-                ),
-            )
-        await platform_store.put("op/config", _make_configuration())
+        self._world = world.World(
+            platform_store, self._servers, self._plan.service_count
+        )
+        await self._world.start()
         listen_ports = ports.find_free_ports(4)
         for number in range(self._plan.gateway_count):
             gateway = self._create_gateway(
@@ -436,26 +453,6 @@
         return self._random.choice(candidates)
 
 
-def _make_configuration() -> dict[str, Any]:
-    routes = [
-        documents.make_route_resource(
-            kind.name,
-            f"/{kind.name}/",
-            kind="safe" if kind.is_safe else "unsafe",
-            timeout_s=kind.timeout_seconds,
-            target_latency_s=kind.target_latency_seconds,
-        )
-        for kind in plans.KINDS
-    ]
-    return documents.make_configuration(
-        1,
-        routes,
-        max_body_bytes=1_000_000,
-        header_timeout_s=4.0,
-        idle_timeout_s=10.0,
-    )
-
-
 def _read_deploy(root: pathlib.Path) -> dict[str, Any]:
     return tomllib.loads((root / "deploy/system.toml").read_text())
 
--- a/packages/standins/src/hyssopwind/standins/stops/servers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/servers.py
@@ -45,10 +45,17 @@
         """Closes the listener and all connections."""
         if self._server is not None:
             self._server.close()
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def recover(self) -> None:
+        """Listens on the same address again."""
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(
+            self._handle_connection, host, int(port)
+        )
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
