Fuzz running daemons with mutated records and documents

Done: 150 mutated records of VMs and 100 mutated documents, from a seed, are written beside six real hyssopwindd; none ends, calls are answered, the list is followed and a restarted daemon becomes ready.

--- a/packages/standins/src/hyssopwind/standins/fuzzing/running.py
+++ b/packages/standins/src/hyssopwind/standins/fuzzing/running.py
@@ -23,6 +23,26 @@
     return [name for name in places.PLACES if pattern in name]
 
 
+def collect_inputs(name: str, seed: int, count: int) -> list[Any]:
+    """Returns inputs of a place, to be given to running processes."""
+    inputs: list[Any] = []
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=count,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(data=places.PLACES.find(name).inputs)
+    def collect(data: Any) -> None:
+        inputs.append(data)
+
+    collect()
+    return inputs
+
+
 def fuzz(name: str, seed: int, example_count: int = EXAMPLE_COUNT) -> int:
     """Fuzzes one place; returns the number of inputs.
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
@@ -14,10 +14,12 @@
 
 from hyssopwind.standins import process_fleet
 from hyssopwind.standins import processes
+from hyssopwind.standins.fuzzing import running
 
 RUNS_ALONE = True  # real processes, sockets and times
 
 DEPTH = 1_500
+FUZZING_SEED = 5
 # Daemons ended within 2 s of such a record.
 SETTLE_SECONDS = 2.5
 CALL_COUNT = 60
@@ -170,6 +172,22 @@
             len(status["unreadable_machines"]), len(VM_RECORDS) - 1
         )
 
+    async def test_mutated_records_and_documents_end_no_daemon(self):
+        vm_records = running.collect_inputs("VM list", FUZZING_SEED, 150)
+        for number, record in enumerate(vm_records):
+            text = record.decode("utf-8", errors="replace")
+            url = self.fleet.vm_list_url
+            await self.fleet.put(url, f"/vms/mutated-{number % 40}", text)
+        documents = running.collect_inputs(
+            "settings of a team", FUZZING_SEED, 100
+        )
+        for number, document in enumerate(documents):
+            key = f"/hyssopwind/teams/odd-{number % 20}/settings.toml"
+            await self.fleet.put(self.fleet.configuration_url, key, document)
+        await self.check_fleet()
+        await self.check_list_is_followed()
+        await self.check_restart()
+
     async def test_odd_team_document_costs_itself_only(self):
         url = self.fleet.configuration_url
         for name, document in TEAM_DOCUMENTS.items():
