Log each record of a VM that is left out, and bound the log

Done: one line for each new reason, at most 10,000 for each source; a kept version that cannot be applied does not keep the items before it from being applied. Test: test_odd_record_is_logged_once_and_shown.

--- a/packages/core/src/hyssopwind/core/left_out.py
+++ b/packages/core/src/hyssopwind/core/left_out.py
@@ -10,6 +10,8 @@
 
 MAX_RECORDED_PARTS = 1_000  # of each source
 MAX_REASONS = 20  # that are recorded of one part
+# Of each source, so that a writer that never stops cannot fill the log.
+MAX_REPORTS = 10_000
 
 
 class Source(enum.Enum):
@@ -44,6 +46,7 @@
             source: {} for source in Source
         }
         self._counts: collections.Counter[Source] = collections.Counter()
+        self._report_counts: collections.Counter[Source] = collections.Counter()
 
     @property
     def counts(self) -> Mapping[Source, int]:
@@ -51,7 +54,10 @@
         return self._counts
 
     def record(self, source: Source, name: str, reasons: Iterable[str]) -> bool:
-        """Records that a part was left out; returns whether that is new.
+        """Records that a part was left out; returns whether to report it.
+
+        It is to be reported if the reasons are new, at most `MAX_REPORTS` times
+        for each source.
 
         Args:
             source: what it was left out of.
@@ -69,7 +75,8 @@
         if name not in recorded and len(recorded) >= MAX_RECORDED_PARTS:
             return False
         recorded[name] = described
-        return True
+        self._report_counts[source] += 1
+        return self._report_counts[source] <= MAX_REPORTS
 
     def clear(self, source: Source, name: str) -> None:
         """Records that a part is in force or does not exist any more."""
--- a/packages/core/src/hyssopwind/core/membership/tests/test_vm_records.py
+++ b/packages/core/src/hyssopwind/core/membership/tests/test_vm_records.py
@@ -44,6 +44,8 @@
                 self.builder.apply_change("odd", NESTED, revision)
         self.assertEqual(decode.call_count, 1)
         self.assertEqual(self.count(), 1)
+        self.assertEqual(len(self.builder.pop_new_findings()), 1)
+        self.assertEqual(self.builder.pop_new_findings(), [])
 
     def test_record_that_is_mended_is_in_force(self):
         self.builder.apply_listing({"a": NESTED}, 3)
--- a/packages/core/src/hyssopwind/core/membership/vm_records.py
+++ b/packages/core/src/hyssopwind/core/membership/vm_records.py
@@ -102,6 +102,12 @@
         self._revision = -1
         self._values: dict[str, bytes] = {}
         self._records: dict[str, VmRecord | findings.Finding] = {}
+        self._new_findings: list[findings.Finding] = []
+
+    def pop_new_findings(self) -> list[findings.Finding]:
+        """Removes and returns the findings that are to be reported."""
+        new_findings, self._new_findings = self._new_findings, []
+        return new_findings
 
     def apply_listing(
         self, values: Mapping[str, bytes], revision: int
@@ -142,10 +148,12 @@
         try:
             self._records[name] = _decode_record(value)
         except decoding.DecodeError as error:
-            self._records[name] = findings.Finding(name, 0, "", str(error))
-            self._left_out_parts.record(
+            finding = findings.Finding(name, 0, "", str(error))
+            self._records[name] = finding
+            if self._left_out_parts.record(
                 left_out.Source.VM_RECORD, name, [str(error)]
-            )
+            ):
+                self._new_findings.append(finding)
             return
         self._left_out_parts.clear(left_out.Source.VM_RECORD, name)
 
--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -13,6 +13,7 @@
 import logbook
 import reactivex
 
+from hyssopwind.core import decoding
 from hyssopwind.core import ids
 from hyssopwind.core import invariants
 from hyssopwind.core import left_out
@@ -369,6 +370,11 @@
 
     def _apply_vm_list(self, vm_list: vm_records.VmList) -> None:
         self._has_vm_list = True
+        for finding in self._vm_list_builder.pop_new_findings():
+            _log.warn(
+                "VM record left out",
+                extra={"finding": decoding.shorten(str(finding))},
+            )
         self._node.apply_vm_list(vm_list, self._clock.timestamps())
         addresses = {record.address for record in vm_list.servers.values()}
         self._upstream.retain(addresses)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -178,9 +178,10 @@
         if is_restored:
             self._record_restoration(delta.revision, now, source)
         changed = self.replica.apply(delta)
-        changed.extend(filter(self._is_later_configuration, delta.kept))
-        for item in changed:
+        for item in (*changed, *delta.kept):
             try:
+                if item in delta.kept and not self._is_later(item):
+                    continue
                 self._apply_item(item, now, source, is_restored=is_restored)
             except Exception as error:
                 # The replica has the item, so that it does not come again; the
@@ -253,7 +254,7 @@
                 self._configured_at = now
             _log.info(change.value, extra=fields)
 
-    def _is_later_configuration(self, item: items.Item) -> bool:
+    def _is_later(self, item: items.Item) -> bool:
         """Whether a peer has kept a later configuration than that in force."""
         record = platform_items.decode_item(item)
         return (
--- a/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
@@ -172,6 +172,19 @@
             len(status["unreadable_machines"]), len(VM_RECORDS) - 1
         )
 
+    async def test_odd_record_is_logged_once_and_shown(self):
+        record = VM_RECORDS["nested"]
+        url = self.fleet.vm_list_url
+        for _ in range(3):
+            await self.fleet.put(url, "/vms/odd", record)
+        await asyncio.sleep(0.5)
+        for name in self.fleet.daemons:
+            log = self.fleet.group.read_log(name)
+            self.assertEqual(log.count("VM record left out"), 1)
+            status = await self.fleet.read_status(name)
+            self.assertIn("vm-record odd: ", status["left_out"][0])
+            self.assertEqual(status["left_out_counts"]["vm-record"], 1)
+
     async def test_mutated_records_and_documents_end_no_daemon(self):
         vm_records = running.collect_inputs("VM list", FUZZING_SEED, 150)
         for number, record in enumerate(vm_records):
