Bound the findings of a document

Done: at most 200, each cut to 200 characters, and their number. Test: test_findings_of_a_document_are_bounded; on the code before, its document of 0.9 MB has 3,002 findings of 1.2 MB.

--- a/packages/core/src/hyssopwind/core/settings/parsing.py
+++ b/packages/core/src/hyssopwind/core/settings/parsing.py
@@ -28,6 +28,7 @@
 Problem = tuple[key_locations.KeyPath, str]
 
 MAX_DOCUMENT_BYTES = 1_000_000
+MAX_FINDINGS = 200  # of one document
 MAX_NUMBER = 1_000_000  # of slots, attempts and the like
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
@@ -106,16 +107,33 @@
         findings.Finding(
             source,
             key_locations.find_line(lines, path),
-            ".".join(path),
-            message,
+            decoding.shorten(".".join(path)),
+            decoding.shorten(message),
         )
         for path, message in problems
     ]
     if located_findings:
-        return ParseResult(None, tuple(sorted(located_findings)))
+        return ParseResult(None, _bound_findings(source, located_findings))
     return ParseResult(value, ())
 
 
+def _bound_findings(
+    source: str, found: list[findings.Finding]
+) -> tuple[findings.Finding, ...]:
+    """Returns the first findings in the order of the lines."""
+    ordered = sorted(found)
+    left_out_count = len(ordered) - MAX_FINDINGS
+    if left_out_count <= 0:
+        return tuple(ordered)
+    last = findings.Finding(
+        source,
+        ordered[MAX_FINDINGS].line,
+        "",
+        f"{left_out_count} more findings",
+    )
+    return (*ordered[:MAX_FINDINGS], last)
+
+
 def _syntax_finding(
     source: str, error: decoding.DecodeError
 ) -> findings.Finding:
--- a/packages/core/src/hyssopwind/core/settings/tests/test_parsing.py
+++ b/packages/core/src/hyssopwind/core/settings/tests/test_parsing.py
@@ -84,6 +84,14 @@
             self.assertIsNone(result.value, text[:80])
             self.assertLess(len(str(result.findings[0])), 600)
 
+    # They were kept, logged and sent to operators in whole.
+    def test_findings_of_a_document_are_bounded(self):
+        lines = [f"{'k' * 300}{number} = 1" for number in range(3_000)]
+        result = parsing.parse_team("\n".join(lines), "a.toml")
+        self.assertEqual(len(result.findings), parsing.MAX_FINDINGS + 1)
+        self.assertIn("more findings", result.findings[-1].message)
+        self.assertLess(len(str(result.findings)), 200_000)
+
     # One key of 40 KB held the event loop up for 9 s at each daemon.
     def test_key_of_many_parts_is_refused_without_parsing_it(self):
         for key in ("a." * 20_000 + "a", '"a" . ' * 20_000 + "a"):
