Excuse requests whose server broke off in the judging of stops

Trace: the server i-0 crashed 8.26 s after the start of the traffic, by the plan, and the log says "the connection broke after the request was sent". The users' rule LOST says "Not counted: the server broke off"; the rig had no crashes before and did not know this excuse. Done: servers record that they broke off, and the excuse holds for the last server only.

--- a/packages/standins/src/hyssopwind/standins/processes.py
+++ b/packages/standins/src/hyssopwind/standins/processes.py
@@ -57,6 +57,10 @@
         """Continues a paused process."""
         self._processes[name].send_signal(signal.SIGCONT)
 
+    def hang_up(self, name: str) -> None:
+        """Sends SIGHUP to a process."""
+        self._processes[name].send_signal(signal.SIGHUP)
+
     def terminate(self, name: str) -> None:
         """Sends SIGTERM to a process, which it may handle."""
         self._processes[name].terminate()
--- a/packages/standins/src/hyssopwind/standins/stops/judging.py
+++ b/packages/standins/src/hyssopwind/standins/stops/judging.py
@@ -29,6 +29,7 @@
         REPLACED: a failure of the gateway stands in place of the answer of a
             server at work.
         CUT: passed on and cut while nothing was planned; allowed three times.
+        BROKEN_OFF: excused; the server that it was passed on to broke off.
         UNREAD: not wholly sent, or cut within the slack and not passed on.
         BEHIND: excused; it was sent behind another and not passed on.
         TIMED_OUT: excused; the deadline or the timeout was reached.
@@ -44,6 +45,7 @@
     LOST_UNSENT = "lost unsent"
     REPLACED = "replaced"
     CUT = "cut"
+    BROKEN_OFF = "broken off"
     UNREAD = "unread"
     BEHIND = "behind"
     TIMED_OUT = "timed out"
@@ -196,6 +198,8 @@
     )
     if caller.ended_at >= caller.sent_first_at + limit_seconds:
         return Verdict.TIMED_OUT
+    if arrivals and arrivals[-1].broke_off_at is not None:
+        return Verdict.BROKEN_OFF
     for start, end in timeline.impaired:
         if start <= caller.ended_at and end >= (
             caller.sent_first_at - bounds.contact
--- a/packages/standins/src/hyssopwind/standins/stops/records.py
+++ b/packages/standins/src/hyssopwind/standins/stops/records.py
@@ -68,6 +68,7 @@
         began_at: time at which the work began.
         ended_at: time at which the work ended.
         disconnected_at: time at which the connection closed during the work.
+        broke_off_at: time at which the server crashed during the work.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     began_at: float | None = None
     ended_at: float | None = None
     disconnected_at: float | None = None
+    broke_off_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/standins/src/hyssopwind/standins/stops/servers.py
+++ b/packages/standins/src/hyssopwind/standins/stops/servers.py
@@ -49,6 +49,14 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def crash(self) -> None:
+        """Breaks off all requests and closes everything."""
+        now = time.monotonic()
+        for record in self.records:
+            if record.ended_at is None and record.disconnected_at is None:
+                record.broke_off_at = now
+        await self.close()
+
     async def recover(self) -> None:
         """Listens on the same address again."""
         host, port = self.address.split(":")
--- a/packages/standins/src/hyssopwind/standins/stops/world.py
+++ b/packages/standins/src/hyssopwind/standins/stops/world.py
@@ -168,7 +168,7 @@
 
     @_ACTIONS.register(_Kind.CRASH)
     async def _crash(self, target: int) -> None:
-        await self._servers[target].close()
+        await self._servers[target].crash()
 
     @_ACTIONS.register(_Kind.RECOVER)
     async def _recover(self, target: int) -> None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_odd_records.py
@@ -185,6 +185,12 @@
             self.assertIn("vm-record odd: ", status["left_out"][0])
             self.assertEqual(status["left_out_counts"]["vm-record"], 1)
 
+    # The default action of the signal ended the daemon.
+    async def test_hangup_ends_no_daemon(self):
+        for name in self.fleet.daemons:
+            self.fleet.group.hang_up(name)
+        await self.check_fleet()
+
     async def test_mutated_records_and_documents_end_no_daemon(self):
         vm_records = running.collect_inputs("VM list", FUZZING_SEED, 150)
         for number, record in enumerate(vm_records):
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -101,6 +101,16 @@
         broken_off.disconnected_at = TERMINATED_AT + 1.999
         self.check(judging.Verdict.REPLACED, caller, [broken_off])
 
+    # Not counted: the server broke off.
+    def test_crash_of_the_last_server_excuses(self):
+        caller = make_caller(ending=records.Ending.WHOLE, status=502)
+        arrival = make_arrival(TERMINATED_AT + 1.6)
+        self.check(judging.Verdict.REPLACED, caller, [arrival])
+        crashed = make_arrival(TERMINATED_AT + 1.6)
+        crashed.broke_off_at = TERMINATED_AT + 1.9
+        self.check(judging.Verdict.BROKEN_OFF, caller, [crashed])
+        self.check(judging.Verdict.REPLACED, caller, [crashed, arrival])
+
     def test_request_that_a_server_got_was_wholly_sent(self):
         # Its caller pauses after the last part of the body.
         caller = make_caller(sent_last_at=None)
