Send signals of the rig without collecting exit statuses

Seen in the soak: "Unknown child process pid 20600, will report returncode 255". The signal methods of asyncio's processes poll the child, and whoever waits for it then gets 255, which the oracle of own ends would report. Done: signals are sent by the process id, while the exit status is not known.

--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -195,23 +195,23 @@
         now = time.monotonic()
         if kind is plans.ActionKind.TERMINATE:
             self.timeline.terminated_at.append(now)
-            process.send_signal(signal.SIGTERM)
+            _signal(process, signal.SIGTERM)
             if not self._is_stopping:
                 self._is_stopping = True
                 self._start_task(self._kill_after_grace(process))
         elif kind is plans.ActionKind.RELOAD:
             self.timeline.reloaded_at.append(now)
-            process.send_signal(signal.SIGHUP)
+            _signal(process, signal.SIGHUP)
         elif kind is plans.ActionKind.FREEZE:
             self.timeline.impaired.append((now, float("inf")))
-            process.send_signal(signal.SIGSTOP)
+            _signal(process, signal.SIGSTOP)
         elif kind is plans.ActionKind.THAW:
             start, _ = self.timeline.impaired[-1]
             self.timeline.impaired[-1] = (start, now)
-            process.send_signal(signal.SIGCONT)
+            _signal(process, signal.SIGCONT)
         else:
             self.timeline.impaired.append((now, now))
-            process.kill()
+            _signal(process, signal.SIGKILL)
 
     async def is_ready(self) -> bool:
         """Whether the readiness check gets 200 in time."""
@@ -279,7 +279,7 @@
     ) -> None:
         await asyncio.sleep(self._grace_seconds)
         if process.returncode is None:
-            process.kill()
+            _signal(process, signal.SIGKILL)
 
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         status = await process.wait()
@@ -453,6 +453,18 @@
         return self._random.choice(candidates)
 
 
+def _signal(
+    process: asyncio.subprocess.Process, signal_number: signal.Signals
+) -> None:
+    """Sends a signal to a process that may just have ended.
+
+    The method of the process would collect its exit status, which is then lost
+    to the one who waits for it.
+    """
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(process.pid, signal_number)
+
+
 def _read_deploy(root: pathlib.Path) -> dict[str, Any]:
     return tomllib.loads((root / "deploy/system.toml").read_text())
 
