--- a/packages/standins/src/hyssopwind/standins/stops/oracles.py
+++ b/packages/standins/src/hyssopwind/standins/stops/oracles.py
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Evidence:
+class RunRecords:
     """What callers, servers and the operator saw in a run.
 
     Attributes:
@@ -43,40 +43,40 @@
     crashes: tuple[tuple[int, int], ...] = ()
 
 
-Oracle = Callable[[Evidence], Iterator[str]]
+Oracle = Callable[[RunRecords], Iterator[str]]
 ORACLES: registry.Registry[str, Oracle] = registry.Registry("oracle")
 
 
-def find_breaches(evidence: Evidence) -> dict[str, list[str]]:
+def find_breaches(run: RunRecords) -> dict[str, list[str]]:
     """Returns the breaches of each rule that is broken."""
     found = {}
     for name in ORACLES:
-        breaches = list(ORACLES.find(name)(evidence))
+        breaches = list(ORACLES.find(name)(run))
         if breaches:
             found[name] = breaches
     return found
 
 
 @ORACLES.register("LOST")
-def find_lost(evidence: Evidence) -> Iterator[str]:
+def find_lost(run: RunRecords) -> Iterator[str]:
     """Requests that lost their answer around planned work."""
-    for each in judging.find_broken(evidence.judged):
+    for each in judging.find_broken(run.judged):
         yield judging.describe(each)
 
 
 @ORACLES.register("TWICE")
-def find_run_twice(evidence: Evidence) -> Iterator[str]:
+def find_run_twice(run: RunRecords) -> Iterator[str]:
     """Requests that are not idempotent and ran more than once."""
-    for each in evidence.judged:
+    for each in run.judged:
         run_count = sum(a.began_at is not None for a in each.arrivals)
         if not each.caller.kind.is_safe and run_count > 1:
             yield judging.describe(each)
 
 
 @ORACLES.register("REFUSED")
-def find_untrue_refusals(evidence: Evidence) -> Iterator[str]:
+def find_untrue_refusals(run: RunRecords) -> Iterator[str]:
     """Requests that are not idempotent, were refused and ran nevertheless."""
-    for each in evidence.judged:
+    for each in run.judged:
         caller = each.caller
         if caller.kind.is_safe or caller.status not in PROMISES:
             continue
@@ -85,9 +85,9 @@
 
 
 @ORACLES.register("MIXED")
-def find_foreign_answers(evidence: Evidence) -> Iterator[str]:
+def find_foreign_answers(run: RunRecords) -> Iterator[str]:
     """Answers of other requests, and successes that no server gave."""
-    for each in evidence.judged:
+    for each in run.judged:
         caller = each.caller
         if caller.foreign_id:
             yield f"answer to {caller.foreign_id}: {judging.describe(each)}"
@@ -98,35 +98,35 @@
 
 
 @ORACLES.register("OWN-END")
-def find_own_ends(evidence: Evidence) -> Iterator[str]:
+def find_own_ends(run: RunRecords) -> Iterator[str]:
     """Processes that ended by themselves."""
-    for gateway, status in evidence.crashes:
+    for gateway, status in run.crashes:
         yield f"gateway {gateway} ended with status {status}"
 
 
 @ORACLES.register("CONFIG")
-def find_older_versions(evidence: Evidence) -> Iterator[str]:
+def find_older_versions(run: RunRecords) -> Iterator[str]:
     """Requests that ran as only an older version allows, at calm gateways."""
-    for each in evidence.judged:
+    for each in run.judged:
         caller = each.caller
-        if not is_calm(evidence, caller.gateway, caller.sent_first_at):
+        if not is_calm(run, caller.gateway, caller.sent_first_at):
             continue
-        allowed = _allowed_services(evidence, caller.sent_first_at, caller)
+        allowed = _allowed_services(run, caller.sent_first_at, caller)
         if caller.status == 404 and not caller.is_stamped:
             yield judging.describe(each)
             continue
         for arrival in each.arrivals:
-            if evidence.service_of[arrival.server] not in allowed:
+            if run.service_of[arrival.server] not in allowed:
                 yield judging.describe(each)
 
 
 @ORACLES.register("RECOVER")
-def find_unserved(evidence: Evidence) -> Iterator[str]:
+def find_unserved(run: RunRecords) -> Iterator[str]:
     """Less than a quarter of the requests is served after the last fault."""
-    calm_since = _last_fault_at(evidence) + RECOVERY_SECONDS
+    calm_since = _last_fault_at(run) + RECOVERY_SECONDS
     late = [
         each
-        for each in evidence.judged
+        for each in run.judged
         if each.caller.sent_first_at >= calm_since
         and each.verdict is not judging.Verdict.OPEN
     ]
@@ -135,9 +135,9 @@
         yield f"{served} of {len(late)} requests served"
 
 
-def is_calm(evidence: Evidence, gateway: int, at: float) -> bool:
+def is_calm(run: RunRecords, gateway: int, at: float) -> bool:
     """Whether a gateway was in touch, and the store stable, for long enough."""
-    timeline = evidence.timelines[gateway]
+    timeline = run.timelines[gateway]
     since = at - CONTACT_SECONDS
     moments = [
         *timeline.started_at,
@@ -146,23 +146,23 @@
     ]
     if any(since <= moment <= at for moment in moments):
         return False
-    spans = [*timeline.impaired, *evidence.world.disturbed]
+    spans = [*timeline.impaired, *run.world.disturbed]
     return not any(start <= at and end >= since for start, end in spans)
 
 
 def _allowed_services(
-    evidence: Evidence, sent_at: float, caller: records.CallerRecord
+    run: RunRecords, sent_at: float, caller: records.CallerRecord
 ) -> set[int]:
     """Returns the services of all versions that may be in force."""
     ended_at = sent_at if caller.ended_at is None else caller.ended_at
     allowed = set()
     in_force = None
-    for confirmed_at, service in evidence.world.confirmed:
+    for confirmed_at, service in run.world.confirmed:
         # Only an impairment of the store between the two stretches the bound.
         bound = CONFIGURATION_BOUND_SECONDS
         if any(
             end >= confirmed_at - CONTACT_SECONDS and start <= sent_at
-            for start, end in evidence.world.disturbed
+            for start, end in run.world.disturbed
         ):
             bound += MAX_SKEW_SECONDS
         if confirmed_at + bound <= sent_at:
@@ -174,9 +174,9 @@
     return allowed
 
 
-def _last_fault_at(evidence: Evidence) -> float:
-    moments = [end for _, end in evidence.world.disturbed]
-    for timeline in evidence.timelines:
+def _last_fault_at(run: RunRecords) -> float:
+    moments = [end for _, end in run.world.disturbed]
+    for timeline in run.timelines:
         moments += timeline.started_at + timeline.terminated_at
         moments += [when for when, _ in timeline.exits]
         moments += [end for _, end in timeline.impaired]
--- a/packages/standins/src/hyssopwind/standins/stops/soak.py
+++ b/packages/standins/src/hyssopwind/standins/stops/soak.py
@@ -213,7 +213,7 @@
     """Returns the breaches of a run by rule."""
     plan = result.plan
     return oracles.find_breaches(
-        oracles.Evidence(
+        oracles.RunRecords(
             result.judged,
             result.timelines,
             result.world,
@@ -250,7 +250,7 @@
         """Returns a plan of fewer faults that still breaks a rule."""
         count = MAX_SHRINK_RUNS
         for field in ("actions", "world_actions"):
-            for part in _halves(len(getattr(plan, field))):
+            for part in _parts_to_remove(len(getattr(plan, field))):
                 if not count:
                     return plan
                 count -= 1
@@ -268,8 +268,8 @@
         return plan
 
 
-def _halves(length: int) -> list[range]:
-    """Returns the parts of a list that are left out one after the other."""
+def _parts_to_remove(length: int) -> list[range]:
+    """Returns the parts of a list whose removal is tried, larger ones first."""
     half, quarter = length // 2, length // 4
     return [
         part
--- a/packages/standins/src/hyssopwind/standins/tests/test_soak.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_soak.py
@@ -41,7 +41,7 @@
     )
 
 
-def make_evidence(*judged, **changes):
+def make_run(*judged, **changes):
     values = {
         "judged": judged,
         "timelines": (records.GatewayTimeline(started_at=[10.0]),),
@@ -49,7 +49,7 @@
         "service_of": {"i-0": 0, "i-1": 1},
         "bounds": judging.Bounds(),
     }
-    return oracles.Evidence(**{**values, **changes})
+    return oracles.RunRecords(**{**values, **changes})
 
 
 class OracleTest(unittest.TestCase):
@@ -57,68 +57,68 @@
         self.assertEqual(set(oracles.find_breaches(evidence)), set(rules))
 
     def test_answered_request_breaks_nothing(self):
-        self.check([], make_evidence(make_judged(arrivals=[make_arrival()])))
+        self.check([], make_run(make_judged(arrivals=[make_arrival()])))
 
     def test_lost_request_is_found(self):
         lost = make_judged(
             {"status": 0, "is_stamped": False}, verdict=judging.Verdict.LOST
         )
-        self.check(["LOST", "RECOVER"], make_evidence(lost))
+        self.check(["LOST", "RECOVER"], make_run(lost))
 
     def test_unsafe_request_that_runs_twice_is_found(self):
         arrivals = [make_arrival(), make_arrival()]
-        self.check(["TWICE"], make_evidence(make_judged(arrivals=arrivals)))
+        self.check(["TWICE"], make_run(make_judged(arrivals=arrivals)))
         safe = make_judged({"kind": plans.BROWSE}, arrivals)
-        self.check([], make_evidence(safe))
+        self.check([], make_run(safe))
 
     def test_untrue_refusal_is_found(self):
         caller = {"status": 503, "is_stamped": False}
         refused = make_judged(caller, [make_arrival()])
-        self.check(["REFUSED", "RECOVER"], make_evidence(refused))
+        self.check(["REFUSED", "RECOVER"], make_run(refused))
         # A server that rejects a request does not begin to run it.
         rejected = make_judged(caller, [make_arrival(began_at=None)])
-        self.check(["RECOVER"], make_evidence(rejected))
+        self.check(["RECOVER"], make_run(rejected))
 
     def test_answer_of_another_request_is_found(self):
         foreign = make_judged({"foreign_id": "other"}, [make_arrival()])
-        self.check(["MIXED"], make_evidence(foreign))
+        self.check(["MIXED"], make_run(foreign))
 
     def test_success_that_no_server_gave_is_found(self):
-        self.check(["MIXED"], make_evidence(make_judged()))
+        self.check(["MIXED"], make_run(make_judged()))
 
     def test_process_that_ends_by_itself_is_found(self):
-        self.check(["OWN-END"], make_evidence(crashes=((0, 1),)))
+        self.check(["OWN-END"], make_run(crashes=((0, 1),)))
 
     def test_run_at_the_service_of_an_older_version_is_found(self):
         judged = make_judged(arrivals=[make_arrival("i-1")])
-        self.check(["CONFIG"], make_evidence(judged))
+        self.check(["CONFIG"], make_run(judged))
         # Until the bound has passed, both services are allowed.
         recent = records.WorldTimeline(
             confirmed=[(20.0, 1), (SENT_AT - 1.9, 0)]
         )
-        self.check([], make_evidence(judged, world=recent))
+        self.check([], make_run(judged, world=recent))
         late = records.WorldTimeline(confirmed=[(20.0, 1), (SENT_AT - 2.1, 0)])
-        self.check(["CONFIG"], make_evidence(judged, world=late))
+        self.check(["CONFIG"], make_run(judged, world=late))
 
     def test_route_that_is_there_and_not_found_is_found(self):
         missing = make_judged({"status": 404, "is_stamped": False})
-        self.check(["CONFIG", "RECOVER"], make_evidence(missing))
+        self.check(["CONFIG", "RECOVER"], make_run(missing))
 
     def test_impairment_excuses_an_older_version(self):
         judged = make_judged(arrivals=[make_arrival("i-1")])
         frozen = records.GatewayTimeline(
             started_at=[10.0], impaired=[(SENT_AT - 5.0, SENT_AT - 2.0)]
         )
-        self.check([], make_evidence(judged, timelines=(frozen,)))
+        self.check([], make_run(judged, timelines=(frozen,)))
         silent = records.WorldTimeline(
             confirmed=[(20.0, 0)],
             disturbed=[(SENT_AT - 5.0, SENT_AT - 2.9)],
         )
-        self.check([], make_evidence(judged, world=silent))
+        self.check([], make_run(judged, world=silent))
 
     def test_fleet_that_does_not_recover_is_found(self):
         refused = make_judged({"status": 502, "is_stamped": False})
-        self.check(["RECOVER"], make_evidence(refused))
+        self.check(["RECOVER"], make_run(refused))
 
 
 class PlanTest(unittest.TestCase):
