Run each plan of the soak in a process of its own

Trace: their logs say "cut off from all servers", silent_ms 569; the servers of all runs shared one event loop, which was held up. Done: a process for each run, and a measure of how long it was held up. Not settled: whether a gateway in a planned stop should end requests after 0.57 s of silence of all its servers.

--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -32,6 +32,7 @@
 START_TIMEOUT_SECONDS = 20.0
 SERVER_COUNT = 4
 LISTENER_POLL_SECONDS = 0.002
+LOOP_CHECK_SECONDS = 0.02
 READINESS_INTERVAL_SECONDS = 1.0
 READINESS_TIMEOUT_SECONDS = 1.0
 MISSES_OUT_OF_ROTATION = 2
@@ -49,6 +50,8 @@
         timelines: what was done to each gateway.
         logs: the log file of each gateway, for a trace only.
         world: what was done to the store, the operator and the servers.
+        held_up_seconds: longest time for which the event loop of the run, which
+            callers and servers share, was held up.
     """
 
     plan: plans.Plan
@@ -58,6 +61,7 @@
     world: records.WorldTimeline = dataclasses.field(
         default_factory=records.WorldTimeline
     )
+    held_up_seconds: float = 0.0
 
     @property
     def foreign(self) -> list[judging.Judged]:
@@ -313,11 +317,14 @@
         self._gateways: list[GatewayProcess] = []
         self._servers: list[servers.RecordingServer] = []
         self._caller_records: list[records.CallerRecord] = []
+        self._held_up_seconds = 0.0
 
     async def run(self) -> RunResult:
         """Starts everything, does all actions and judges."""
         await self._start()
         addresses = [each.callers_address for each in self._gateways]
+        loop_watch = asyncio.create_task(self._watch_loop())
+        self._stack.callback(loop_watch.cancel)
         traffic_start = time.monotonic()
         callers_ended = asyncio.gather(
             *(
@@ -358,8 +365,18 @@
             timelines,
             tuple(each.log_path for each in self._gateways),
             self._world.timeline,
+            self._held_up_seconds,
         )
 
+    async def _watch_loop(self) -> None:
+        """Measures for how long the event loop is held up."""
+        while True:
+            expected_at = time.monotonic() + LOOP_CHECK_SECONDS
+            await asyncio.sleep(LOOP_CHECK_SECONDS)
+            self._held_up_seconds = max(
+                self._held_up_seconds, time.monotonic() - expected_at
+            )
+
     async def _start(self) -> None:
         platform_store = store.StandInStore()
         await platform_store.start()
--- a/packages/standins/src/hyssopwind/standins/stops/soak.py
+++ b/packages/standins/src/hyssopwind/standins/stops/soak.py
@@ -6,9 +6,11 @@
 import argparse
 import asyncio
 import collections
+import concurrent.futures
 import dataclasses
 import json
 import math
+import multiprocessing
 import pathlib
 import random
 import shutil
@@ -227,24 +229,57 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What a run showed, without its records.
+
+    Attributes:
+        request_count: number of requests.
+        breaches: breaches by rule.
+        held_up_seconds: longest time for which the run itself was held up.
+        log_directory: where the logs of the gateways are.
+    """
+
+    request_count: int
+    breaches: dict[str, list[str]]
+    held_up_seconds: float
+    log_directory: pathlib.Path
+
+
 class Soak:
-    """Runs plans with the gateway that was built in a directory."""
+    """Runs plans with the gateway that was built in a directory.
 
-    def __init__(self, directory: pathlib.Path):
+    Each run is a process, so that runs do not hold each other up: servers that
+    are held up together look cut off.
+    """
+
+    def __init__(self, directory: pathlib.Path, jobs: int):
         self._directory = directory
         self._run_count = 0
+        self._executor = concurrent.futures.ProcessPoolExecutor(
+            jobs, multiprocessing.get_context("spawn")
+        )
+
+    def close(self) -> None:
+        """Ends the processes."""
+        self._executor.shutdown(cancel_futures=True)
 
     async def build(self) -> None:
         """Builds the gateway."""
         await rig.build(self._directory / "build")
 
-    async def run(self, plan: plans.Plan) -> tuple[rig.RunResult, Any]:
-        """Returns the result of a plan and its breaches."""
+    async def run(self, plan: plans.Plan) -> Summary:
+        """Returns what the run of a plan showed."""
         self._run_count += 1
         log_directory = self._directory / f"run-{self._run_count}"
         log_directory.mkdir()
-        result = await rig.run(plan, self._directory / "build", log_directory)
-        return result, judge(result)
+        return await asyncio.get_running_loop().run_in_executor(
+            self._executor,
+            run_plan,
+            encode_plan(plan),
+            self._directory / "build",
+            log_directory,
+        )
 
     async def shrink(self, plan: plans.Plan, rule: str) -> plans.Plan:
         """Returns a plan of fewer faults that still breaks a rule."""
@@ -261,13 +296,26 @@
                 ]
                 changed: dict[str, Any] = {field: tuple(kept)}
                 smaller = dataclasses.replace(plan, **changed)
-                _, breaches = await self.run(smaller)
-                if rule in breaches:
+                if rule in (await self.run(smaller)).breaches:
                     plan = smaller
                     break
         return plan
 
 
+def run_plan(
+    encoded_plan: bytes, build: pathlib.Path, log_directory: pathlib.Path
+) -> Summary:
+    """Runs a plan in this process."""
+    plan = decode_plan(encoded_plan)
+    result = asyncio.run(rig.run(plan, build, log_directory))
+    return Summary(
+        len(result.judged),
+        judge(result),
+        result.held_up_seconds,
+        log_directory,
+    )
+
+
 def _parts_to_remove(length: int) -> list[range]:
     """Returns the parts of a list whose removal is tried, larger ones first."""
     half, quarter = length // 2, length // 4
@@ -289,36 +337,41 @@
     failed_count = 0
     request_count = 0
     fault_counts: collections.Counter[str] = collections.Counter()
-    jobs = asyncio.Semaphore(arguments.jobs)
+    if arguments.plan:
+        drawn = [decode_plan(arguments.plan.read_bytes())]
+    else:
+        first, _, last = arguments.seeds.partition("-")
+        drawn = [
+            draw(seed) for seed in range(int(first), int(last or first) + 1)
+        ]
     with tempfile.TemporaryDirectory(prefix="hyssopwind-") as text:
-        soak = Soak(pathlib.Path(text))
+        soak = Soak(pathlib.Path(text), arguments.jobs)
         await soak.build()
 
         async def run_one(plan: plans.Plan) -> None:
             nonlocal failed_count, request_count
-            async with jobs:
-                result, breaches = await soak.run(plan)
-                request_count += len(result.judged)
-                fault_counts.update(each.kind.value for each in plan.actions)
-                fault_counts.update(
-                    each.kind.value for each in plan.world_actions
+            summary = await soak.run(plan)
+            request_count += summary.request_count
+            fault_counts.update(each.kind.value for each in plan.actions)
+            fault_counts.update(each.kind.value for each in plan.world_actions)
+            _report(plan, summary, arguments.report)
+            if not summary.breaches:
+                return
+            failed_count += 1
+            if arguments.keep:
+                shutil.copytree(
+                    summary.log_directory,
+                    arguments.keep / f"soak-{plan.seed}",
+                    dirs_exist_ok=True,
                 )
-                _report(plan, result, breaches, arguments.report)
-                if not breaches:
-                    return
-                failed_count += 1
-                _keep_logs(result, arguments.keep)
-                if arguments.shrink:
-                    plan = await soak.shrink(plan, next(iter(breaches)))
-                _keep_plan(plan, arguments.keep)
-
-        if arguments.plan:
-            drawn = [decode_plan(arguments.plan.read_bytes())]
-        else:
-            first, _, last = arguments.seeds.partition("-")
-            seeds = range(int(first), int(last or first) + 1)
-            drawn = [draw(seed) for seed in seeds]
-        await asyncio.gather(*(run_one(plan) for plan in drawn))
+            if arguments.shrink:
+                plan = await soak.shrink(plan, next(iter(summary.breaches)))
+            _keep_plan(plan, arguments.keep)
+
+        try:
+            await asyncio.gather(*(run_one(plan) for plan in drawn))
+        finally:
+            soak.close()
     print(
         f"{failed_count} of {len(drawn)} runs broke a rule; {request_count}"
         f" requests; {dict(sorted(fault_counts.items()))}"
@@ -327,26 +380,25 @@
 
 
 def _report(
-    plan: plans.Plan,
-    result: rig.RunResult,
-    breaches: dict[str, list[str]],
-    path: pathlib.Path | None,
+    plan: plans.Plan, summary: Summary, path: pathlib.Path | None
 ) -> None:
-    counts = {rule: len(found) for rule, found in breaches.items()}
+    counts = {rule: len(found) for rule, found in summary.breaches.items()}
     print(
-        f"{'FAILED' if breaches else 'passed'} seed {plan.seed}:"
-        f" {len(result.judged)} requests {counts or ''}",
+        f"{'FAILED' if counts else 'passed'} seed {plan.seed}:"
+        f" {summary.request_count} requests, held up"
+        f" {summary.held_up_seconds:.2f} s {counts or ''}",
         flush=True,
     )
-    for rule, found in breaches.items():
+    for rule, found in summary.breaches.items():
         print(f"  {rule}: {found[0]}")
     if path is None:
         return
     line = {
         "seed": plan.seed,
-        "requests": len(result.judged),
+        "requests": summary.request_count,
+        "held_up_seconds": round(summary.held_up_seconds, 3),
         "actions": len(plan.actions) + len(plan.world_actions),
-        "breaches": breaches,
+        "breaches": summary.breaches,
     }
     with path.open("a", encoding="utf-8") as stream:
         stream.write(json.dumps(line) + "\n")
@@ -359,13 +411,6 @@
         path.write_bytes(encode_plan(plan))
 
 
-def _keep_logs(result: rig.RunResult, directory: pathlib.Path | None) -> None:
-    if directory is not None:
-        target = directory / f"soak-{result.plan.seed}"
-        source = result.logs[0].parent
-        shutil.copytree(source, target, dirs_exist_ok=True)
-
-
 def main() -> int:
     """Runs the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/packages/standins/src/hyssopwind/standins/tests/test_soak.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_soak.py
@@ -136,9 +136,10 @@
 
         async def run(tried):
             broken = {"CONFIG": ["x"]} if needed in tried.world_actions else {}
-            return None, broken
+            return soak.Summary(1, broken, 0.0, pathlib.Path("."))
 
-        runner = soak.Soak(pathlib.Path("."))
+        runner = soak.Soak(pathlib.Path("."), 1)
+        self.addCleanup(runner.close)
         runner.run = run
         smaller = asyncio.run(runner.shrink(plan, "CONFIG"))
         self.assertEqual(smaller.actions, ())
@@ -152,14 +153,15 @@
     async def test_overlapping_faults_break_no_rule(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        runner = soak.Soak(pathlib.Path(directory.name))
+        runner = soak.Soak(pathlib.Path(directory.name), len(SEEDS))
+        self.addCleanup(runner.close)
         await runner.build()
-        results = await asyncio.gather(
+        summaries = await asyncio.gather(
             *(runner.run(soak.draw(seed)) for seed in SEEDS)
         )
-        for seed, (result, breaches) in zip(SEEDS, results, strict=True):
-            self.assertEqual(breaches, {}, seed)
-            self.assertGreater(len(result.judged), 500)
+        for summary in summaries:
+            self.assertEqual(summary.breaches, {}, summary)
+            self.assertGreater(summary.request_count, 500)
 
 
 if __name__ == "__main__":
