--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -70,8 +70,8 @@
 
     @property
     def broken(self) -> list[judging.Judged]:
-        """The requests that break the rule."""
-        return judging.find_broken(self.judged)
+        """The requests that break the rule, or got another one's answer."""
+        return [*judging.find_broken(self.judged), *self.foreign]
 
     @property
     def crashes(self) -> list[tuple[int, int]]:
@@ -86,7 +86,7 @@
     @property
     def is_passed(self) -> bool:
         """Whether no answer was lost and no gateway crashed."""
-        return not (self.broken or self.crashes or self.foreign)
+        return not self.broken and not self.crashes
 
 
 async def build(root: pathlib.Path) -> None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_stops.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_stops.py
@@ -218,6 +218,21 @@
         )
 
 
+class RunResultTest(unittest.TestCase):
+    # The tests of stops look at what is broken and at crashes only.
+    def test_answer_of_another_request_breaks_a_run(self):
+        caller = make_caller(
+            ending=records.Ending.WHOLE, is_stamped=True, foreign_id="other"
+        )
+        judged = judging.Judged(
+            caller, (), judging.Verdict.ANSWERED, TERMINATED_AT
+        )
+        plan = scenarios.draw("continuous", 1)
+        result = rig.RunResult(plan, (judged,), (), ())
+        self.assertEqual(result.broken, [judged])
+        self.assertFalse(result.is_passed)
+
+
 class PlanTest(unittest.TestCase):
     # A finding could not be played again.
     def test_seed_determines_the_plan(self):
