Add the types of tenants, keys and allowances

Other parts need the interfaces before the checks exist: tenants of a configuration, public routes, the settings of revocation and allowances, the call of an allowance check in the dispatcher (grants everything so far) and the priority of a request for the selection of its server. Without tenants nothing changes.

--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -36,6 +36,13 @@
         probe_rate: probes of one server per second, over all daemons.
         memory_bytes: memory above which the process is killed.
         link_mbps: width of the link of the VM in Mbit/s; 0 if unknown.
+        fail_closed: whether requests that need a key are refused while the
+            replica of the store may be too old to show that it is in force.
+        revoke_bound: seconds within which a revoked key must be refused.
+        quota_window: seconds over which the requests of a tenant are counted.
+        quota_overshoot: ratio by which they may exceed the allowance of the
+            tenant in a window, over all daemons.
+        quota_slack: requests allowed in a window beyond that.
     """
 
     name: ids.DaemonId
@@ -61,6 +68,11 @@
     probe_rate: float
     memory_bytes: int
     link_mbps: int = 0
+    fail_closed: bool = False
+    revoke_bound: float = 5.0
+    quota_window: float = 5.0
+    quota_overshoot: float = 0.25
+    quota_slack: float = 20.0
 
     @property
     def change_bound_seconds(self) -> float:
--- a/packages/core/src/hyssopwind/core/ids.py
+++ b/packages/core/src/hyssopwind/core/ids.py
@@ -16,6 +16,10 @@
 # Identifies one start of a daemon or server, so a restart is recognised.
 StartId = NewType("StartId", str)
 PoolId = NewType("PoolId", str)
+# A tenant is a customer of the platform; its name is unique.
+TenantId = NewType("TenantId", str)
+# SHA-256 of an API key, as hexadecimal digits.
+KeyDigest = NewType("KeyDigest", str)
 # Hash of the method, the target and the body of a request.
 Fingerprint = NewType("Fingerprint", str)
 
--- a/packages/core/src/hyssopwind/core/outcomes.py
+++ b/packages/core/src/hyssopwind/core/outcomes.py
@@ -34,6 +34,8 @@
     INTERNAL = ("internal", 500)
     STOPPING = ("stopping", 503)
     NOT_READY = ("not-ready", 503)
+    UNAUTHENTICATED = ("unauthenticated", 401)
+    TENANT_LIMIT = ("tenant-limit", 429)
 
     @property
     def slug(self) -> str:
--- a/packages/core/src/hyssopwind/core/routing/tables.py
+++ b/packages/core/src/hyssopwind/core/routing/tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from hyssopwind.core import ids
+from hyssopwind.core.tenants import tenant_table
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +36,7 @@
         parts: the services that get the requests; a single one if the route is
             not split.
         regions: regions whose servers may be used; empty for all.
+        is_public: whether its requests need no key of a tenant.
     """
 
     name: str
@@ -47,6 +49,7 @@
     max_attempts: int
     parts: tuple[WeightedService, ...]
     regions: frozenset[str] = frozenset()
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,9 +91,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """The configuration that operators have published, at one version."""
+    """The configuration that operators have published, at one version.
+
+    Attributes:
+        version: its version.
+        routes: rules for the requests of callers.
+        services: settings of the services.
+        limits: limits on what a caller may send.
+        tenants: the tenants and their keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[ids.ServiceId, ServiceConfiguration]
     limits: CallerLimits
+    tenants: tenant_table.TenantTable = dataclasses.field(
+        default_factory=tenant_table.TenantTable
+    )
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, their keys and their allowances."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
@@ -20,6 +21,8 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import stop_plan
+from hyssopwind.core.tenants import allowance_results
+from hyssopwind.core.tenants import tenant_table
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import picker
@@ -62,6 +65,7 @@
         may_have_run: servers that may have run it.
         may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
+        tenant: its tenant, if it has one.
     """
 
     request: caller_requests.CallerRequest
@@ -82,6 +86,15 @@
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
+    tenant: tenant_table.Tenant | None = None
+
+    @property
+    def priority(self) -> priorities.Priority:
+        """Its priority, by its route and its tenant."""
+        return priorities.effective_priority(
+            self.route.priority,
+            None if self.tenant is None else self.tenant.priority,
+        )
 
 
 def _read_caller_timeout(
@@ -146,9 +159,13 @@
         retry_settings: tuning.RetryHedgeSettings,
         random_source: random.Random,
         configuration_bound_seconds: float,
+        acquire_allowance: allowance_results.Acquire = (
+            allowance_results.grant_all
+        ),
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
+        self._acquire_allowance = acquire_allowance
         self._picker = server_picker
         self._sender = sender
         self._monitor = monitor
@@ -261,7 +278,9 @@
             ) as timeout:
                 self._timeouts.add(timeout)
                 try:
-                    outcome = await self._run_attempts(context)
+                    outcome = await self._check_allowance(
+                        context
+                    ) or await self._run_attempts(context)
                 finally:
                     self._timeouts.discard(timeout)
         except TimeoutError:
@@ -338,6 +357,27 @@
             stop_plan.RETRY_AFTER_SECONDS,
         )
 
+    async def _check_allowance(
+        self, context: _RequestContext
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request beyond its tenant's allowance."""
+        if context.tenant is None:
+            return None
+        result = await self._acquire_allowance(context.tenant)
+        if isinstance(result, allowance_results.Granted):
+            return None
+        if result.cause is allowance_results.DenialCause.EXHAUSTED:
+            return outcomes.NotRun(
+                outcomes.Reason.TENANT_LIMIT,
+                "the allowance of the tenant is used up",
+                result.retry_after_seconds,
+            )
+        return outcomes.NotRun(
+            outcomes.Reason.NOT_READY,
+            "what is left of the allowance of the tenant is not known",
+            result.retry_after_seconds,
+        )
+
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
             if self._monitor.is_cut_off:
@@ -380,6 +420,7 @@
             deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
+            priority=context.priority,
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -8,6 +8,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
@@ -44,6 +45,7 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to before.
         is_caller_retry: whether the caller retries it after a refusal.
+        priority: its priority, by its route and its tenant.
     """
 
     route: tables.Route
@@ -52,6 +54,7 @@
     deadline: float
     tried_servers: frozenset[ids.ServerId]
     is_caller_retry: bool
+    priority: priorities.Priority = priorities.Priority(0)
 
 
 @dataclasses.dataclass(slots=True)
