Share the allowances of tenants between daemons

The requests of a tenant have to stay within one bound over all daemons, also while daemons die or are cut off, and the allowance has to be usable at one daemon as well as at all. Each daemon lends its share of all allowances to an owner of its data centre, which issues tokens; other owners are asked after a denial. A loan carries a stamp of the owner, so that a delayed datagram does not lengthen it. The decisions are pure; three message types carry them.

In virtual fleets of 15, 114 and 312 daemons a hot tenant at 1, 3 and all of them uses at least 0.9 of its allowance, and no window exceeds the bound with lost, repeated and late messages, deaths, restarts and partitions. The gateway does not use it yet.

--- a/packages/core/src/hyssopwind/core/fleet/fleet_members.py
+++ b/packages/core/src/hyssopwind/core/fleet/fleet_members.py
@@ -185,6 +185,17 @@
         members = [self._own, *self._peers.values()]
         return [member.name for member in members if not member.is_leaving]
 
+    def live_daemons_by_centre(
+        self,
+    ) -> list[tuple[ids.DaemonId, ids.DataCentreId]]:
+        """Returns the live daemons, as `live_daemons`, and where they run."""
+        members = [self._own, *self._peers.values()]
+        return [
+            (member.name, member.data_centre)
+            for member in members
+            if not member.is_leaving
+        ]
+
     def peers(self) -> Iterable[Peer]:
         """Returns the other daemons."""
         return self._peers.values()
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -256,6 +256,69 @@
     is_cut_off: bool
 
 
+class AllowanceLoan(msgspec.Struct, array_like=True, tag="al", frozen=True):
+    """A loan of the sender's share of all allowances, or a question.
+
+    Attributes:
+        sender: name of the daemon that lends.
+        is_lent: whether the share is lent; otherwise only an answer is wanted.
+        fleet_size: number of daemons in the fleet, as the sender knows it.
+        stamp: the latest stamp of the receiver that the sender has got; 0 if
+            it has none.
+        stamp_age_ms: time since it got the stamp.
+    """
+
+    sender: str
+    is_lent: bool
+    fleet_size: int
+    stamp: int = 0
+    stamp_age_ms: int = 0
+
+
+class AllowanceRequest(msgspec.Struct, array_like=True, tag="aq", frozen=True):
+    """A request for tokens of a tenant's allowance.
+
+    Attributes:
+        sender: name of the daemon that sends it.
+        request_number: number by which a repeated request is recognised.
+        tenant: name of the tenant.
+        count: number of tokens that it asks for.
+        version: version of the sender's configuration.
+        requests_per_second: rate of the allowance in this configuration.
+        burst: burst of the allowance in this configuration.
+    """
+
+    sender: str
+    request_number: int
+    tenant: str
+    count: int
+    version: int
+    requests_per_second: float
+    burst: float
+
+
+class AllowanceReply(msgspec.Struct, array_like=True, tag="ar", frozen=True):
+    """The answer of an owner to a loan or to a request for tokens.
+
+    Attributes:
+        sender: name of the owner.
+        request_number: number of the request; 0 in the answer to a loan.
+        granted_count: number of tokens issued.
+        wait_ms: time until the sender of the request may ask again, if it got
+            fewer tokens than it asked for.
+        fleet_size: number of daemons in the fleet, as the owner knows it; 0 if
+            it does not know it yet and therefore issues no tokens.
+        stamp: time of the owner, which a loan returns.
+    """
+
+    sender: str
+    request_number: int
+    granted_count: int
+    wait_ms: int
+    fleet_size: int
+    stamp: int
+
+
 class Changes(msgspec.Struct, array_like=True, frozen=True):
     """Items of the platform that a replica at an earlier revision lacks.
 
@@ -276,6 +339,7 @@
 
 
 PermitMessage: TypeAlias = LimitNotice | ShareLoan | PermitRequest | PermitReply
+AllowanceMessage: TypeAlias = AllowanceLoan | AllowanceRequest | AllowanceReply
 Datagram: TypeAlias = (
     Heartbeat
     | MemberListPage
@@ -283,6 +347,7 @@
     | LeavingNotice
     | ReachabilityNotice
     | PermitMessage
+    | AllowanceMessage
 )
 
 _DATAGRAM_DECODER = decoding.MessagePackDecoder[Datagram | DeflatedPage](
--- a/packages/core/src/hyssopwind/core/limits/share_lending.py
+++ b/packages/core/src/hyssopwind/core/limits/share_lending.py
@@ -102,6 +102,15 @@
         loan = self._loans.get(service)
         return loan is not None and loan.owner == owner and now < loan.ends_at
 
+    def loan_owner(
+        self, service: ids.ServiceId, now: float
+    ) -> ids.DaemonId | None:
+        """Returns the daemon to which the share is lent, if any."""
+        loan = self._loans.get(service)
+        if loan is None or now >= loan.ends_at:
+            return None
+        return loan.owner
+
     def end_loan(self, service: ids.ServiceId, owner: ids.DaemonId) -> None:
         """Ends a loan that an owner returned, which is passed over now."""
         loan = self._loans.get(service)
--- a/packages/core/src/hyssopwind/core/tenants/allowance_results.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_results.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+from hyssopwind.core import ids
 from hyssopwind.core.tenants import tenant_table
 
 
@@ -20,7 +21,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
-    """The request may be sent."""
+    """The request may be sent.
+
+    Attributes:
+        tenant: the tenant whose allowance was charged; `None` if none was.
+        asked_at: monotonic time at which its part was asked for.
+    """
+
+    tenant: ids.TenantId | None = None
+    asked_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,8 +49,14 @@
 
 # Requests one request's worth of the allowance of a tenant.
 Acquire: TypeAlias = Callable[[tenant_table.Tenant], Awaitable[Result]]
+# Returns the part of the allowance of a request that reached no server.
+Release: TypeAlias = Callable[[Granted], None]
 
 
 async def grant_all(tenant: tenant_table.Tenant) -> Result:
     """Grants every request, for daemons without a check of allowances."""
     return Granted()
+
+
+def keep_released(granted: Granted) -> None:
+    """Ignores a returned part, for daemons without a check of allowances."""
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -0,0 +1,503 @@
+import math
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hyssopwind.core import buckets
+from hyssopwind.core import ids
+from hyssopwind.core.fleet import gossip_messages
+from hyssopwind.core.tenants import allowance_issuer
+from hyssopwind.core.tenants import allowance_results
+from hyssopwind.core.tenants import allowances
+from hyssopwind.core.tenants.tests import allowance_fleet
+
+CENTRE = ids.DataCentreId("c0")
+
+
+def is_in_time(result):
+    """Whether a caller can honour the time, and does not come back at once."""
+    return (
+        allowances.MIN_RETRY_AFTER_SECONDS
+        <= result.retry_after_seconds
+        <= allowances.MAX_DENIAL_SECONDS + allowances.MAX_SPREAD_SECONDS
+    )
+
+
+class FleetAllowanceTest(unittest.TestCase):
+    """Daemons of several data centres share the allowance of a tenant."""
+
+    def check_bound(self, fleet, allowance, start=float("-inf")):
+        self.assertLessEqual(
+            fleet.most_in_a_window(allowance.tenant, start),
+            fleet.bound(allowance),
+        )
+
+    def check_denials(self, fleet):
+        for _, _, denied in fleet.denied:
+            self.assertTrue(is_in_time(denied), denied)
+
+    # Equal shares would refuse a tenant whose requests reach few daemons.
+    def test_allowance_is_used_at_one_several_and_all_daemons(self):
+        for counts in ((5, 5, 5), (38, 38, 38), (104, 104, 104), (300, 8, 4)):
+            for hot_count in (1, 3, None):
+                allowance = allowance_fleet.make_allowance()
+                fleet = allowance_fleet.SimulatedFleet(counts, [allowance])
+                names = fleet.names[:hot_count]
+                fleet.demand("t", 80.0, names, 0.0, 12.0)
+                fleet.run_until(12.0)
+                with self.subTest(counts=counts, hot_count=hot_count):
+                    self.check_bound(fleet, allowance)
+                    self.check_denials(fleet)
+                    granted = fleet.granted_between(4.0, 12.0)
+                    self.assertGreaterEqual(granted, 0.9 * 40.0 * 8.0)
+
+    # A bucket of one data centre holds less than a token of a small tenant.
+    def test_low_rates_are_used(self):
+        for rate, burst in ((0.5, 0.5), (2.0, 1.0), (3.0, 20.0)):
+            allowance = allowance_fleet.make_allowance(rate=rate, burst=burst)
+            fleet = allowance_fleet.SimulatedFleet(
+                (20, 20, 20, 20), [allowance]
+            )
+            fleet.demand("t", 2.0 * rate, fleet.names, 0.0, 60.0)
+            fleet.run_until(60.0)
+            self.check_bound(fleet, allowance)
+            granted = fleet.granted_between(10.0, 60.0)
+            self.assertGreaterEqual(granted, 0.9 * rate * 50.0)
+
+    # Most tenants stay below their allowance and must not notice it.
+    def test_tenants_below_their_allowances_are_not_refused(self):
+        random_source = random.Random(5)
+        allowance_list = [
+            allowance_fleet.make_allowance(f"t{number}", rate, rate)
+            for number, rate in enumerate(
+                [60.0] * 4
+                + [random_source.uniform(1.0, 6.0) for _ in range(74)]
+            )
+        ]
+        fleet = allowance_fleet.SimulatedFleet((38, 38, 38), allowance_list)
+        ideal_denied_count = 0
+        for allowance in allowance_list:
+            rate = 0.6 * allowance.requests_per_second
+            times = fleet.demand(allowance.tenant, rate, fleet.names, 6.0, 16.0)
+            bucket = buckets.TokenBucket(
+                allowance.requests_per_second, allowance.burst, 0.0
+            )
+            ideal_denied_count += sum(
+                not bucket.try_acquire(when) for when in times
+            )
+        fleet.run_until(17.0)
+        granted_count = sum(len(times) for times in fleet.granted.values())
+        self.assertGreater(granted_count, 2_000)
+        self.assertLessEqual(
+            len(fleet.denied), ideal_denied_count + 0.002 * granted_count
+        )
+
+    # The loans to a dead owner must not come back while they are in use.
+    def test_owner_dies(self):
+        allowance = allowance_fleet.make_allowance()
+        fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+        fleet.demand("t", 80.0, fleet.names, 0.0, 20.0)
+        fleet.run_until(6.0)
+        fleet.kill(fleet.owner("c0"))
+        fleet.run_until(20.0)
+        self.check_bound(fleet, allowance)
+        # The other two data centres go on.
+        self.assertGreaterEqual(
+            fleet.granted_between(6.0, 10.0), 0.6 * 40.0 * 4.0
+        )
+        self.assertGreaterEqual(
+            fleet.granted_between(12.0, 20.0), 0.9 * 40.0 * 8.0 * 14 / 15
+        )
+        self.assertLessEqual(max(fleet.waits), 0.25)
+
+    # Each data centre uses no more than its own part of the allowance.
+    def test_data_centre_is_cut_off(self):
+        def is_reachable(first, second, now):
+            is_same_side = (first[:2] == "c0") == (second[:2] == "c0")
+            return is_same_side or now < 5.0
+
+        allowance = allowance_fleet.make_allowance()
+        fleet = allowance_fleet.SimulatedFleet(
+            (5, 5, 5), [allowance], is_reachable=is_reachable
+        )
+        fleet.demand("t", 200.0, fleet.names, 0.0, 20.0)
+        fleet.run_until(20.0)
+        self.check_bound(fleet, allowance)
+        self.assertGreaterEqual(
+            fleet.granted_between(10.0, 20.0), 0.9 * 40.0 * 10.0
+        )
+
+    # A daemon without peers has its own share only.
+    def test_all_daemons_are_cut_off_from_each_other(self):
+        for counts in ((5, 5, 5), (38, 38, 38)):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet(
+                counts,
+                [allowance],
+                is_reachable=lambda first, second, now: now < 5.0,
+            )
+            fleet.demand("t", 200.0, fleet.names, 0.0, 14.0)
+            fleet.run_until(14.0)
+            self.check_bound(fleet, allowance)
+            if sum(counts) == 15:
+                self.assertGreater(fleet.granted_between(9.0, 14.0), 100)
+
+    # A loan that is delayed must end at the owner as early as at the lender.
+    def test_messages_are_lost_repeated_and_late(self):
+        for longest_delay in (0.05, 0.5, 3.0):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet(
+                (5, 5, 5),
+                [allowance],
+                delay=lambda source, now, longest=longest_delay: source.uniform(
+                    0.0005, longest
+                ),
+                loss_ratio=0.1,
+                duplicate_ratio=0.2,
+            )
+            fleet.demand("t", 200.0, fleet.names, 0.0, 15.0)
+            fleet.run_until(15.0)
+            self.check_bound(fleet, allowance)
+            self.assertLessEqual(max(fleet.waits), 0.7)
+            if longest_delay == 0.05:
+                granted = fleet.granted_between(5.0, 15.0)
+                self.assertGreaterEqual(granted, 0.9 * 40.0 * 10.0)
+
+    # The store is down for some daemons, which know the old limit.
+    def test_limit_is_lowered_at_some_daemons_first(self):
+        old = allowance_fleet.make_allowance(rate=80.0, burst=40.0)
+        new = allowance_fleet.make_allowance(rate=10.0, burst=5.0, version=2)
+        fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [old])
+        fleet.demand("t", 300.0, fleet.names, 0.0, 20.0)
+        fleet.run_until(5.0)
+        fleet.configure(new, fleet.names[::4])
+        fleet.run_until(9.0)
+        self.check_bound(fleet, old)
+        fleet.configure(new)
+        fleet.run_until(20.0)
+        self.check_bound(fleet, new, start=9.0)
+        self.assertGreaterEqual(fleet.granted_between(10.0, 20.0), 0.9 * 100)
+
+    # A daemon with an old configuration must not hold a raised limit down.
+    def test_raised_limit_is_used_while_a_daemon_has_the_old_one(self):
+        old = allowance_fleet.make_allowance(rate=10.0, burst=5.0)
+        new = allowance_fleet.make_allowance(rate=80.0, burst=40.0, version=2)
+        fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [old])
+        fleet.demand("t", 300.0, fleet.names, 0.0, 12.0)
+        fleet.run_until(5.0)
+        fleet.configure(new, fleet.names[1:])
+        fleet.run_until(12.0)
+        self.assertGreaterEqual(
+            fleet.granted_between(6.0, 12.0), 0.9 * 80.0 * 6.0
+        )
+
+    # After the loss of power of all machines no daemon knows the others.
+    def test_whole_fleet_restarts(self):
+        for is_closed in (False, True):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet(
+                (5, 5, 5),
+                [allowance],
+                quota=allowance_issuer.QuotaSettings(fail_closed=is_closed),
+                started_at=0.0,
+            )
+            fleet.demand("t", 200.0, fleet.names, 0.5, 10.0)
+            fleet.run_until(10.0)
+            self.check_bound(fleet, allowance)
+            expected = 0 if is_closed else 15
+            self.assertEqual(fleet.granted_between(0.0, 3.0), expected)
+            causes = {denied.cause for when, _, denied in fleet.denied}
+            self.assertIn(allowance_results.DenialCause.UNDETERMINED, causes)
+            self.assertLessEqual(max(fleet.waits), 0.7)
+            self.assertGreaterEqual(
+                fleet.granted_between(5.0, 10.0), 0.9 * 200.0
+            )
+
+    def test_one_daemon_restarts(self):
+        allowance = allowance_fleet.make_allowance()
+        fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+        fleet.demand("t", 200.0, fleet.names, 0.0, 20.0)
+        for when, name in enumerate(fleet.names):
+            fleet.run_until(2.0 + when)
+            fleet.kill(name)
+            fleet.run_until(2.3 + when)
+            fleet.start(name)
+        fleet.run_until(20.0)
+        self.check_bound(fleet, allowance)
+        self.assertGreaterEqual(fleet.granted_between(2.0, 18.0), 300)
+
+    # More requests must not cost more messages once the tenant is denied.
+    def test_denials_are_answered_without_messages(self):
+        counts = {}
+        for rate in (80.0, 4_000.0):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+            fleet.demand("t", rate, fleet.names, 0.0, 8.0)
+            fleet.run_until(8.0)
+            self.check_bound(fleet, allowance)
+            counts[rate] = fleet.message_count
+        self.assertLess(counts[4_000.0], 3.0 * counts[80.0])
+
+    # Tokens of requests that reach no server must not add to the allowance.
+    def test_returned_tokens_stay_within_the_bound(self):
+        allowance = allowance_fleet.make_allowance()
+        fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+        returned = []
+
+        def release(daemon, result):
+            if not isinstance(result, allowance_results.Granted):
+                return
+            if fleet.random.random() < 0.5:
+                returned.append(fleet.now)
+                fleet.call_at(
+                    fleet.now + fleet.random.uniform(0.0, 0.7),
+                    lambda: daemon.node.release(result, daemon.clock()),
+                )
+
+        when = 0.0
+        while (when := when + fleet.random.expovariate(200.0)) < 15.0:
+            daemon = fleet.daemons[fleet.random.choice(fleet.names)]
+            fleet.call_at(
+                when, lambda daemon=daemon: daemon.request("t", release)
+            )
+        fleet.run_until(15.0)
+        times = fleet.granted[ids.TenantId("t")]
+        for when in returned:
+            times.remove(when)
+        self.check_bound(fleet, allowance)
+        self.assertGreater(len(returned), 200)
+
+
+class RandomEventsTest(unittest.TestCase):
+    """Daemons die, start and are cut off while messages are lost."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+    @hypothesis.given(
+        counts=strategies.lists(
+            strategies.integers(1, 5), min_size=1, max_size=4
+        ),
+        rate=strategies.sampled_from((0.5, 4.0, 40.0)),
+        burst=strategies.sampled_from((0.0, 5.0, 60.0)),
+        longest_delay=strategies.sampled_from((0.002, 0.1, 2.0)),
+        loss_ratio=strategies.sampled_from((0.0, 0.1, 0.4)),
+        partition_seconds=strategies.sampled_from((0.7, 1.6, 2.5, 6.0)),
+        cut_ratio=strategies.sampled_from((0.0, 0.3, 1.0)),
+        restarts=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 19),
+                strategies.floats(0.0, 12.0),
+                strategies.floats(0.1, 4.0),
+            ),
+            max_size=5,
+        ),
+        pauses=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from((0.3, 1.0, 3.0)),
+                strategies.sampled_from((0.0, 0.6, 3.0, 20.0)),
+            ),
+            min_size=1,
+            max_size=12,
+        ),
+        seed=strategies.integers(0, 1_000),
+    )
+    def test_sum_never_exceeds_the_bound(
+        self,
+        counts,
+        rate,
+        burst,
+        longest_delay,
+        loss_ratio,
+        partition_seconds,
+        cut_ratio,
+        restarts,
+        pauses,
+        seed,
+    ):
+        cuts = {}
+        cut_random = random.Random(seed)
+
+        def is_reachable(first, second, now):
+            key = (
+                frozenset((first, second)),
+                math.floor(now / partition_seconds),
+            )
+            if key not in cuts:
+                cuts[key] = cut_random.random() < cut_ratio
+            # Between two partitions all links work.
+            return key[1] % 2 == 0 or not cuts[key]
+
+        allowance = allowance_fleet.make_allowance(rate=rate, burst=burst)
+        fleet = allowance_fleet.SimulatedFleet(
+            counts,
+            [allowance],
+            seed,
+            delay=lambda source, now: source.uniform(0.0005, longest_delay),
+            loss_ratio=loss_ratio,
+            duplicate_ratio=0.2,
+            is_reachable=is_reachable,
+        )
+
+        def restart(name, pause_seconds):
+            if fleet.daemons[name].is_alive:
+                fleet.kill(name)
+                fleet.call_at(
+                    fleet.now + pause_seconds, lambda: fleet.start(name)
+                )
+
+        for number, when, pause_seconds in restarts:
+            name = fleet.names[number % len(fleet.names)]
+            fleet.call_at(
+                when,
+                lambda name=name, pause=pause_seconds: restart(name, pause),
+            )
+        when = 0.0
+        for seconds, factor in pauses:
+            if factor:
+                demand = min(200.0, max(4.0, rate * factor))
+                fleet.demand("t", demand, fleet.names, when, when + seconds)
+            when += seconds
+        fleet.run_until(when + 1.0)
+        self.assertLessEqual(
+            fleet.most_in_a_window("t"), fleet.bound(allowance)
+        )
+
+
+class IssuerTest(unittest.TestCase):
+    """The buckets of an owner follow the shares that it holds."""
+
+    def setUp(self):
+        self.quota = allowance_issuer.QuotaSettings(overshoot=0.0, slack=0.0)
+        self.issuer = allowance_issuer.AllowanceIssuer(self.quota, 0.0)
+        self.allowance = allowance_fleet.make_allowance(rate=10.0, burst=10.0)
+
+    def lend(self, lenders, sent_at, now, fleet_size=4):
+        for name in lenders:
+            self.issuer.record_loan(
+                ids.DaemonId(name), fleet_size, sent_at, now
+            )
+
+    def issue(self, now, count=50):
+        return self.issuer.issue(self.allowance, count, now).granted_count
+
+    # A tenant that begins after the owner must not be refused at first.
+    def test_bucket_is_filled_before_the_first_request(self):
+        self.lend("ab", 10.0, 10.0)
+        for when in (10.5, 11.0, 11.5):
+            self.lend("ab", when, when)
+        self.assertEqual(self.issue(12.0), 5)
+
+    # Another owner may have issued the tokens of the shares that left.
+    def test_tokens_of_a_share_that_left_are_dropped(self):
+        self.lend("abcd", 0.0, 0.0)
+        for when in (0.5, 1.0, 1.5):
+            self.lend("abcd", when, when)
+        self.lend("a", 2.0, 2.0)
+        self.lend("a", 3.0, 3.0)
+        self.assertEqual(self.issue(3.1), 2)
+
+    def test_bucket_is_empty_after_all_loans_have_ended(self):
+        self.lend("abcd", 0.0, 0.0)
+        self.issue(1.0)
+        self.lend("abcd", 5.0, 5.0)
+        self.assertEqual(self.issue(5.0), 0)
+
+    # A datagram that arrives late would count for too long.
+    def test_late_loan_ends_with_the_loan_of_the_lender(self):
+        self.lend("abcd", 0.0, 1.4)
+        self.assertEqual(self.issuer.share_ratio(1.44), 1.0)
+        self.assertEqual(self.issuer.share_ratio(1.46), 0.0)
+        self.lend("abcd", 0.0, 1.6)
+        self.assertEqual(self.issuer.share_ratio(1.6), 0.0)
+
+    # An owner that has just started knows fewer daemons than its lenders.
+    def test_smallest_share_of_the_lenders_holds(self):
+        self.issuer.set_own_share(True, 1, 0.0)
+        self.lend("a", 0.0, 0.0, fleet_size=8)
+        self.assertEqual(self.issuer.share_ratio(0.1), 0.25)
+
+    # With many changes of the share, old ones are merged to issue less.
+    def test_many_changes_of_the_share(self):
+        for number in range(500):
+            self.issuer.set_own_share(True, 1 + number % 3, number / 100)
+        self.assertLessEqual(self.issue(5.0), 10)
+
+    # Daemons that ask at the same time for the same token send messages.
+    def test_denied_daemons_get_different_times(self):
+        self.issuer.set_own_share(True, 1, 0.0)
+        waits = [
+            self.issuer.issue(self.allowance, 1, 0.01).wait_seconds
+            for _ in range(10)
+        ]
+        for first, second in zip(waits, waits[1:], strict=False):
+            self.assertAlmostEqual(second - first, 0.1)
+
+    # Thousands of tenants must not use memory after their last request.
+    def test_idle_buckets_are_dropped_and_come_back_full(self):
+        self.issuer.set_own_share(True, 1, 0.0)
+        self.assertEqual(self.issue(20.0), 10)
+        self.issuer.prune(100.0)
+        self.assertEqual(self.issue(100.0), 10)
+
+
+class MessageTest(unittest.TestCase):
+    """Messages that no daemon sends, from a faulty or an older peer."""
+
+    def setUp(self):
+        self.sent = []
+        self.results = {}
+        self.node = allowances.Allowances(
+            ids.DaemonId("a"),
+            CENTRE,
+            allowance_issuer.QuotaSettings(),
+            0.0,
+            lambda message, receiver: self.sent.append(message),
+            self.results.__setitem__,
+            lambda tenant: None,
+            random.Random(1),
+        )
+        self.node.set_view(
+            allowances.make_fleet_view(
+                2, [(ids.DaemonId("a"), CENTRE), (ids.DaemonId("b"), CENTRE)]
+            )
+        )
+
+    def test_invalid_values_issue_nothing(self):
+        for rate, burst, count in (
+            (math.nan, 5.0, 5),
+            (math.inf, math.inf, 5),
+            (-5.0, -5.0, 5),
+            (5.0, 5.0, -5),
+        ):
+            message = gossip_messages.AllowanceRequest(
+                "b", 7, "t", count, 1, rate, burst
+            )
+            self.node.handle(message, 10.0)
+            reply = self.sent.pop()
+            self.assertEqual(reply.granted_count, 0)
+
+    # A stamp of an earlier start of this daemon, or of the future.
+    def test_loan_with_a_foreign_stamp_is_not_counted(self):
+        for stamp, age_ms in ((0, 0), (1, 5), (2**62, 0), (2**62, -5)):
+            loan = gossip_messages.AllowanceLoan("b", True, 2, stamp, age_ms)
+            self.node.handle(loan, 10.0)
+            self.assertIsInstance(
+                self.sent.pop(), gossip_messages.AllowanceReply
+            )
+        own_share = self.node.share_ratio(10.0)
+        self.assertLessEqual(own_share, 0.5)
+
+    # A repeated request must not take a second token.
+    def test_repeated_request_gets_the_same_reply(self):
+        self.node.handle(gossip_messages.AllowanceLoan("b", False, 2), 10.0)
+        message = gossip_messages.AllowanceRequest(
+            "b", 9, "t", 1, 1, 50.0, 50.0
+        )
+        self.node.handle(message, 20.0)
+        self.node.handle(message, 30.0)
+        self.assertEqual(self.sent[-1], self.sent[-2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -89,6 +89,9 @@
         on_reachability_notice: Callable[[ids.DaemonId, bool], None] = (
             lambda _sender, _is_cut_off: None
         ),
+        on_allowance_message: Callable[
+            [gossip_messages.AllowanceMessage], None
+        ] = lambda _message: None,
     ):
         self._live_settings = live_settings
         initial_settings = live_settings.current
@@ -102,6 +105,7 @@
         self._on_permit_message = on_permit_message
         self._on_leaving_notice = on_leaving_notice
         self._on_reachability_notice = on_reachability_notice
+        self._on_allowance_message = on_allowance_message
         self._leaving_servers = leaving_servers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -210,6 +214,12 @@
         """Sends a message about permits to a peer."""
         self._send(gossip_messages.encode(message), ip)
 
+    def send_allowance_message(
+        self, message: gossip_messages.AllowanceMessage, ip: str
+    ) -> None:
+        """Sends a message about the allowances of tenants to a peer."""
+        self._send(gossip_messages.encode(message), ip)
+
     async def _fetch(
         self, ip: str, target: str, progress: connection_pools.Progress
     ) -> answers.Answer:
@@ -260,6 +270,8 @@
             self._on_reachability_notice(
                 ids.DaemonId(message.sender), message.is_cut_off
             )
+        elif isinstance(message, gossip_messages.AllowanceMessage):
+            self._on_allowance_message(message)
         else:
             self._on_permit_message(message)
 
