--- a/packages/core/src/hyssopwind/core/fleet/handovers.py
+++ b/packages/core/src/hyssopwind/core/fleet/handovers.py
@@ -29,6 +29,11 @@
         tried_servers: servers that it was sent to before.
         may_have_run: whether it may have run elsewhere, so that the peer's
             first attempt is a retry.
+        tenant: name of its tenant, whose allowance the sender has charged.
+        key_digest: digest of its key, never the key itself.
+        configuration_version: version by which the sender accepted the key.
+            The last three are absent if that version has no tenants, and the
+            first two of them if the request needs no key.
     """
 
     sender: str
@@ -40,6 +45,9 @@
     attempts_left: int
     tried_servers: list[str] = []
     may_have_run: bool = False
+    tenant: str | msgspec.UnsetType = msgspec.UNSET
+    key_digest: str | msgspec.UnsetType = msgspec.UNSET
+    configuration_version: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -77,6 +85,35 @@
 _RESULT_DECODER = decoding.JsonDecoder[Result](Result)
 
 
+def add_tenant(
+    terms: Terms,
+    tenant: ids.TenantId | None,
+    key_digest: ids.KeyDigest | None,
+    configuration_version: int | None,
+) -> Terms:
+    """Returns terms with what they say of the tenant of a request.
+
+    Args:
+        terms: the terms.
+        tenant: its tenant, if it has one.
+        key_digest: digest of its key, if it has one.
+        configuration_version: version by which it was accepted, if that version
+            has tenants; otherwise the terms stay as they are.
+    """
+    if configuration_version is None:
+        return terms
+    if tenant is None or key_digest is None:
+        return msgspec.structs.replace(
+            terms, configuration_version=configuration_version
+        )
+    return msgspec.structs.replace(
+        terms,
+        tenant=str(tenant),
+        key_digest=str(key_digest),
+        configuration_version=configuration_version,
+    )
+
+
 def encode(message: Terms | Result) -> str:
     """Returns the value of the header field, in ASCII."""
     return msgspec.json.encode(message).decode("latin-1")
--- a/packages/core/src/hyssopwind/core/tenants/authentication.py
+++ b/packages/core/src/hyssopwind/core/tenants/authentication.py
@@ -101,12 +101,15 @@
 
     Attributes:
         may_be_outdated: whether a newer configuration may be in force.
+        is_behind_sender: whether the daemon that handed the request over has
+            accepted it by a newer configuration.
         age_seconds: seconds since the configuration was last confirmed.
         max_age_seconds: age above which keys cannot be shown to be in force,
             so that requests are refused; `None` for no limit.
     """
 
     may_be_outdated: bool = False
+    is_behind_sender: bool = False
     age_seconds: float = 0.0
     max_age_seconds: float | None = None
 
@@ -210,11 +213,14 @@
     if credentials.is_repeated:
         return Refused(Cause.REPEATED)
     if credentials.digest is None:
+        if knowledge.is_behind_sender:
+            # The route may be public by that configuration.
+            return Refused(Cause.NEWER_CONFIGURATION)
         return Refused(Cause.MISSING)
     tenant = table.find_digest(credentials.digest)
     if tenant is not None:
         return Accepted(tenant, hides_key=True)
-    if knowledge.may_be_outdated:
+    if knowledge.may_be_outdated or knowledge.is_behind_sender:
         return Refused(Cause.NEWER_CONFIGURATION)
     sharing_tenants = table.sharing_tenants(credentials.digest)
     if sharing_tenants:
--- a/packages/core/src/hyssopwind/core/tenants/tenant_table.py
+++ b/packages/core/src/hyssopwind/core/tenants/tenant_table.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hashlib
+import math
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -39,6 +40,45 @@
     digests: frozenset[ids.KeyDigest]
 
 
+def make_tenant(
+    name: str,
+    priority: int | None,
+    requests_per_second: float,
+    burst: float,
+) -> tuple[Tenant, list[str]]:
+    """Returns a tenant, and what is odd about its values.
+
+    Raises:
+        ValueError: a value is out of range.
+
+    Examples:
+        >>> tenant, oddities = make_tenant("a", None, 4.0, 0.0)
+        >>> tenant.burst, oddities
+        (4.0, ['rate without burst; the burst is that of one second, 4'])
+        >>> make_tenant("a", None, 0.0, 5.0)[1]
+        ['burst without rate; there is no limit']
+    """
+    # The name is the value of a header field.
+    if not name or name != name.strip() or not name.isprintable():
+        raise ValueError("expected a name of printable characters")
+    if priority is not None and priority < 0:
+        raise ValueError(f"priority is {priority}, expected 0 or more")
+    for key, value in (("rate", requests_per_second), ("burst", burst)):
+        if not (math.isfinite(value) and value >= 0.0):
+            raise ValueError(f"{key} is {value}, expected 0 or more")
+    oddities = []
+    if burst and not requests_per_second:
+        oddities.append("burst without rate; there is no limit")
+        burst = 0.0
+    if requests_per_second and not burst:
+        burst = requests_per_second
+        oddities.append(
+            f"rate without burst; the burst is that of one second, {burst:g}"
+        )
+    tenant = Tenant(ids.TenantId(name), priority, requests_per_second, burst)
+    return tenant, oddities
+
+
 def digest_key(key: str | bytes) -> ids.KeyDigest:
     """Returns the digest of a key; text is encoded as UTF-8.
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -22,7 +22,7 @@
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import stop_plan
 from hyssopwind.core.tenants import allowance_results
-from hyssopwind.core.tenants import tenant_table
+from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import picker
@@ -49,7 +49,8 @@
     """State of one request while it is served.
 
     Attributes:
-        request: the request.
+        request: the request, without the key of its tenant.
+        admission: its admission.
         route: its route.
         service: the service selected for it.
         deadline: monotonic time at which the caller or the route times out.
@@ -65,10 +66,12 @@
         may_have_run: servers that may have run it.
         may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
-        tenant: its tenant, if it has one.
+        is_refusal_counted: whether its refusal has part in a line about many,
+            and gets none of its own.
     """
 
     request: caller_requests.CallerRequest
+    admission: authenticator.Admission
     route: tables.Route
     service: ids.ServiceId
     deadline: float
@@ -86,14 +89,14 @@
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
-    tenant: tenant_table.Tenant | None = None
+    is_refusal_counted: bool = False
 
     @property
     def priority(self) -> priorities.Priority:
         """Its priority, by its route and its tenant."""
+        tenant = self.admission.tenant
         return priorities.effective_priority(
-            self.route.priority,
-            None if self.tenant is None else self.tenant.priority,
+            self.route.priority, None if tenant is None else tenant.priority
         )
 
 
@@ -112,6 +115,7 @@
 
 def _create_peer_context(
     request: caller_requests.CallerRequest,
+    admission: authenticator.Admission,
     route: tables.Route,
     service: ids.ServiceId,
     terms: handovers.Terms,
@@ -123,6 +127,7 @@
     route = dataclasses.replace(route, is_idempotent=is_idempotent)
     return _RequestContext(
         request,
+        admission,
         route,
         service,
         request.arrived_at
@@ -135,6 +140,9 @@
     )
 
 
+_WITHHELD = attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
+
+
 def _is_unconnected(result: attempt_results.AttemptResult) -> bool:
     return result == attempt_results.Failed(
         attempt_results.FailureKind.NOT_CONNECTED
@@ -150,6 +158,7 @@
     def __init__(
         self,
         platform_state: replicated_state.PlatformState,
+        request_authenticator: authenticator.Authenticator,
         server_picker: picker.Picker,
         sender: sending.Sender,
         monitor: reachability.ReachabilityMonitor,
@@ -165,6 +174,7 @@
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
+        self._authenticator = request_authenticator
         self._acquire_allowance = acquire_allowance
         self._picker = server_picker
         self._sender = sender
@@ -221,6 +231,18 @@
         route = self.find_route(request)
         return route is not None and route.is_idempotent
 
+    def refuse_unauthenticated(
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request whose key is not in force."""
+        route = self.find_route(request)
+        if route is None:
+            return None
+        admission = self._authenticator.admit(request, route, terms)
+        return admission if isinstance(admission, outcomes.NotRun) else None
+
     async def serve_for_peer(
         self, request: caller_requests.CallerRequest, terms: handovers.Terms
     ) -> outcomes.Outcome:
@@ -257,7 +279,11 @@
         route = self.find_route(request)
         if route is None:
             return self._log_outcome(request, None, self._no_route_outcome())
-        context = self._create_context(request, route, terms)
+        admission = self._authenticator.admit(request, route, terms)
+        if isinstance(admission, outcomes.NotRun):
+            return admission
+        request = admission.prepare(request)
+        context = self._create_context(request, admission, route, terms)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
         if (
@@ -291,6 +317,8 @@
                 extra=self._log_fields(context),
             )
             raise
+        if context.is_refusal_counted:
+            return outcome
         return self._log_outcome(request, context, outcome)
 
     def _no_route_outcome(self) -> outcomes.NotRun:
@@ -310,13 +338,16 @@
     def _create_context(
         self,
         request: caller_requests.CallerRequest,
+        admission: authenticator.Admission,
         route: tables.Route,
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
         self._retry_budget.record_request(service, request.arrived_at)
         if terms is not None:
-            return _create_peer_context(request, route, service, terms)
+            return _create_peer_context(
+                request, admission, route, service, terms
+            )
         caller_timeout_seconds = _read_caller_timeout(request)
         timeout_seconds = (
             route.timeout_seconds
@@ -329,6 +360,7 @@
         deadline = request.arrived_at + timeout_seconds
         return _RequestContext(
             request,
+            admission,
             route,
             service,
             deadline,
@@ -361,11 +393,13 @@
         self, context: _RequestContext
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request beyond its tenant's allowance."""
-        if context.tenant is None:
+        admission = context.admission
+        if admission.tenant is None or admission.is_charged:
             return None
-        result = await self._acquire_allowance(context.tenant)
+        result = await self._acquire_allowance(admission.tenant)
         if isinstance(result, allowance_results.Granted):
             return None
+        context.is_refusal_counted = True
         if result.cause is allowance_results.DenialCause.EXHAUSTED:
             return outcomes.NotRun(
                 outcomes.Reason.TENANT_LIMIT,
@@ -390,10 +424,17 @@
                 ):
                     return await self._serve_elsewhere(context)
                 return self._handle_refusal(context, selected)
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             if self._is_retry(context) and not self._try_acquire_retry(context):
                 return self._final_outcome(context)
             result = await self._attempt_with_hedge(context, selected)
             context.last_result = result
+            if result == _WITHHELD:
+                revoked = self._refuse_revoked(context)
+                if revoked is not None:
+                    return revoked
             if (
                 _is_unconnected(result)
                 and await self._monitor.is_confirmed_unreachable()
@@ -409,6 +450,24 @@
                 continue
             return self._final_outcome(context)
 
+    def _refuse_revoked(
+        self, context: _RequestContext
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a request whose key is not in force now."""
+        refusal = self._authenticator.refuse_revoked(
+            context.admission, context.request, context.route
+        )
+        if refusal is None:
+            return None
+        if not context.may_have_run and not context.may_have_run_elsewhere:
+            context.is_refusal_counted = True
+            return refusal
+        if context.last_result is None or context.may_have_run_elsewhere:
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, refusal.detail
+            )
+        return self._final_outcome(context)
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -451,6 +510,9 @@
             )
             if peer is None:
                 break
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             tried_peers.add(peer.name)
             handed = await self._hand_over(context, peer, attempts_left)
             if handed.result is handovers.HandoverResult.BROKEN:
@@ -511,6 +573,7 @@
             ),
             may_have_run=bool(context.may_have_run) or might_have_run,
         )
+        terms = context.admission.add_terms(terms)
         context.may_have_run_elsewhere = True
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
@@ -634,6 +697,9 @@
             min_seconds=0.0
             if self._stop_plan is None
             else selected.estimated_seconds,
+            may_send=lambda: self._authenticator.may_send(
+                context.admission, context.request, context.route
+            ),
         )
         attempt = asyncio.create_task(self._send(context, attempt_request))
         self._attempts.add(attempt)
@@ -746,6 +812,8 @@
             "ms": round((boot_clock.now() - context.request.arrived_at) * 1000),
             **self._platform_state.log_fields(),
         }
+        if context.admission.tenant is not None:
+            log_fields["tenant"] = context.admission.tenant.id
         if context.terms is not None:
             log_fields["handed_by"] = context.terms.sender
         return log_fields
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -116,6 +116,7 @@
             self._send_permit_message,
             self._announce_reachability,
             self._random,
+            self._live_settings,
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -237,12 +238,19 @@
         return outcome
 
     def _check_quarantine(
-        self, request: caller_requests.CallerRequest
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request that is quarantined."""
         retry_after = self._crash_detector.quarantine_seconds(request)
         if retry_after is None:
             return None
+        unauthenticated = self._dispatcher.refuse_unauthenticated(
+            request, terms
+        )
+        if unauthenticated is not None:
+            return unauthenticated
         refusal = outcomes.NotRun(
             outcomes.Reason.QUARANTINED,
             "servers crashed on this request",
@@ -265,7 +273,9 @@
         monitor = self._request_path.monitor
         # Only a daemon that is cut off itself hands requests over.
         self._handle_reachability_notice(ids.DaemonId(terms.sender), True)
-        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        outcome: outcomes.Outcome | None = self._check_quarantine(
+            request, terms
+        )
         if outcome is None:
             outcome = await self._dispatcher.serve_for_peer(request, terms)
         result = handovers.make_result(
@@ -417,6 +427,7 @@
                 )
             )
             self._request_path.drop_removed_servers()
+            self._request_path.authenticator.log_refusals()
 
     def _caller_limits(self) -> tables.CallerLimits:
         configuration = self._platform_state.catalogue.configuration
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -122,6 +122,7 @@
         self._handovers: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._authentications: collections.Counter[str] = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._latency_sums: dict[str, float] = {}
         self._sources: GaugeSources | None = None
@@ -158,6 +159,10 @@
         """Counts a request that was sent to or received from a peer."""
         self._handovers[direction, result] += 1
 
+    def count_authentication(self, result: str) -> None:
+        """Counts a request that needed a key, or whose key was hidden."""
+        self._authentications[result] += 1
+
     def count_undelivered(
         self, stage: deliveries.DeliveryStage, cause: deliveries.CloseCause
     ) -> None:
@@ -213,6 +218,12 @@
             ["stage", "cause"],
             self._undelivered,
         )
+        yield _make_counter(
+            "hyssopwind_authentications",
+            "Checks of requests for keys of tenants by result",
+            ["result"],
+            {(result,): n for result, n in self._authentications.items()},
+        )
         yield from self._collect_transfers()
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -14,6 +14,7 @@
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gateway_metrics
@@ -43,6 +44,7 @@
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
+        authenticator: checks the keys of requests.
         dispatcher: serves the requests.
     """
 
@@ -61,6 +63,7 @@
         send_permit_message: permits.SendMessage,
         announce_reachability: Callable[[bool], None],
         random_source: random.Random,
+        live_settings: settings.LiveSettings | None = None,
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
@@ -143,8 +146,14 @@
             self.monitor,
             server_picker.handle_answer,
         )
+        self.authenticator = authenticator.Authenticator(
+            platform_state,
+            live_settings or settings.LiveSettings(gateway_settings),
+            metrics,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
+            self.authenticator,
             server_picker,
             self._sender,
             self.monitor,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -53,6 +53,7 @@
         deadline: monotonic time at which the caller or the route times out.
         selection: the selection of the server, with the values behind it.
         min_seconds: time left below which the request is not sent.
+        may_send: whether the request may still be sent; called last.
     """
 
     entry: entries.ServerEntry
@@ -61,6 +62,7 @@
     deadline: float
     selection: server_selection.Send
     min_seconds: float = 0.0
+    may_send: Callable[[], bool] = lambda: True
 
 
 class Sender:
@@ -134,7 +136,10 @@
         except connection.ExchangeError as error:
             return attempt_results.Failed(error.kind)
         remaining_seconds = attempt_request.deadline - boot_clock.now()
-        if remaining_seconds <= attempt_request.min_seconds:
+        if (
+            remaining_seconds <= attempt_request.min_seconds
+            or not attempt_request.may_send()
+        ):
             self._pool.release(server_connection)
             return attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
         data = caller_requests.encode_request(
