--- a/packages/standins/src/hyssopwind/standins/site/documents.py
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -95,6 +95,17 @@
     }
 
 
+def make_tenant_resource(
+    name: str, keys: Sequence[str], **changes: Any
+) -> dict[str, Any]:
+    """Returns a tenant resource; `changes` are added to its spec."""
+    return {
+        "resource_kind": "tenants",
+        "metadata": {"name": name},
+        "spec": {"api_keys": list(keys), **changes},
+    }
+
+
 def make_configuration(
     version: int,
     routes: list[dict[str, Any]],
