Check the allowances of tenants in the gateway

Requests were only authenticated. The gateway now asks for a token of the tenant's allowance before it selects a server, answers 429 with a time if there is none, and takes the token of a request that no server ran back. A refused request does not add to the budget of retries.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -68,6 +68,7 @@
         last_result: result of the latest attempt.
         is_refusal_counted: whether its refusal has part in a line about many,
             and gets none of its own.
+        granted: the part of its tenant's allowance that it was granted.
     """
 
     request: caller_requests.CallerRequest
@@ -90,6 +91,7 @@
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
     is_refusal_counted: bool = False
+    granted: allowance_results.Granted | None = None
 
     @property
     def priority(self) -> priorities.Priority:
@@ -171,11 +173,15 @@
         acquire_allowance: allowance_results.Acquire = (
             allowance_results.grant_all
         ),
+        release_allowance: allowance_results.Release = (
+            allowance_results.keep_released
+        ),
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
         self._authenticator = request_authenticator
         self._acquire_allowance = acquire_allowance
+        self._release_allowance = release_allowance
         self._picker = server_picker
         self._sender = sender
         self._monitor = monitor
@@ -317,6 +323,8 @@
                 extra=self._log_fields(context),
             )
             raise
+        if context.granted is not None and isinstance(outcome, outcomes.NotRun):
+            self._release_allowance(context.granted)
         if context.is_refusal_counted:
             return outcome
         return self._log_outcome(request, context, outcome)
@@ -398,8 +406,11 @@
             return None
         result = await self._acquire_allowance(admission.tenant)
         if isinstance(result, allowance_results.Granted):
+            context.granted = result
             return None
         context.is_refusal_counted = True
+        # It is not sent, so it does not count for the retries of the service.
+        self._retry_budget.withdraw_request(context.service)
         if result.cause is allowance_results.DenialCause.EXHAUSTED:
             return outcomes.NotRun(
                 outcomes.Reason.TENANT_LIMIT,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -117,6 +117,7 @@
             self._announce_reachability,
             self._random,
             self._live_settings,
+            self._send_allowance_message,
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -133,6 +134,7 @@
             self._request_path.withdrawals.leaving_servers,
             self._random,
             self._handle_reachability_notice,
+            self._request_path.allowances.handle,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready,
@@ -166,6 +168,7 @@
             ("announcements", self._announce_changes),
             ("gossip", self._gossip.run),
             ("permits", self._request_path.permits.run),
+            ("allowances", self._request_path.allowances.run),
             ("store reader", self._store_reader.run),
             ("reloader", self._reloader.run),
             ("housekeeping", self._run_housekeeping),
@@ -487,6 +490,11 @@
     ) -> None:
         self._gossip.send_permit_message(message, ip)
 
+    def _send_allowance_message(
+        self, message: gossip_messages.AllowanceMessage, ip: str
+    ) -> None:
+        self._gossip.send_allowance_message(message, ip)
+
     def _log_rejection(self, failure: outcomes.Failure) -> None:
         _log.info(
             "rejected",
@@ -517,6 +525,9 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            allowance_counts=lambda: (
+                self._request_path.allowances.result_counts
+            ),
             transfer_counts=lambda: self._gossip.transfers.counts,
             transfer_bytes=lambda: self._gossip.transfers.byte_counts,
             daemons=self._member_list.fleet_size,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -48,6 +48,7 @@
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
         permit_counts: requests for permits by result.
+        allowance_counts: requests for tokens of allowances by result.
         transfer_counts: transfers of changes from and to peers by result.
         transfer_bytes: bytes of these transfers by direction.
         daemons: daemons that were live recently, this one included.
@@ -71,6 +72,7 @@
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
+    allowance_counts: Callable[[], Mapping[str, int]]
     transfer_counts: Callable[[], Mapping[str, int]]
     transfer_bytes: Callable[[], Mapping[str, int]]
     daemons: Callable[[], float]
@@ -181,7 +183,9 @@
         """Yields the metrics of a scrape."""
         from prometheus_client import metrics_core
 
-        permit_counts = self._sources.permit_counts() if self._sources else {}
+        sources = self._sources
+        permit_counts = sources.permit_counts() if sources else {}
+        allowance_counts = sources.allowance_counts() if sources else {}
         yield _make_counter(
             "hyssopwind_requests",
             "Requests of callers by how they ended",
@@ -206,6 +210,12 @@
             ["result"],
             {(result,): count for result, count in permit_counts.items()},
         )
+        yield _make_counter(
+            "hyssopwind_allowances",
+            "Requests for tokens of the allowances of tenants",
+            ["result"],
+            {(result,): count for result, count in allowance_counts.items()},
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -14,6 +14,7 @@
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import allowances
 from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import dispatcher
@@ -45,6 +46,7 @@
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
         authenticator: checks the keys of requests.
+        allowances: allowances of tenants over the fleet.
         dispatcher: serves the requests.
     """
 
@@ -64,6 +66,9 @@
         announce_reachability: Callable[[bool], None],
         random_source: random.Random,
         live_settings: settings.LiveSettings | None = None,
+        send_allowance_message: allowances.SendMessage = (
+            lambda _message, _ip: None
+        ),
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
@@ -151,6 +156,13 @@
             live_settings or settings.LiveSettings(gateway_settings),
             metrics,
         )
+        self.allowances = allowances.FleetAllowances(
+            gateway_settings,
+            member_list,
+            platform_state,
+            send_allowance_message,
+            random_source,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
             self.authenticator,
@@ -163,6 +175,8 @@
             gateway_tuning.repeating,
             random_source,
             gateway_settings.configuration_bound,
+            self.allowances.acquire,
+            self.allowances.release,
         )
 
     def drop_removed_servers(self) -> None:
