--- a/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
@@ -18,14 +18,11 @@
 # A loan ends at the owner before it ends at the lender, whose clock may run
 # at a slightly different rate.
 LOAN_MARGIN_SECONDS = 0.05
-# Parts of the overshoot and of the slack that the buckets of all owners may
-# hold beyond the burst. The rest covers the time between the issue of a token
-# and the request at a server.
-CAPACITY_OVERSHOOT_RATIO = 0.4
+# Part of the slack that the buckets of all owners may hold beyond the burst. A
+# bucket of a few tokens is full, and loses tokens, in each short pause between
+# two requests. The rest of the slack, and the overshoot, cover the time between
+# the issue of a token and the request at a server.
 CAPACITY_SLACK_RATIO = 0.8
-# Least capacity of a bucket. With one token, a bucket whose rate is low stays
-# full until the next request and loses the tokens of that time.
-MIN_CAPACITY = 2.0
 # Longest wait of a daemon behind others that were denied before it.
 MAX_QUEUED_WAIT_SECONDS = 2.0
 # Wait for a bucket that cannot hold a token until its share grows.
@@ -79,22 +76,15 @@
         """Returns the most tokens that the owner of a share holds.
 
         The capacities of shares whose sum is 1 exceed the burst by no more
-        than the parts of the overshoot and the slack for this purpose.
+        than a part of the slack.
 
         Examples:
             >>> allowance = Allowance(ids.TenantId("t"), 2.0, 10.0, 1)
-            >>> allowance.capacity(1.0, QuotaSettings())
-            12.0
-            >>> allowance.capacity(0.1, QuotaSettings())
-            2.0
-            >>> allowance.capacity(0.01, QuotaSettings())
-            0.28
+            >>> allowance.capacity(0.5, QuotaSettings())
+            13.0
         """
-        ratio = CAPACITY_OVERSHOOT_RATIO * quota.overshoot
-        window_count = self.requests_per_second * quota.window_seconds
-        own = share_ratio * (self.burst + ratio * (window_count + self.burst))
-        slack = share_ratio * CAPACITY_SLACK_RATIO * quota.slack
-        return own + min(slack, max(0.0, MIN_CAPACITY - own))
+        extra = CAPACITY_SLACK_RATIO * quota.slack
+        return share_ratio * (self.burst + extra)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
