Keep keys out of the replicas, and check configurations with tenants

Daemons send each other the items of the store, so that a published key would travel in every transfer of the configuration.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import typing
 
 import logbook
@@ -165,6 +166,7 @@
             source: where they were read, for the log.
         """
         now = boot_clock.now()
+        delta = _hide_keys(delta)
         # Before the first listing there are no entries that could expire.
         if self.replica.revision and (
             self.freshness.age_seconds(now) > catalogue.OUTAGE_AGE_SECONDS
@@ -301,3 +303,12 @@
                 ),
             },
         )
+
+
+def _hide_keys(delta: items.Delta) -> items.Delta:
+    """Returns changes without the keys of tenants, as peers may get them."""
+    return dataclasses.replace(
+        delta,
+        items=tuple(platform_items.hide_keys(each) for each in delta.items),
+        kept=tuple(platform_items.hide_keys(each) for each in delta.kept),
+    )
--- a/packages/operator/src/hyssopwind/operator/checking.py
+++ b/packages/operator/src/hyssopwind/operator/checking.py
@@ -6,6 +6,7 @@
 from hyssopwind.core import findings
 from hyssopwind.core.settings import documents
 from hyssopwind.core.settings import parsing
+from hyssopwind.platform import items as platform_items
 
 # The key `logs` is in both kinds of settings, so it is in neither set.
 TUNING_KEYS = frozenset({"choosing", "repeating", "reading"})
@@ -15,13 +16,18 @@
 def check_file(path: pathlib.Path) -> list[findings.Finding]:
     """Returns the findings of a settings file.
 
-    The top-level keys decide how a file is read: as tuning settings if it has
-    one of `TUNING_KEYS`, as the settings of a daemon if it has one of
-    `DAEMON_KEYS`, and as the settings of a team otherwise.
+    JSON text is read as a configuration of the platform. In TOML text the
+    top-level keys decide how it is read: as tuning settings if it has one of
+    `TUNING_KEYS`, as the settings of a daemon if it has one of `DAEMON_KEYS`,
+    and as the settings of a team otherwise.
     """
     text = read_text(path)
     if isinstance(text, findings.Finding):
         return [text]
+    # No TOML text starts with a brace.
+    if text.lstrip().startswith("{"):
+        record = platform_items.decode_configuration(str(path), text.encode())
+        return list(record.findings)
     if _has_any_key(text, TUNING_KEYS):
         return list(parsing.parse_tuning(text, str(path)).findings)
     if _has_any_key(text, DAEMON_KEYS):
--- a/packages/operator/src/hyssopwind/operator/main.py
+++ b/packages/operator/src/hyssopwind/operator/main.py
@@ -62,10 +62,12 @@
 
 
 class CheckCommand(_Command):
-    """Checks settings files."""
+    """Checks settings files and configurations of the platform."""
 
     name = "check"
-    description = "Checks settings files and reports every finding."
+    description = (
+        "Checks settings files and configurations; reports every finding."
+    )
     arguments = [
         helpers.argument("file", "Settings file.", multiple=True),
     ]
--- a/packages/operator/src/hyssopwind/operator/tests/test_main.py
+++ b/packages/operator/src/hyssopwind/operator/tests/test_main.py
@@ -58,6 +58,27 @@
         self.assertIn('two.toml:6: key "services.trial-looks.dead', output)
         self.assertIn("missing.toml:0: cannot read", output)
 
+    def test_check_reads_a_configuration_of_the_platform(self):
+        tenants = [
+            {
+                "resource_kind": "tenants",
+                "metadata": {"name": name},
+                "spec": {"api_keys": ["secret"], **limits},
+            }
+            for name, limits in (("a", {"rate_per_s": 2}), ("b", {"burst": 1}))
+        ]
+        document = {"version": 1, "resources": tenants}
+        path = self.write("configuration.json", json.dumps(document, indent=1))
+        status, output = self.run_command_line(f"check {path}")
+        self.assertEqual(status, 1)
+        self.assertEqual(len(output.splitlines()), 3)
+        self.assertIn('"a", "b" have a key in common', output)
+        self.assertIn('key "tenants.a": rate without burst', output)
+        self.assertIn('key "tenants.b": burst without rate', output)
+        self.assertNotIn("secret", output)
+        path = self.write("broken.json", '{"version": 1, ')
+        self.assertEqual(self.run_command_line(f"check {path}")[0], 1)
+
     def test_check_writes_json(self):
         invalid = self.write("a.toml", VALID_SETTINGS.replace('"in"', '"away"'))
         _, output = self.run_command_line(f"check --json {invalid}")
--- a/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
@@ -311,6 +311,25 @@
         for name in ("one", "two"):
             self.assertNotIn(f'"{name}"', metrics)
 
+    # Daemons send each other the items of their replicas.
+    async def test_replica_holds_no_key(self):
+        await self.put_version(
+            3,
+            [
+                *self.tenants,
+                documents.make_tenant_resource("three", [KEY, 5]),
+            ],
+        )
+        state = self.daemon._platform_state
+        for revision in (0, state.replica.revision - 1):
+            delta = state.replica.delta_since(revision)
+            (value,) = [
+                item.value for item in delta.items if item.key == "op/config"
+            ]
+            for key in (KEY, OTHER_KEY, SHARED_KEY):
+                self.assertNotIn(key.encode(), value)
+        self.assertEqual((await self.call_with_key(OTHER_KEY))[0], 200)
+
     # A crowd with wrong keys must not fill the log.
     async def test_refusals_of_a_class_have_one_line_a_second(self):
         with logbook.TestHandler().applicationbound() as log:
