--- a/packages/core/src/hyssopwind/core/fleet/change_encoding.py
+++ b/packages/core/src/hyssopwind/core/fleet/change_encoding.py
@@ -257,7 +257,13 @@
                 f'"{key}" at revision {large_value.base_revision} is not held'
             )
         steps = _STEPS_DECODER.decode(value)
-        value = decoding.apply(value_patches.apply_patch, current.value, steps)
+        try:
+            value = decoding.apply(
+                value_patches.apply_patch, current.value, steps
+            )
+        except decoding.DecodeError as error:
+            # The peer's replica has another form of the base.
+            raise BaseMissingError(str(error)) from error
     if _digest(value) != large_value.digest:
         raise BaseMissingError(f'the digest of "{key}" differs')
     return value
