Test the logs of two processes, and handovers with the previous release

Two daemons in processes of their own get keys of every kind and a revocation; no line of their output has a key. Terms without tenants keep their bytes, and a reader without the new fields ignores them.

--- a/packages/core/src/hyssopwind/core/fleet/tests/test_peer_choice.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_peer_choice.py
@@ -2,6 +2,8 @@
 import random
 import unittest
 
+import msgspec
+
 from hyssopwind.core import ids
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -100,3 +102,39 @@
         self.assertTrue(handovers.may_receive_body("west", "east", home))
         self.assertTrue(handovers.may_receive_body("east", "east", home))
         self.assertFalse(handovers.may_receive_body("north", "east", home))
+
+    def make_terms(self):
+        return handovers.Terms("d", 7, 100, 5, True, False, 2, ["i-1"])
+
+    # Daemons send the same bytes as before if no tenants are configured.
+    def test_terms_without_tenants_are_those_of_the_previous_release(self):
+        terms = self.make_terms()
+        self.assertIs(handovers.add_tenant(terms, None, None, None), terms)
+        self.assertEqual(
+            handovers.encode(terms),
+            '{"sender":"d","number":7,"remaining_ms":100,"waited_ms":5,'
+            '"is_idempotent":true,"is_caller_retry":false,"attempts_left":2,'
+            '"tried_servers":["i-1"],"may_have_run":false}',
+        )
+
+    def test_previous_release_ignores_the_tenant(self):
+        class PreviousTerms(msgspec.Struct):
+            sender: str
+            number: int
+            may_have_run: bool = False
+
+        terms = handovers.add_tenant(
+            self.make_terms(), ids.TenantId("a"), ids.KeyDigest("d1"), 3
+        )
+        text = handovers.encode(terms)
+        previous = msgspec.json.decode(text, type=PreviousTerms)
+        self.assertEqual(previous.number, 7)
+        decoded = handovers.decode_terms(text)
+        self.assertEqual((decoded.tenant, decoded.key_digest), ("a", "d1"))
+        self.assertEqual(decoded.configuration_version, 3)
+
+    def test_terms_of_the_previous_release_have_no_tenant(self):
+        decoded = handovers.decode_terms(handovers.encode(self.make_terms()))
+        self.assertFalse(decoded.tenant)
+        self.assertFalse(decoded.key_digest)
+        self.assertFalse(decoded.configuration_version)
--- a/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
@@ -4,6 +4,12 @@
 import dataclasses
 import json
 import logging
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import unittest
 
 import logbook
 
@@ -11,7 +17,11 @@
 from hyssopwind.core.tenants import tenant_table
 from hyssopwind.daemon import headers
 from hyssopwind.daemon import log_output
+from hyssopwind.platform import field_names
 from hyssopwind.standins.site import documents
+from hyssopwind.standins.site import ports
+from hyssopwind.standins.site import server
+from hyssopwind.standins.site import store
 from hyssopwind.standins.tests import site_gateway_case
 from hyssopwind.standins.tests import site_peers_case
 from hyssopwind.transport import boot_clock
@@ -467,3 +477,123 @@
         self.assertIn(b"Tenant: one\r\n", received)
         self.assertNotIn(b"Tenant: x\r\n", received)
         self.assertNotIn(KEY.encode(), received)
+
+
+class ProcessLogTest(unittest.IsolatedAsyncioTestCase):
+    """Two processes of daemons whose whole output is kept."""
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = pathlib.Path(directory.name)
+        self.store = store.StandInStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.server = server.StandInServer(server.ServerOptions("i-1"))
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        entry = documents.make_server_entry(self.server.address)
+        await self.store.put("servers/i-1", entry)
+        await self.publish(1, ["one", "two"])
+        self.ports = ports.find_free_ports(5)
+        self.processes = []
+        for number in (1, 2):
+            self.processes.append(await self.start_daemon(number))
+
+    async def publish(self, version, names):
+        tenants = [
+            documents.make_tenant_resource(name, [f"{KEY}-{name}", SHARED_KEY])
+            for name in names
+        ]
+        unreadable = documents.make_tenant_resource("odd", [OTHER_KEY, 1])
+        route = documents.make_route_resource("safe", "/safe/")
+        document = documents.make_configuration(
+            version, [route, *tenants, unreadable]
+        )
+        await self.store.put("op/config", document)
+
+    async def start_daemon(self, number):
+        ip = f"127.0.0.{number}"
+        path = self.directory / f"daemon-{number}.toml"
+        path.write_text(
+            documents.render_settings(
+                store_address=self.store.address,
+                ports=self.ports[:4],
+                name=f"front-{number}",
+                ip=ip,
+                seed_address=f"127.0.0.1:{self.ports[2]}",
+            )
+        )
+        with (self.directory / f"daemon-{number}.log").open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "hyssopwind.daemon.gateway",
+                env={
+                    **os.environ,
+                    "HYSSOPWIND_BOOT": str(path),
+                    "HYSSOPWIND_METRICS_PORT": str(self.ports[4]),
+                    "HYSSOPWIND_CALLERS_ADDRESS": f"{ip}:{self.ports[0]}",
+                },
+                stdout=log,
+                stderr=log,
+            )
+        self.addAsyncCleanup(self.end, process)
+        return process
+
+    async def end(self, process):
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def fetch(self, ip, port, target, *lines):
+        """Returns the status of a GET; 0 if nothing answers."""
+        try:
+            reader, writer = await asyncio.open_connection(ip, port)
+        except OSError:
+            return 0
+        fields = [f"Host: {documents.HOST}", "Connection: close", *lines]
+        head = "\r\n".join([f"GET {target} HTTP/1.1", *fields])
+        writer.write(head.encode() + b"\r\n\r\n")
+        answer = await reader.read()
+        writer.close()
+        return int(answer.split()[1]) if answer else 0
+
+    async def wait_for_status(self, status, ip, port, target, *lines):
+        async with asyncio.timeout(20.0):
+            while await self.fetch(ip, port, target, *lines) != status:
+                await asyncio.sleep(0.05)
+
+    async def test_no_line_of_any_process_has_a_key(self):
+        key_lines = [
+            f"{field_names.API_KEY}: {key}"
+            for key in (f"{KEY}-one", f"{KEY}-two", SHARED_KEY, OTHER_KEY)
+        ]
+        for ip in ("127.0.0.1", "127.0.0.2"):
+            await self.wait_for_status(200, ip, self.ports[1], "/ready")
+            for target in ("/safe/a", "/other/a"):
+                for lines in (*zip(key_lines), key_lines, ["x" * 3_000]):
+                    await self.fetch(ip, self.ports[0], target, *lines)
+            port = self.ports[0]
+            self.assertEqual(
+                await self.fetch(ip, port, "/safe/a", key_lines[0]), 200
+            )
+            self.assertEqual(
+                await self.fetch(ip, port, "/safe/a", key_lines[3]), 503
+            )
+        await self.publish(2, ["two", "three"])
+        for ip in ("127.0.0.1", "127.0.0.2"):
+            await self.wait_for_status(
+                503, ip, self.ports[0], "/safe/a", key_lines[0]
+            )
+        for process in self.processes:
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(15.0):
+                self.assertEqual(await process.wait(), 0)
+        for number in (1, 2):
+            log = (self.directory / f"daemon-{number}.log").read_text()
+            self.assertIn("requests refused", log)
+            self.assertIn("unreadable item or part of one ignored", log)
+            self.assertIn("stopped", log)
+            for key in (KEY, SHARED_KEY, OTHER_KEY):
+                self.assertNotIn(key, log)
