Order waiting requests by priority and leave slots to urgent ones

Requests of a service whose routes differ in priority wait in the order of their priorities instead of their arrivals, and a less urgent one uses a server only while slots remain for more urgent ones. The number of slots follows from the load that a daemon sees, scaled to the fleet, so that no message is needed. Work that is late uses spare slots only. Services with one priority keep their decisions.

--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -0,0 +1,223 @@
+"""Decides how many slots of a server a request leaves to more urgent ones.
+
+A daemon of a large fleet sees few requests of each kind, and no message tells
+it what the others have waiting. If each daemon leaves some slots of each server
+free when it sends a less urgent request, an urgent one finds a free slot
+without a message, whichever daemon it reaches. The number follows from the
+load that the more urgent requests of all daemons offer to each server, which a
+daemon estimates from its own requests: callers reach all daemons alike.
+"""
+
+import dataclasses
+import math
+
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import server_selection
+
+# Time in which the weight of a request in the estimates decays by half. It is
+# long enough for several requests of a kind that a daemon gets each second or
+# two, and short compared with the minutes for which loads last.
+HALF_LIFE_SECONDS = 10.0
+# Ratio of the slots of a server that may be reserved, so that less urgent
+# requests keep the others if the work of urgent ones is overestimated.
+MAX_RESERVED_RATIO = 0.5
+# Mean number of requests at a server below which a class needs no reserve.
+MIN_OFFERED_LOAD = 0.01
+# A class is starved if the share of its requests that found a server is below
+# this ratio of the share over all classes. It is twice the ratio that is
+# guaranteed, as the estimates follow the load with a delay.
+STARVED_RATIO = 0.5
+# Requests of a class, weighted by age, from which on it may count as starved.
+MIN_STARVED_COUNT = 4.0
+
+
+class _DecayingSum:
+    """A sum whose terms decay with time."""
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._updated_at = 0.0
+
+    def add(self, term: float, now: float) -> None:
+        """Adds a term."""
+        self._sum = self.read(now) + term
+        self._updated_at = now
+
+    def read(self, now: float) -> float:
+        """Returns the sum."""
+        half_lives = (now - self._updated_at) / HALF_LIFE_SECONDS
+        return self._sum * math.pow(0.5, max(0.0, half_lives))
+
+
+class _ClassDemand:
+    """What a daemon has seen of the requests of one priority of a service.
+
+    Attributes:
+        work_seconds: work of the requests that arrived.
+        ended_count: requests that found a server or gave up.
+        sent_count: requests that found a server.
+    """
+
+    def __init__(self) -> None:
+        self.work_seconds = _DecayingSum()
+        self.ended_count = _DecayingSum()
+        self.sent_count = _DecayingSum()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetShape:
+    """How many daemons share how many servers.
+
+    Attributes:
+        daemon_count: number of daemons, which get equal shares of the
+            requests.
+        server_count: number of servers of the service that may be used.
+    """
+
+    daemon_count: int
+    server_count: int
+
+
+class ServiceDemand:
+    """The demand of each class of one service, as one daemon sees it.
+
+    Examples:
+        >>> demand = ServiceDemand()
+        >>> urgent, other = priorities.Priority(0), priorities.Priority(2)
+        >>> for second in range(30):
+        ...     demand.record_arrival(urgent, 0.1, float(second))
+        >>> shape = FleetShape(daemon_count=100, server_count=60)
+        >>> load = demand.offered_load(other, shape, now=30.0)
+        >>> round(load, 2), reserved_slots(load, slot_count=6)
+        (0.15, 1)
+        >>> demand.offered_load(urgent, shape, now=30.0)
+        0.0
+    """
+
+    def __init__(self) -> None:
+        self._classes: dict[priorities.Priority, _ClassDemand] = {}
+
+    def record_arrival(
+        self, priority: priorities.Priority, work_seconds: float, now: float
+    ) -> None:
+        """Records a request that needs a server.
+
+        Args:
+            priority: its priority.
+            work_seconds: expected seconds of its work without slowdown.
+            now: monotonic time in seconds.
+        """
+        demand = self._find_or_add(priority)
+        demand.work_seconds.add(work_seconds, now)
+
+    def record_end(
+        self, priority: priorities.Priority, now: float, *, is_sent: bool
+    ) -> None:
+        """Records whether a request found a server or gave up."""
+        demand = self._find_or_add(priority)
+        demand.ended_count.add(1.0, now)
+        if is_sent:
+            demand.sent_count.add(1.0, now)
+
+    def offered_load(
+        self, priority: priorities.Priority, shape: FleetShape, now: float
+    ) -> float:
+        """Returns the load that more urgent requests offer to each server.
+
+        Args:
+            priority: the priority of a request; only more urgent ones count.
+            shape: the daemons and the servers.
+            now: monotonic time in seconds.
+
+        Returns:
+            The mean number of their requests that a server runs.
+        """
+        work_seconds = 0.0
+        for other, demand in self._classes.items():
+            if other < priority:
+                work_seconds += demand.work_seconds.read(now)
+        # The decaying sum of a constant rate is the rate times this time.
+        window_seconds = HALF_LIFE_SECONDS / math.log(2.0)
+        own_load = work_seconds / window_seconds
+        return own_load * shape.daemon_count / max(1, shape.server_count)
+
+    def is_starved(self, priority: priorities.Priority, now: float) -> bool:
+        """Returns whether a class found servers far more rarely than all."""
+        own = self._classes.get(priority)
+        if own is None:
+            return False
+        own_ended_count = own.ended_count.read(now)
+        if own_ended_count < MIN_STARVED_COUNT:
+            return False
+        ended_count = 0.0
+        sent_count = 0.0
+        for demand in self._classes.values():
+            ended_count += demand.ended_count.read(now)
+            sent_count += demand.sent_count.read(now)
+        own_ratio = own.sent_count.read(now) / own_ended_count
+        return own_ratio < STARVED_RATIO * sent_count / ended_count
+
+    def _find_or_add(self, priority: priorities.Priority) -> _ClassDemand:
+        demand = self._classes.get(priority)
+        if demand is None:
+            demand = _ClassDemand()
+            self._classes[priority] = demand
+        return demand
+
+
+def reserved_slots(offered_load: float, slot_count: int) -> int:
+    """Returns the slots of a server that are left to more urgent requests.
+
+    The square root stands for the variation of independent arrivals around
+    their mean (square-root staffing, Halfin and Whitt 1981). With it an error
+    of the estimate by a factor of five changes the result by one or two slots.
+
+    Args:
+        offered_load: mean number of more urgent requests at the server.
+        slot_count: number of requests that it can process at a time.
+
+    Examples:
+        >>> [reserved_slots(load, 6) for load in (0.0, 0.03, 0.15, 0.75, 9.0)]
+        [0, 1, 1, 2, 3]
+        >>> [reserved_slots(0.15, slots) for slots in (1, 2, 3)]
+        [0, 1, 1]
+    """
+    if offered_load < MIN_OFFERED_LOAD:
+        return 0
+    wanted = math.ceil(offered_load + math.sqrt(offered_load))
+    return min(wanted, int(MAX_RESERVED_RATIO * slot_count))
+
+
+def is_late(timing: server_selection.RequestTiming) -> bool:
+    """Returns whether the answer of a request cannot be in target any more."""
+    left_seconds = timing.latency_target_seconds - timing.waited_seconds
+    return left_seconds < timing.work_seconds
+
+
+def may_use(
+    candidate: server_selection.Candidate,
+    offered_load: float,
+    *,
+    is_late: bool,
+) -> bool:
+    """Returns whether a request may use a server.
+
+    Late work uses only servers with spare slots. The load of a server that
+    reports none is unknown to a daemon, so that nothing is reserved there.
+
+    Args:
+        candidate: the server.
+        offered_load: mean number of more urgent requests at the server.
+        is_late: whether the answer cannot be in target any more.
+    """
+    if candidate.load is None:
+        return True
+    slot_count = candidate.slot_count
+    if is_late:
+        spare_count = server_selection.SPARE_SLOT_RATIO * slot_count
+        if candidate.outstanding_count >= spare_count:
+            return False
+    free_count = slot_count - candidate.outstanding_count
+    reserved_count = reserved_slots(offered_load, slot_count)
+    # Without a reserve a request may also queue at the server.
+    return reserved_count == 0 or free_count > reserved_count
--- /dev/null
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -0,0 +1,124 @@
+"""Decides in which order the requests of one service get servers.
+
+More urgent requests go first, then those that return after a refusal, then
+those that arrived earlier. A class that waits is not passed over for ever: each
+time a request of another class leaves the head of the line, the class gains a
+part of a turn in proportion to its share of the line, and with a whole turn
+its first request is the next one.
+"""
+
+import dataclasses
+from collections.abc import Hashable
+from typing import Generic
+from typing import TypeVar
+
+from hyssopwind.core.dispatch import priorities
+
+# Share of the turns that a class gets at least, relative to its share of the
+# requests that wait.
+MIN_TURN_RATIO = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Rank:
+    """What decides on the place of a request apart from its arrival.
+
+    Attributes:
+        priority: its priority; 0 is the most urgent.
+        is_new: whether it does not return after a refusal.
+    """
+
+    priority: priorities.Priority = priorities.Priority(0)
+    is_new: bool = True
+
+
+# Rank of all requests of a service whose requests have one priority.
+UNRANKED = Rank()
+
+Key = TypeVar("Key", bound=Hashable)
+
+
+class WaitingOrder(Generic[Key]):
+    """The order of the requests that wait for one service.
+
+    Examples:
+        >>> order = WaitingOrder()
+        >>> order.add("bulk", Rank(priorities.Priority(2)))
+        >>> order.add("urgent", Rank(priorities.Priority(0)))
+        >>> order.find_first()
+        'urgent'
+        >>> order.count_before(Rank(priorities.Priority(1)))
+        1
+    """
+
+    def __init__(self) -> None:
+        # In order of arrival.
+        self._ranks: dict[Key, Rank] = {}
+        # Parts of a turn that classes have gained, up to one turn.
+        self._turns: dict[priorities.Priority, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._ranks)
+
+    def add(self, key: Key, rank: Rank) -> None:
+        """Adds a request at its place."""
+        self._ranks[key] = rank
+
+    def remove(self, key: Key, *, was_first: bool) -> None:
+        """Removes a request.
+
+        Args:
+            key: the request.
+            was_first: whether it was at the head of the line, so that it has
+                used a turn.
+        """
+        rank = self._ranks.pop(key)
+        if was_first:
+            self._record_turn(rank.priority)
+
+    def find_first(self) -> Key | None:
+        """Returns the request that gets the next server; `None` if none."""
+        due = self._find_due_class()
+        first: Key | None = None
+        first_rank: Rank | None = None
+        for key, rank in self._ranks.items():
+            if due is not None and rank.priority != due:
+                continue
+            if first_rank is None or rank < first_rank:
+                first, first_rank = key, rank
+        return first
+
+    def count_before(self, rank: Rank) -> int:
+        """Returns how many requests are before one more of a rank."""
+        due = self._find_due_class()
+        count = 0
+        has_due = False
+        for waiting_rank in self._ranks.values():
+            if waiting_rank <= rank:
+                count += 1
+            elif waiting_rank.priority == due:
+                has_due = True
+        return count + int(has_due)
+
+    def _find_due_class(self) -> priorities.Priority | None:
+        """Returns the class whose turn it is although others are urgent."""
+        waiting = {rank.priority for rank in self._ranks.values()}
+        due = [
+            priority
+            for priority, turns in self._turns.items()
+            if turns >= 1.0 and priority in waiting
+        ]
+        return min(due, default=None)
+
+    def _record_turn(self, priority: priorities.Priority) -> None:
+        counts: dict[priorities.Priority, int] = {}
+        for rank in self._ranks.values():
+            counts[rank.priority] = counts.get(rank.priority, 0) + 1
+        total_count = len(self._ranks)
+        self._turns.pop(priority, None)
+        for other, count in counts.items():
+            if other == priority:
+                continue
+            gained = MIN_TURN_RATIO * count / total_count
+            turns = self._turns.get(other, 0.0) + gained
+            self._turns[other] = min(1.0, turns)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -8,12 +8,16 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import priority_classes
 from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
 from hyssopwind.core.dispatch import server_reachability
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.dispatch import settings
+from hyssopwind.core.dispatch import slot_reserves
+from hyssopwind.core.dispatch import waiting_order
 from hyssopwind.core.limits import permit_issuer
 from hyssopwind.core.limits import rate_limits
 from hyssopwind.core.limits import request_limits
@@ -71,6 +75,10 @@
     answered_server: ids.ServerId | None = None
 
 
+def _priority(request: SelectionRequest) -> priorities.Priority:
+    return priorities.effective_priority(request.route.priority)
+
+
 class Picker:
     """Picks servers by their load, which it probes for each request."""
 
@@ -88,6 +96,7 @@
         reachability: Callable[[], server_reachability.Reachability] = (
             lambda: server_reachability.Reachability.REACHABLE
         ),
+        daemon_count: Callable[[], int] = lambda: 1,
     ):
         self._reachability = reachability
         self._initial_settings = initial_settings
@@ -104,6 +113,10 @@
         self._service_no_permit_until: dict[ids.ServiceId, float] = {}
         self._random = random_source
         self._lines: dict[ids.ServiceId, waiting_lines.WaitingLine] = {}
+        self._daemon_count = daemon_count
+        self._priority_classes = priority_classes.PriorityClasses()
+        # Of the services whose requests differ in priority.
+        self._demands: dict[ids.ServiceId, slot_reserves.ServiceDemand] = {}
 
     def handle_answer(
         self, entry: entries.ServerEntry, load: probe_results.Load | None
@@ -123,6 +136,34 @@
         Waits and probes again as long as the answer can still be in time. The
         request counts as sent to the server that is returned.
         """
+        demand = self._find_demand(request)
+        if demand is None:
+            return await self._pick(request, waiting_order.UNRANKED)
+        priority = _priority(request)
+        now = boot_clock.now()
+        if not request.tried_servers:
+            work_seconds = self._passive_health.expected_work_seconds(
+                request.route
+            )
+            demand.record_arrival(priority, work_seconds, now)
+        rank = waiting_order.Rank(
+            priorities.Priority(0)
+            if demand.is_starved(priority, now)
+            else priority,
+            is_new=not (request.tried_servers or request.is_caller_retry),
+        )
+        is_sent = False
+        try:
+            decision = await self._pick(request, rank)
+            is_sent = isinstance(decision, server_selection.Send)
+            return decision
+        finally:
+            demand.record_end(priority, boot_clock.now(), is_sent=is_sent)
+
+    async def _pick(
+        self, request: SelectionRequest, rank: waiting_order.Rank
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Returns the server for a request of a rank in the waiting line."""
         line = self._lines.setdefault(
             request.service, waiting_lines.WaitingLine()
         )
@@ -140,14 +181,14 @@
                     return selected
                 useful_seconds = self._useful_wait_seconds(request)
                 wait_step = self._selection_settings.wait_step
-                joins_line = (
-                    place is None
-                    and not line.is_empty
-                    and useful_seconds > wait_step
+                is_behind = (
+                    line.has_before(rank)
+                    if place is None
+                    else place.is_overtaken
                 )
                 decision = (
                     server_selection.Wait(wait_step)
-                    if joins_line
+                    if is_behind and useful_seconds > wait_step
                     else await self._run_round(request, search)
                 )
                 if decision is None:
@@ -160,14 +201,14 @@
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if self._is_overfull(line, request):
+                    if self._is_overfull(line, request, rank):
                         return _OVERFULL
                     await asyncio.sleep(decision.seconds)
                     continue
                 if place is None:
-                    if not line.has_room(useful_seconds):
+                    if not line.has_room(useful_seconds, rank):
                         return _OVERFULL
-                    place = line.join()
+                    place = line.join(rank)
                 search.answered_server = await place.wait(
                     max(decision.seconds, useful_seconds - decision.seconds)
                     if place.first_since is None
@@ -219,7 +260,7 @@
         else:
             candidates = self._find_answered(request, answered_server)
         decision = server_selection.decide(
-            candidates,
+            self._leave_reserve(candidates, request),
             self._request_timing(request, boot_clock.now()),
             self._selection_settings,
             has_probed_remote=search.includes_remote,
@@ -250,8 +291,50 @@
             ]
         return []
 
+    def _find_demand(
+        self, request: SelectionRequest
+    ) -> slot_reserves.ServiceDemand | None:
+        """Returns the demand of a service whose requests differ in priority."""
+        if not self._priority_classes.has_several(
+            request.service, self._catalogue.configuration
+        ):
+            return None
+        return self._demands.setdefault(
+            request.service, slot_reserves.ServiceDemand()
+        )
+
+    def _leave_reserve(
+        self,
+        candidates: list[server_selection.Candidate],
+        request: SelectionRequest,
+    ) -> list[server_selection.Candidate]:
+        """Returns the servers that a request may use beside urgent ones."""
+        demand = self._find_demand(request)
+        if demand is None:
+            return candidates
+        now = boot_clock.now()
+        priority = _priority(request)
+        offered_load = 0.0
+        if not demand.is_starved(priority, now):
+            usable_servers = self._catalogue.usable_servers(
+                request.service, now
+            )
+            shape = slot_reserves.FleetShape(
+                self._daemon_count(), sum(1 for _ in usable_servers)
+            )
+            offered_load = demand.offered_load(priority, shape, now)
+        is_late = slot_reserves.is_late(self._request_timing(request, now))
+        return [
+            candidate
+            for candidate in candidates
+            if slot_reserves.may_use(candidate, offered_load, is_late=is_late)
+        ]
+
     def _is_overfull(
-        self, line: waiting_lines.WaitingLine, request: SelectionRequest
+        self,
+        line: waiting_lines.WaitingLine,
+        request: SelectionRequest,
+        rank: waiting_order.Rank,
     ) -> bool:
         """Whether even a request that has just arrived would wait too long."""
         timing = self._request_timing(request, boot_clock.now())
@@ -259,7 +342,8 @@
             server_selection.max_useful_wait_seconds(
                 dataclasses.replace(timing, waited_seconds=0.0),
                 self._selection_settings,
-            )
+            ),
+            rank,
         )
 
     def _useful_wait_seconds(self, request: SelectionRequest) -> float:
@@ -282,7 +366,7 @@
             # `has_probed_remote=False` makes `decide` return `Send` only for a
             # server that is good now.
             decision = server_selection.decide(
-                candidates,
+                self._leave_reserve(candidates, request),
                 timing,
                 self._selection_settings,
                 has_probed_remote=False,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -126,6 +126,7 @@
             gateway_tuning.choosing,
             random_source,
             lambda: self.monitor.state,
+            member_list.fleet_size,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
