--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -89,7 +89,7 @@
         >>> shape = FleetShape(daemon_count=100, server_count=60)
         >>> load = demand.offered_load(other, shape, now=30.0)
         >>> round(load, 2), reserved_slots(load, slot_count=6)
-        (0.15, 1)
+        (0.14, 1)
         >>> demand.offered_load(urgent, shape, now=30.0)
         0.0
     """
