Let urgent requests take the slots that others leave free

Late work went to slowed servers, since reserved ones were left out of the candidates; reserved servers are now marked instead. An urgent request takes a free slot of a congested server at once if its answer is still in target, which is what the others leave that slot for.

--- a/packages/core/src/hyssopwind/core/dispatch/server_selection.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_selection.py
@@ -59,6 +59,7 @@
             recently.
         congestion_ratio: how many times longer work takes on a congested
             server.
+        is_reserved: whether its free slots are left to other requests.
     """
 
     server: ids.ServerId
@@ -68,6 +69,7 @@
     in_flight_count: int = 0
     penalty_ratio: float = 1.0
     congestion_ratio: float = 1.0
+    is_reserved: bool = False
 
     @property
     def outstanding_count(self) -> int:
@@ -223,6 +225,8 @@
 
 def has_queue_capacity(candidate: Candidate) -> bool:
     """Returns whether a server is likely to accept one more request."""
+    if candidate.is_reserved:
+        return False
     load = candidate.load
     if load is None:
         return True
@@ -236,6 +240,7 @@
     settings: tuning.SelectionSettings,
     *,
     has_probed_remote: bool,
+    may_congest: bool = False,
 ) -> Decision:
     """Returns the decision for a request.
 
@@ -245,6 +250,8 @@
         settings: the settings of server selection.
         has_probed_remote: whether servers of other data centres were probed
             too.
+        may_congest: whether it uses a free slot that makes a server congested
+            rather than to wait, if its answer is still in target.
     """
     if timing.remaining_seconds < MIN_TIME_LEFT_RATIO * timing.work_seconds:
         return Refuse("too little time is left for the work")
@@ -262,6 +269,9 @@
     if not has_probed_remote:
         return ProbeRemote()
     time_left = timing.latency_target_seconds - timing.waited_seconds
+    if may_congest and _is_free_in_target(best, timing, settings):
+        assert best is not None
+        return _make_send(best, timing)
     if time_left > settings.wait_step + good_seconds:
         return Wait(settings.wait_step)
     decision = _decide_late(best, timing, settings)
@@ -301,6 +311,19 @@
     return best, lowest_cost
 
 
+def _is_free_in_target(
+    best: Candidate | None,
+    timing: RequestTiming,
+    settings: tuning.SelectionSettings,
+) -> bool:
+    """Whether a server has a free slot and its answer is in target."""
+    if best is None or best.outstanding_count >= best.slot_count:
+        return False
+    time_left = timing.latency_target_seconds - timing.waited_seconds
+    estimated_seconds = estimated_answer_seconds(best, timing.work_seconds)
+    return settings.good_factor * estimated_seconds <= time_left
+
+
 def _decide_late(
     best: Candidate | None,
     timing: RequestTiming,
--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -141,6 +141,10 @@
         own_load = work_seconds / window_seconds
         return own_load * shape.daemon_count / max(1, shape.server_count)
 
+    def has_less_urgent(self, priority: priorities.Priority) -> bool:
+        """Returns whether requests of a less urgent class were seen."""
+        return any(other > priority for other in self._classes)
+
     def is_starved(self, priority: priorities.Priority, now: float) -> bool:
         """Returns whether a class found servers far more rarely than all."""
         own = self._classes.get(priority)
@@ -194,30 +198,42 @@
     return left_seconds < timing.work_seconds
 
 
-def may_use(
+def mark_reserved(
     candidate: server_selection.Candidate,
+    timing: server_selection.RequestTiming,
     offered_load: float,
-    *,
-    is_late: bool,
-) -> bool:
-    """Returns whether a request may use a server.
+    good_factor: float,
+) -> server_selection.Candidate:
+    """Returns a server, marked if a request must not use it.
 
-    Late work uses only servers with spare slots. The load of a server that
+    Late work uses only good servers with spare slots. The load of a server that
     reports none is unknown to a daemon, so that nothing is reserved there.
 
     Args:
         candidate: the server.
+        timing: the times of the request.
         offered_load: mean number of more urgent requests at the server.
-        is_late: whether the answer cannot be in target any more.
+        good_factor: multiple of the work up to which an estimate is good.
     """
     if candidate.load is None:
-        return True
+        return candidate
     slot_count = candidate.slot_count
-    if is_late:
-        spare_count = server_selection.SPARE_SLOT_RATIO * slot_count
-        if candidate.outstanding_count >= spare_count:
-            return False
-    free_count = slot_count - candidate.outstanding_count
-    reserved_count = reserved_slots(offered_load, slot_count)
-    # Without a reserve a request may also queue at the server.
-    return reserved_count == 0 or free_count > reserved_count
+    outstanding_count = candidate.outstanding_count
+    if is_late(timing):
+        estimated_seconds = server_selection.estimated_answer_seconds(
+            candidate, timing.work_seconds
+        )
+        is_free = (
+            outstanding_count < server_selection.SPARE_SLOT_RATIO * slot_count
+            and estimated_seconds <= good_factor * timing.work_seconds
+        )
+    else:
+        # Without a reserve a request may also queue at the server.
+        reserved_count = reserved_slots(offered_load, slot_count)
+        is_free = (
+            reserved_count == 0
+            or outstanding_count + reserved_count < slot_count
+        )
+    if is_free:
+        return candidate
+    return dataclasses.replace(candidate, is_reserved=True)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -264,6 +264,7 @@
             self._request_timing(request, boot_clock.now()),
             self._selection_settings,
             has_probed_remote=search.includes_remote,
+            may_congest=self._may_congest(request),
         )
         if isinstance(decision, server_selection.ProbeRemote):
             search.includes_remote = True
@@ -308,7 +309,7 @@
         candidates: list[server_selection.Candidate],
         request: SelectionRequest,
     ) -> list[server_selection.Candidate]:
-        """Returns the servers that a request may use beside urgent ones."""
+        """Returns the servers, marked where slots are left to urgent ones."""
         demand = self._find_demand(request)
         if demand is None:
             return candidates
@@ -323,13 +324,20 @@
                 self._daemon_count(), sum(1 for _ in usable_servers)
             )
             offered_load = demand.offered_load(priority, shape, now)
-        is_late = slot_reserves.is_late(self._request_timing(request, now))
+        timing = self._request_timing(request, now)
+        good_factor = self._selection_settings.good_factor
         return [
-            candidate
+            slot_reserves.mark_reserved(
+                candidate, timing, offered_load, good_factor
+            )
             for candidate in candidates
-            if slot_reserves.may_use(candidate, offered_load, is_late=is_late)
         ]
 
+    def _may_congest(self, request: SelectionRequest) -> bool:
+        """Whether other requests leave slots to a request."""
+        demand = self._find_demand(request)
+        return demand is not None and demand.has_less_urgent(_priority(request))
+
     def _is_overfull(
         self,
         line: waiting_lines.WaitingLine,
