Divide the retry budget of a service by priority

Cause: when all servers of a service reject half of the arrivals, the retry budget runs short, and the most urgent requests were served as rarely as the others. A share of the budget below one retry was never used.

Change: less urgent requests leave the retries that more urgent ones are likely to need in the rest of the window; requests with shorter work leave less of them. Hedges leave what all retries need. The most urgent class rounds the share of its daemon up in as many windows as its fraction states. A retry that is denied is not preceded by a search for a server.

Services with one priority decide as before.

--- a/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
@@ -5,15 +5,26 @@
 own requests and an equal part of the fixed number, so that no messages are
 needed. The equal parts are computed from the largest number of daemons seen
 recently, because a daemon that cannot be reached may go on spending its part.
+
+If a service has requests of several priorities, the less urgent ones leave a
+reserve for the more urgent ones (`retry_reserves`). Otherwise requests are
+served in the order in which they ask.
 """
 
 import collections
 import dataclasses
+import zlib
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.settings import tuning
 
+DEFAULT_PRIORITY = priorities.Priority(0)
+# Multiples of it modulo 1 are spread evenly.
+GOLDEN_RATIO = 0.6180339887498949
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetRetrySettings:
@@ -46,6 +57,16 @@
     )
 
 
+def rounding_phase(daemon: ids.DaemonId) -> float:
+    """Returns a number from 0 to 1 that differs between daemons.
+
+    Examples:
+        >>> round(rounding_phase(ids.DaemonId("a")), 3)
+        0.909
+    """
+    return zlib.crc32(daemon.encode()) / 2**32
+
+
 class FleetRetryBudget:
     """Counts requests and retries of each service in a sliding window.
 
@@ -60,43 +81,149 @@
         True
     """
 
-    def __init__(self, retry_settings: FleetRetrySettings):
+    def __init__(
+        self, retry_settings: FleetRetrySettings, rounding_phase: float = 0.0
+    ):
+        """Creates a budget without any requests.
+
+        Args:
+            retry_settings: the budget of the fleet.
+            rounding_phase: a number from 0 to 1 that differs between daemons.
+        """
         self._settings = retry_settings
+        self._rounding_phase = rounding_phase
         self._requests: dict[ids.ServiceId, collections.deque[float]] = {}
         self._retries: dict[ids.ServiceId, collections.deque[float]] = {}
+        self._reserves: dict[ids.ServiceId, retry_reserves.RetryReserves] = {}
 
     def apply_settings(self, retry_settings: FleetRetrySettings) -> None:
         """Puts changed settings in force."""
         self._settings = retry_settings
 
-    def record_request(self, service: ids.ServiceId, now: float) -> None:
-        """Counts a request of a caller."""
+    def record_request(
+        self,
+        service: ids.ServiceId,
+        now: float,
+        priority: priorities.Priority = DEFAULT_PRIORITY,
+        work_seconds: float = 0.0,
+        max_retries: int = 1,
+    ) -> None:
+        """Counts a request of a caller.
+
+        Args:
+            service: its service.
+            now: monotonic time in seconds.
+            priority: its priority.
+            work_seconds: expected seconds of its work.
+            max_retries: number of retries that its route allows.
+        """
         self._recent_times(self._requests, service, now).append(now)
+        self.reserves(service, now).record_request(
+            priority, work_seconds, max_retries, now
+        )
 
-    def withdraw_request(self, service: ids.ServiceId) -> None:
+    def withdraw_request(
+        self,
+        service: ids.ServiceId,
+        priority: priorities.Priority = DEFAULT_PRIORITY,
+    ) -> None:
         """Takes back a request that another daemon sends and counts."""
         times = self._requests.get(service)
         if times:
             times.pop()
+            self._reserves[service].withdraw_request(priority)
+
+    def record_attempt(
+        self, service: ids.ServiceId, *, has_failed: bool
+    ) -> None:
+        """Records whether another server may be tried after an attempt."""
+        reserves = self._reserves.get(service)
+        if reserves is not None:
+            reserves.record_attempt(has_failed=has_failed)
+
+    def reserves(
+        self, service: ids.ServiceId, now: float
+    ) -> retry_reserves.RetryReserves:
+        """Returns the reserves of a service as of now."""
+        reserves = self._reserves.get(service)
+        if reserves is None:
+            reserves = retry_reserves.RetryReserves()
+            self._reserves[service] = reserves
+        reserves.expire(now - self._settings.window_seconds)
+        return reserves
 
     def try_acquire(
-        self, service: ids.ServiceId, now: float, daemon_count: int
+        self,
+        service: ids.ServiceId,
+        now: float,
+        daemon_count: int,
+        demand: retry_reserves.RetryDemand | None = None,
     ) -> bool:
-        """Acquires one retry and returns whether it is allowed."""
-        if self.available_count(service, now, daemon_count) < 1.0:
+        """Acquires one retry and returns whether it is allowed.
+
+        Args:
+            service: the service of the request.
+            now: monotonic time in seconds.
+            daemon_count: number of daemons that share the budget.
+            demand: the request that needs it; `None` if all are equal.
+        """
+        if not self.may_acquire(service, now, daemon_count, demand):
             return False
         self._recent_times(self._retries, service, now).append(now)
+        if demand is not None:
+            self._reserves[service].record_retry(demand, now)
         return True
 
+    def may_acquire(
+        self,
+        service: ids.ServiceId,
+        now: float,
+        daemon_count: int,
+        demand: retry_reserves.RetryDemand | None = None,
+    ) -> bool:
+        """Returns whether one retry is allowed now."""
+        available_count = self.available_count(service, now, daemon_count)
+        if demand is None:
+            return available_count >= 1.0
+        reserves = self.reserves(service, now)
+        available_count -= reserves.reserved_count(demand)
+        if available_count >= 1.0:
+            return True
+        if (
+            demand.kind is retry_reserves.RetryKind.HEDGE
+            or not reserves.has_several_classes
+            or not reserves.is_most_urgent(demand.priority)
+        ):
+            return False
+        return available_count >= 1.0 - self._rounding_draw(now)
+
     def available_count(
         self, service: ids.ServiceId, now: float, daemon_count: int
     ) -> float:
         """Returns the number of retries that are left, with fractions."""
-        request_count = len(self._recent_times(self._requests, service, now))
         retry_count = len(self._recent_times(self._retries, service, now))
+        share = self._share(service, now, daemon_count)
+        return self._settings.spent_ratio * share - retry_count
+
+    def _share(
+        self, service: ids.ServiceId, now: float, daemon_count: int
+    ) -> float:
+        """Returns the daemon's share of the budget in the present window."""
+        request_count = len(self._recent_times(self._requests, service, now))
         allowed = self._settings.ratio * request_count
-        allowed += self._settings.slack / max(1, daemon_count)
-        return self._settings.spent_ratio * allowed - retry_count
+        return allowed + self._settings.slack / max(1, daemon_count)
+
+    def _rounding_draw(self, now: float) -> float:
+        """Returns the part of a retry that is granted beyond the share now.
+
+        The share of a daemon with little traffic is a small number with a
+        fraction, which would be lost in each window. The most urgent class
+        rounds it up in as many windows as the fraction states. The draws are
+        spread evenly over the windows and differ between daemons, so that the
+        sum over the fleet stays the same.
+        """
+        window_number = int(now / self._settings.window_seconds)
+        return (self._rounding_phase + window_number * GOLDEN_RATIO) % 1.0
 
     def _recent_times(
         self,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -12,7 +12,9 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import retry_policy
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -52,6 +54,7 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to.
         max_attempts: number of servers that it may be sent to.
+        priority: its priority.
         spent_seconds: seconds that the caller spent on earlier requests that
             were refused, or at the daemon that handed it over.
         is_caller_retry: whether the caller retries it after a refusal.
@@ -70,6 +73,7 @@
     deadline: float
     tried_servers: set[ids.ServerId]
     max_attempts: int
+    priority: priorities.Priority
     spent_seconds: float = 0.0
     is_caller_retry: bool = False
     terms: handovers.Terms | None = None
@@ -116,6 +120,7 @@
         + min(route.timeout_seconds, terms.remaining_ms / 1000),
         tried_servers,
         len(tried_servers) + terms.attempts_left,
+        priorities.effective_priority(route.priority),
         terms.waited_ms / 1000,
         is_caller_retry=terms.is_caller_retry,
         terms=terms,
@@ -295,7 +300,14 @@
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        self._retry_budget.record_request(service, request.arrived_at)
+        priority = priorities.effective_priority(route.priority)
+        self._retry_budget.record_request(
+            service,
+            request.arrived_at,
+            priority,
+            self._picker.expected_work_seconds(route),
+            route.max_attempts - 1,
+        )
         if terms is not None:
             return _create_peer_context(request, route, service, terms)
         caller_timeout_seconds = _read_caller_timeout(request)
@@ -315,6 +327,7 @@
             deadline,
             set(),
             route.max_attempts,
+            priority,
             spent_seconds,
             is_caller_retry=spent_seconds
             > retry_policy.CALLER_RETRY_MIN_SECONDS,
@@ -342,6 +355,8 @@
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
+            if self._is_retry(context) and self._is_retry_hopeless(context):
+                return self._final_outcome(context)
             selected = await self._picker.pick(self._selection_request(context))
             if isinstance(selected, server_selection.Refuse):
                 if (
@@ -430,7 +445,9 @@
                 and handed.outcome.reason in handovers.PEER_REASONS
             ):
                 continue
-            self._retry_budget.withdraw_request(context.service)
+            self._retry_budget.withdraw_request(
+                context.service, context.priority
+            )
             if isinstance(handed.outcome, outcomes.NotRun):
                 failure = handed.outcome
                 break
@@ -498,9 +515,43 @@
             context.terms is not None and context.terms.may_have_run
         )
 
-    def _try_acquire_retry(self, context: _RequestContext) -> bool:
+    def _is_retry_hopeless(self, context: _RequestContext) -> bool:
+        """Whether a retry is denied, so that a server need not be searched.
+
+        Services with requests of one class search first, as a retry may become
+        available meanwhile.
+        """
+        now = boot_clock.now()
+        reserves = self._retry_budget.reserves(context.service, now)
+        return reserves.has_several_classes and not (
+            self._retry_budget.may_acquire(
+                context.service,
+                now,
+                self._daemon_count(),
+                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
+            )
+        )
+
+    def _retry_demand(
+        self, context: _RequestContext, kind: retry_reserves.RetryKind
+    ) -> retry_reserves.RetryDemand:
+        return retry_reserves.RetryDemand(
+            context.priority,
+            self._picker.expected_work_seconds(context.route),
+            kind,
+            is_caller_retry=context.is_caller_retry,
+        )
+
+    def _try_acquire_retry(
+        self,
+        context: _RequestContext,
+        kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
+    ) -> bool:
         return self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count()
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            self._retry_demand(context, kind),
         )
 
     async def _attempt_with_hedge(
@@ -552,7 +603,7 @@
         selected = search.result()
         if selected is None or not self._is_listed(selected):
             return None
-        if not self._try_acquire_retry(context):
+        if not self._try_acquire_retry(context, retry_reserves.RetryKind.HEDGE):
             return None
         return self._start_attempt(context, selected)
 
@@ -603,6 +654,9 @@
         self, context: _RequestContext, attempt_request: sending.AttemptRequest
     ) -> attempt_results.AttemptResult:
         result = await self._sender.send(attempt_request)
+        self._retry_budget.record_attempt(
+            context.service, has_failed=retry_policy.is_failure(result)
+        )
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -293,6 +293,10 @@
                 return decision
         return None
 
+    def expected_work_seconds(self, route: tables.Route) -> float:
+        """Returns the expected seconds of work on a route without slowdown."""
+        return self._passive_health.expected_work_seconds(route)
+
     def check_server(self, server: ids.ServerId) -> None:
         """Probes a server at which a request takes longer than expected."""
         listed_server = self._catalogue.find(server)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -130,7 +130,8 @@
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
                 gateway_settings, gateway_tuning.repeating
-            )
+            ),
+            fleet_retry_budgets.rounding_phase(gateway_settings.name),
         )
         self._sender = sending.Sender(
             pool,
