--- a/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
@@ -6,6 +6,7 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import handovers
 from hyssopwind.core.requests import refusal_lines
@@ -47,6 +48,13 @@
         """The tenant of the request, if it has one."""
         return self.accepted.tenant
 
+    def priority(self, route: tables.Route) -> priorities.Priority:
+        """Returns the priority of the request on a route."""
+        return priorities.effective_priority(
+            route.priority,
+            None if self.tenant is None else self.tenant.priority,
+        )
+
     def prepare(
         self, request: caller_requests.CallerRequest
     ) -> caller_requests.CallerRequest:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -57,7 +57,6 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to.
         max_attempts: number of servers that it may be sent to.
-        priority: its priority.
         spent_seconds: seconds that the caller spent on earlier requests that
             were refused, or at the daemon that handed it over.
         is_caller_retry: whether the caller retries it after a refusal.
@@ -80,7 +79,6 @@
     deadline: float
     tried_servers: set[ids.ServerId]
     max_attempts: int
-    priority: priorities.Priority
     spent_seconds: float = 0.0
     is_caller_retry: bool = False
     terms: handovers.Terms | None = None
@@ -99,10 +97,7 @@
     @property
     def priority(self) -> priorities.Priority:
         """Its priority, by its route and its tenant."""
-        tenant = self.admission.tenant
-        return priorities.effective_priority(
-            self.route.priority, None if tenant is None else tenant.priority
-        )
+        return self.admission.priority(self.route)
 
 
 def _read_caller_timeout(
@@ -139,7 +134,6 @@
         + min(route.timeout_seconds, terms.remaining_ms / 1000),
         tried_servers,
         len(tried_servers) + terms.attempts_left,
-        priorities.effective_priority(route.priority),
         terms.waited_ms / 1000,
         is_caller_retry=terms.is_caller_retry,
         terms=terms,
@@ -355,11 +349,10 @@
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        priority = priorities.effective_priority(route.priority)
         self._retry_budget.record_request(
             service,
             request.arrived_at,
-            priority,
+            admission.priority(route),
             self._picker.expected_work_seconds(route),
             route.max_attempts - 1,
         )
@@ -385,7 +378,6 @@
             deadline,
             set(),
             route.max_attempts,
-            priority,
             spent_seconds,
             is_caller_retry=spent_seconds
             > retry_policy.CALLER_RETRY_MIN_SECONDS,
--- a/packages/standins/src/hyssopwind/standins/virtual/kind_load.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/kind_load.py
@@ -19,6 +19,7 @@
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.discovery import records
 from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import probe_budgets
 from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import retry_policy
@@ -503,6 +504,7 @@
                     call.started_at + call.route.timeout_seconds,
                     frozenset(tried_servers),
                     spent_seconds > retry_policy.CALLER_RETRY_MIN_SECONDS,
+                    priorities.effective_priority(call.route.priority),
                 )
             )
             if isinstance(picked, server_selection.Refuse):
