--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -14,6 +14,7 @@
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import retry_policy
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -68,6 +69,7 @@
         last_result: result of the latest attempt.
         is_refusal_counted: whether its refusal has part in a line about many,
             and gets none of its own.
+        granted: the part of its tenant's allowance that it was granted.
     """
 
     request: caller_requests.CallerRequest
@@ -90,14 +92,12 @@
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
     is_refusal_counted: bool = False
+    granted: allowance_results.Granted | None = None
 
     @property
     def priority(self) -> priorities.Priority:
         """Its priority, by its route and its tenant."""
-        tenant = self.admission.tenant
-        return priorities.effective_priority(
-            self.route.priority, None if tenant is None else tenant.priority
-        )
+        return self.admission.priority(self.route)
 
 
 def _read_caller_timeout(
@@ -171,11 +171,15 @@
         acquire_allowance: allowance_results.Acquire = (
             allowance_results.grant_all
         ),
+        release_allowance: allowance_results.Release = (
+            allowance_results.keep_released
+        ),
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
         self._authenticator = request_authenticator
         self._acquire_allowance = acquire_allowance
+        self._release_allowance = release_allowance
         self._picker = server_picker
         self._sender = sender
         self._monitor = monitor
@@ -317,6 +321,8 @@
                 extra=self._log_fields(context),
             )
             raise
+        if context.granted is not None and isinstance(outcome, outcomes.NotRun):
+            self._release_allowance(context.granted)
         if context.is_refusal_counted:
             return outcome
         return self._log_outcome(request, context, outcome)
@@ -343,7 +349,13 @@
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        self._retry_budget.record_request(service, request.arrived_at)
+        self._retry_budget.record_request(
+            service,
+            request.arrived_at,
+            admission.priority(route),
+            self._picker.expected_work_seconds(route),
+            route.max_attempts - 1,
+        )
         if terms is not None:
             return _create_peer_context(
                 request, admission, route, service, terms
@@ -398,8 +410,11 @@
             return None
         result = await self._acquire_allowance(admission.tenant)
         if isinstance(result, allowance_results.Granted):
+            context.granted = result
             return None
         context.is_refusal_counted = True
+        # It is not sent, so it does not count for the retries of the service.
+        self._retry_budget.withdraw_request(context.service)
         if result.cause is allowance_results.DenialCause.EXHAUSTED:
             return outcomes.NotRun(
                 outcomes.Reason.TENANT_LIMIT,
@@ -416,6 +431,8 @@
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
+            if self._is_retry(context) and self._is_retry_hopeless(context):
+                return self._final_outcome(context)
             selected = await self._picker.pick(self._selection_request(context))
             if isinstance(selected, server_selection.Refuse):
                 if (
@@ -533,7 +550,9 @@
                 and handed.outcome.reason in handovers.PEER_REASONS
             ):
                 continue
-            self._retry_budget.withdraw_request(context.service)
+            self._retry_budget.withdraw_request(
+                context.service, context.priority
+            )
             if isinstance(handed.outcome, outcomes.NotRun):
                 failure = handed.outcome
                 break
@@ -602,9 +621,43 @@
             context.terms is not None and context.terms.may_have_run
         )
 
-    def _try_acquire_retry(self, context: _RequestContext) -> bool:
+    def _is_retry_hopeless(self, context: _RequestContext) -> bool:
+        """Whether a retry is denied, so that a server need not be searched.
+
+        Services with requests of one class search first, as a retry may become
+        available meanwhile.
+        """
+        now = boot_clock.now()
+        reserves = self._retry_budget.reserves(context.service, now)
+        return reserves.has_several_classes and not (
+            self._retry_budget.may_acquire(
+                context.service,
+                now,
+                self._daemon_count(),
+                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
+            )
+        )
+
+    def _retry_demand(
+        self, context: _RequestContext, kind: retry_reserves.RetryKind
+    ) -> retry_reserves.RetryDemand:
+        return retry_reserves.RetryDemand(
+            context.priority,
+            self._picker.expected_work_seconds(context.route),
+            kind,
+            is_caller_retry=context.is_caller_retry,
+        )
+
+    def _try_acquire_retry(
+        self,
+        context: _RequestContext,
+        kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
+    ) -> bool:
         return self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count()
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            self._retry_demand(context, kind),
         )
 
     async def _attempt_with_hedge(
@@ -656,7 +709,7 @@
         selected = search.result()
         if selected is None or not self._is_listed(selected):
             return None
-        if not self._try_acquire_retry(context):
+        if not self._try_acquire_retry(context, retry_reserves.RetryKind.HEDGE):
             return None
         return self._start_attempt(context, selected)
 
@@ -710,6 +763,9 @@
         self, context: _RequestContext, attempt_request: sending.AttemptRequest
     ) -> attempt_results.AttemptResult:
         result = await self._sender.send(attempt_request)
+        self._retry_budget.record_attempt(
+            context.service, has_failed=retry_policy.is_failure(result)
+        )
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
