Derive Retry-After from the target of the caller

Cause: a caller with a target of 271 ms was told to come back after up to 135 ms, so that its target was nearly lost, and it was taken for a new caller.

Change: with several priorities at a service, Retry-After lies before the time at which the work has to start and after the time at which a server is expected to be free; callers whose target is lost come back later.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -13,6 +13,7 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import refusal_policy
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
@@ -163,6 +164,9 @@
         self._retry_settings = retry_settings
         self._random = random_source
         self._deadline_tracker = retry_policy.DeadlineTracker()
+        self._forecasts: dict[
+            ids.ServiceId, refusal_policy.CapacityForecast
+        ] = {}
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
@@ -329,8 +333,10 @@
             route.max_attempts,
             priority,
             spent_seconds,
-            is_caller_retry=spent_seconds
-            > retry_policy.CALLER_RETRY_MIN_SECONDS,
+            is_caller_retry=refusal_policy.is_returned(
+                spent_seconds,
+                has_several_classes=self._has_several_classes(service),
+            ),
         )
 
     def _may_start(self, context: _RequestContext) -> bool:
@@ -357,7 +363,7 @@
                 return await self._serve_elsewhere(context)
             if self._is_retry(context) and self._is_retry_hopeless(context):
                 return self._final_outcome(context)
-            selected = await self._picker.pick(self._selection_request(context))
+            selected = await self._select_server(context)
             if isinstance(selected, server_selection.Refuse):
                 if (
                     selected.answered_count == 0
@@ -384,6 +390,32 @@
                 continue
             return self._final_outcome(context)
 
+    async def _select_server(
+        self, context: _RequestContext
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Searches a server and records how long that took."""
+        started_at = boot_clock.now()
+        selected = await self._picker.pick(self._selection_request(context))
+        now = boot_clock.now()
+        self._forecast(context.service).record_search(
+            now - started_at,
+            is_found=isinstance(selected, server_selection.Send),
+            now=now,
+        )
+        return selected
+
+    def _forecast(
+        self, service: ids.ServiceId
+    ) -> refusal_policy.CapacityForecast:
+        return self._forecasts.setdefault(
+            service, refusal_policy.CapacityForecast()
+        )
+
+    def _has_several_classes(self, service: ids.ServiceId) -> bool:
+        return self._retry_budget.reserves(
+            service, boot_clock.now()
+        ).has_several_classes
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -395,6 +427,8 @@
             deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
+            persists=context.is_caller_retry
+            and self._has_several_classes(context.service),
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
@@ -746,8 +780,21 @@
         )
 
     def _retry_after(self, context: _RequestContext) -> float:
-        return retry_policy.retry_after_seconds(
-            context.route.latency_target_seconds, self._random.random()
+        random_draw = self._random.random()
+        if not self._has_several_classes(context.service):
+            return retry_policy.retry_after_seconds(
+                context.route.latency_target_seconds, random_draw
+            )
+        now = boot_clock.now()
+        return refusal_policy.return_after_seconds(
+            refusal_policy.ReturnTiming(
+                context.route.latency_target_seconds,
+                now - context.request.arrived_at + context.spent_seconds,
+                context.deadline - now,
+                self._picker.expected_work_seconds(context.route),
+                self._forecast(context.service).free_after_seconds(now),
+            ),
+            random_draw,
         )
 
     def _log_fields(self, context: _RequestContext) -> dict[str, object]:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -44,6 +44,8 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to before.
         is_caller_retry: whether the caller retries it after a refusal.
+        persists: whether it waits although the line is too long to meet its
+            target, rather than being refused.
     """
 
     route: tables.Route
@@ -52,6 +54,7 @@
     deadline: float
     tried_servers: frozenset[ids.ServerId]
     is_caller_retry: bool
+    persists: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,12 +163,16 @@
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if self._is_overfull(line, request):
+                    if not request.persists and self._is_overfull(
+                        line, request
+                    ):
                         return _OVERFULL
                     await asyncio.sleep(decision.seconds)
                     continue
                 if place is None:
-                    if not line.has_room(useful_seconds):
+                    if not request.persists and not line.has_room(
+                        useful_seconds
+                    ):
                         return _OVERFULL
                     place = line.join()
                 search.answered_server = await place.wait(
