--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -13,7 +13,9 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import refusal_policy
 from hyssopwind.core.dispatch import retry_policy
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -96,10 +98,7 @@
     @property
     def priority(self) -> priorities.Priority:
         """Its priority, by its route and its tenant."""
-        tenant = self.admission.tenant
-        return priorities.effective_priority(
-            self.route.priority, None if tenant is None else tenant.priority
-        )
+        return self.admission.priority(self.route)
 
 
 def _read_caller_timeout(
@@ -191,6 +190,9 @@
         self._retry_settings = retry_settings
         self._random = random_source
         self._deadline_tracker = retry_policy.DeadlineTracker()
+        self._forecasts: dict[
+            ids.ServiceId, refusal_policy.CapacityForecast
+        ] = {}
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
@@ -351,7 +353,13 @@
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        self._retry_budget.record_request(service, request.arrived_at)
+        self._retry_budget.record_request(
+            service,
+            request.arrived_at,
+            admission.priority(route),
+            self._picker.expected_work_seconds(route),
+            route.max_attempts - 1,
+        )
         if terms is not None:
             return _create_peer_context(
                 request, admission, route, service, terms
@@ -375,8 +383,10 @@
             set(),
             route.max_attempts,
             spent_seconds,
-            is_caller_retry=spent_seconds
-            > retry_policy.CALLER_RETRY_MIN_SECONDS,
+            is_caller_retry=refusal_policy.is_returned(
+                spent_seconds,
+                has_several_classes=self._has_several_classes(service),
+            ),
         )
 
     def _may_start(self, context: _RequestContext) -> bool:
@@ -427,7 +437,9 @@
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
-            selected = await self._picker.pick(self._selection_request(context))
+            if self._is_retry(context) and self._is_retry_hopeless(context):
+                return self._final_outcome(context)
+            selected = await self._select_server(context)
             if isinstance(selected, server_selection.Refuse):
                 if (
                     selected.answered_count == 0
@@ -479,6 +491,32 @@
             )
         return self._final_outcome(context)
 
+    async def _select_server(
+        self, context: _RequestContext
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Searches a server and records how long that took."""
+        started_at = boot_clock.now()
+        selected = await self._picker.pick(self._selection_request(context))
+        now = boot_clock.now()
+        self._forecast(context.service).record_search(
+            now - started_at,
+            is_found=isinstance(selected, server_selection.Send),
+            now=now,
+        )
+        return selected
+
+    def _forecast(
+        self, service: ids.ServiceId
+    ) -> refusal_policy.CapacityForecast:
+        return self._forecasts.setdefault(
+            service, refusal_policy.CapacityForecast()
+        )
+
+    def _has_several_classes(self, service: ids.ServiceId) -> bool:
+        return self._retry_budget.reserves(
+            service, boot_clock.now()
+        ).has_several_classes
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -491,6 +529,8 @@
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
             priority=context.priority,
+            persists=context.is_caller_retry
+            and self._has_several_classes(context.service),
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
@@ -544,7 +584,9 @@
                 and handed.outcome.reason in handovers.PEER_REASONS
             ):
                 continue
-            self._retry_budget.withdraw_request(context.service)
+            self._retry_budget.withdraw_request(
+                context.service, context.priority
+            )
             if isinstance(handed.outcome, outcomes.NotRun):
                 failure = handed.outcome
                 break
@@ -613,9 +655,43 @@
             context.terms is not None and context.terms.may_have_run
         )
 
-    def _try_acquire_retry(self, context: _RequestContext) -> bool:
+    def _is_retry_hopeless(self, context: _RequestContext) -> bool:
+        """Whether a retry is denied, so that a server need not be searched.
+
+        Services with requests of one class search first, as a retry may become
+        available meanwhile.
+        """
+        now = boot_clock.now()
+        reserves = self._retry_budget.reserves(context.service, now)
+        return reserves.has_several_classes and not (
+            self._retry_budget.may_acquire(
+                context.service,
+                now,
+                self._daemon_count(),
+                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
+            )
+        )
+
+    def _retry_demand(
+        self, context: _RequestContext, kind: retry_reserves.RetryKind
+    ) -> retry_reserves.RetryDemand:
+        return retry_reserves.RetryDemand(
+            context.priority,
+            self._picker.expected_work_seconds(context.route),
+            kind,
+            is_caller_retry=context.is_caller_retry,
+        )
+
+    def _try_acquire_retry(
+        self,
+        context: _RequestContext,
+        kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
+    ) -> bool:
         return self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count()
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            self._retry_demand(context, kind),
         )
 
     async def _attempt_with_hedge(
@@ -667,7 +743,7 @@
         selected = search.result()
         if selected is None or not self._is_listed(selected):
             return None
-        if not self._try_acquire_retry(context):
+        if not self._try_acquire_retry(context, retry_reserves.RetryKind.HEDGE):
             return None
         return self._start_attempt(context, selected)
 
@@ -721,6 +797,9 @@
         self, context: _RequestContext, attempt_request: sending.AttemptRequest
     ) -> attempt_results.AttemptResult:
         result = await self._sender.send(attempt_request)
+        self._retry_budget.record_attempt(
+            context.service, has_failed=retry_policy.is_failure(result)
+        )
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
@@ -810,8 +889,21 @@
         )
 
     def _retry_after(self, context: _RequestContext) -> float:
-        return retry_policy.retry_after_seconds(
-            context.route.latency_target_seconds, self._random.random()
+        random_draw = self._random.random()
+        if not self._has_several_classes(context.service):
+            return retry_policy.retry_after_seconds(
+                context.route.latency_target_seconds, random_draw
+            )
+        now = boot_clock.now()
+        return refusal_policy.return_after_seconds(
+            refusal_policy.ReturnTiming(
+                context.route.latency_target_seconds,
+                now - context.request.arrived_at + context.spent_seconds,
+                context.deadline - now,
+                self._picker.expected_work_seconds(context.route),
+                self._forecast(context.service).free_after_seconds(now),
+            ),
+            random_draw,
         )
 
     def _log_fields(self, context: _RequestContext) -> dict[str, object]:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -134,11 +134,13 @@
             gateway_tuning.choosing,
             random_source,
             lambda: self.monitor.state,
+            member_list.fleet_size,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
                 gateway_settings, gateway_tuning.repeating
-            )
+            ),
+            fleet_retry_budgets.rounding_phase(gateway_settings.name),
         )
         self._sender = sending.Sender(
             pool,
