--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -237,6 +237,14 @@
         """Sets the daemons of the fleet."""
         self._view = view
 
+    def owner(self, now: float) -> ids.DaemonId | None:
+        """Returns the owner in the own data centre, if there is one."""
+        return self._owner(now)
+
+    def fleet_size(self, now: float) -> int:
+        """Returns the number of daemons by which the shares are determined."""
+        return self._fleet_size(now)
+
     def share_ratio(self, now: float) -> float:
         """Returns the ratio of the allowances that this daemon holds."""
         self._owner(now)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
@@ -45,6 +45,7 @@
         self._view_key: tuple[int, int] | None = None
         self._configuration: tables.Configuration | None = None
         self._is_in_use = False
+        self._owner: ids.DaemonId | None = None
         self._refusals = tenant_refusals.TenantRefusals()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
@@ -79,6 +80,7 @@
                 self._update_view()
                 self._node.run_round(now)
                 self._set_timer(now)
+                self._log_owner(now)
 
     async def acquire(
         self, tenant: tenant_table.Tenant
@@ -140,6 +142,21 @@
                 },
             )
 
+    def _log_owner(self, now: float) -> None:
+        owner = self._node.owner(now)
+        if owner == self._owner:
+            return
+        _log.info(
+            "allowance owner changed",
+            extra={
+                "owner": owner,
+                "previous": self._owner,
+                "share": self._node.share_ratio(now),
+                "daemons": self._node.fleet_size(now),
+            },
+        )
+        self._owner = owner
+
     def _has_limits(self) -> bool:
         """Whether a tenant of the configuration in force has a rate."""
         configuration = self._platform_state.catalogue.configuration
