--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -217,14 +217,23 @@
         self._silent_until = started_at
         self._stamps: dict[ids.DaemonId, tuple[int, float]] = {}
         self._stated_sizes: dict[ids.DaemonId, tuple[int, float]] = {}
-        # Owners remember the numbers that this daemon used before a restart.
-        self._request_number = random_source.getrandbits(NUMBER_BITS) + 1
-        # Stamps of an earlier start of this daemon are not mistaken for own.
-        self._first_stamp = random_source.getrandbits(NUMBER_BITS) + 1
+        # Owners remember the numbers that this daemon used before a restart,
+        # and stamps of an earlier start must not be mistaken for own ones, so
+        # that both begin at random. They are drawn with their first use: a
+        # daemon without tenants takes the same random decisions as before.
+        self._latest_number: int | None = None
+        self._drawn_first_stamp: int | None = None
         self._replies: collections.OrderedDict[
             tuple[str, int], gossip_messages.AllowanceReply
         ] = collections.OrderedDict()
 
+    @property
+    def _first_stamp(self) -> int:
+        """The stamp of the start of this daemon."""
+        if self._drawn_first_stamp is None:
+            self._drawn_first_stamp = self._random.getrandbits(NUMBER_BITS) + 1
+        return self._drawn_first_stamp
+
     @property
     def next_timer_at(self) -> float | None:
         """Monotonic time at which `run_timers` is due, if at all."""
@@ -468,17 +477,19 @@
         count: int,
         now: float,
     ) -> None:
-        self._request_number += 1
+        if self._latest_number is None:
+            self._latest_number = self._random.getrandbits(NUMBER_BITS)
+        self._latest_number += 1
         message = gossip_messages.AllowanceRequest(
             self._own_name,
-            self._request_number,
+            self._latest_number,
             state.allowance.tenant,
             count,
             state.allowance.version,
             state.allowance.requests_per_second,
             state.allowance.burst,
         )
-        self._pending[self._request_number] = _Pending(
+        self._pending[self._latest_number] = _Pending(
             state.allowance.tenant, owner, message, now
         )
         self._send(message, owner)
