Fuzz tenants, and count the bound of revocation among those of changes

A published revocation must take effect within `revoke_s` also if it is the least of the bounds; with `fail_closed` and a replica as old as usual each request would have been refused.

--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -78,7 +78,10 @@
     def change_bound_seconds(self) -> float:
         """Seconds within which any published change must take effect."""
         return min(
-            self.drain_bound, self.configuration_bound, self.evacuation_bound
+            self.drain_bound,
+            self.configuration_bound,
+            self.evacuation_bound,
+            self.revoke_bound,
         )
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -250,6 +250,10 @@
                 self._configuration_revision = item.revision
                 fields["version"] = record.configuration.version
                 fields["routes"] = len(record.configuration.routes)
+                if record.configuration.tenants.requires_keys:
+                    fields["tenants"] = len(
+                        record.configuration.tenants.tenants
+                    )
                 fields["age_ms"] = round(min(self.age_seconds(), 1e6) * 1000)
             if change is catalogue.CatalogueChange.CONFIGURATION_APPLIED:
                 self._configuration_source = source
--- a/packages/standins/src/hyssopwind/standins/fuzzing/places.py
+++ b/packages/standins/src/hyssopwind/standins/fuzzing/places.py
@@ -24,6 +24,7 @@
 from hyssopwind.core.configuration import configuration_store
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import items
+from hyssopwind.core.discovery import records
 from hyssopwind.core.fleet import change_encoding
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import gossip_messages
@@ -356,17 +357,38 @@
     return _make_replica().apply(delta)
 
 
+def _tenants_of(record: records.Record) -> object:
+    if not isinstance(record, records.ConfigurationRecord):
+        return type(record)
+    return vars(record.configuration.tenants)
+
+
 @place(
     "items of the platform",
     _mutate_all_json(
         site_documents.make_server_entry("127.0.0.1:80"),
         site_documents.make_configuration(3, []),
+        site_documents.make_configuration(
+            3,
+            [
+                site_documents.make_tenant_resource("a", ["k"], priority=1),
+                site_documents.make_tenant_resource("b", ["k"], rate_per_s=2),
+            ],
+        ),
     ),
 )
 def _read_item(data: bytes) -> object:
     listed = catalogue.Catalogue()
     for key in ("servers/i-1", "op/config", "op/evacuate/north"):
-        record = platform_items.decode_item(items.Item(key, data, 3))
+        published = items.Item(key, data, 3)
+        replicated = platform_items.hide_keys(published)
+        if platform_items.hide_keys(replicated) is not replicated:
+            raise AssertionError("keys are hidden twice")
+        record = platform_items.decode_item(replicated)
+        if _tenants_of(record) != _tenants_of(
+            platform_items.decode_item(published)
+        ):
+            raise AssertionError("the replica has other tenants")
         listed.apply_record(record, NOW)
     return list(listed.usable_servers(ids.ServiceId("s"), NOW))
 
@@ -397,6 +419,14 @@
         msgspec.to_builtins(
             handovers.Terms("a", 1, 1_000, 0, True, False, 2, ["s"])
         ),
+        msgspec.to_builtins(
+            handovers.Terms(
+                *("a", 1, 1_000, 0, True, False, 2, ["s"], False),
+                tenant="t",
+                key_digest="d",
+                configuration_version=3,
+            )
+        ),
         msgspec.to_builtins(
             handovers.Result(7, "not-run", "overloaded", "no room", 0.5)
         ),
