Answer 401 with a challenge, and test the outcome of a revoked retry

RFC 9110 requires the field WWW-Authenticate. A retry whose key was revoked after an earlier attempt may have run ends with the outcome of that attempt. test_tenants (29) passes.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/rendering.py
@@ -91,6 +91,9 @@
         pairs.append(
             (field_names.REQUEST_ID, request.fields[field_names.REQUEST_ID])
         )
+    if status == http.HTTPStatus.UNAUTHORIZED:
+        # RFC 9110, section 15.5.2, requires a challenge.
+        pairs.append(("WWW-Authenticate", field_names.API_KEY))
     if failure.retry_after_seconds is not None:
         seconds = math.ceil(failure.retry_after_seconds * 1000) / 1000
         pairs.append((field_names.RETRY_AFTER, f"{seconds:.3f}"))
--- a/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_tenants.py
@@ -96,6 +96,7 @@
             self.assertEqual(status, 401)
             self.assertEqual(fields["hyssopwind-outcome"], "not-run")
             self.assertNotIn("retry-after", fields)
+            self.assertEqual(fields["www-authenticate"], "Api-Key")
             self.assertEqual(json.loads(body)["outcome"], "not-run")
         self.assertEqual(self.count_executions(), served)
 
@@ -271,6 +272,25 @@
         self.assertEqual(status, 401)
         self.assertEqual(self.count_executions(), 0)
 
+    # 401 promises that a request has not run.
+    async def test_retry_with_a_revoked_key_keeps_the_first_outcome(self):
+        for stand_in in self.servers:
+            stand_in.options.scripted_answers.append(b"")
+        server_picker = self.daemon._dispatcher._picker
+        pick = server_picker.pick
+
+        async def pick_late(request):
+            selected = await pick(request)
+            if request.tried_servers:
+                await self.put_version(3, self.tenants[1:])
+            return selected
+
+        server_picker.pick = pick_late
+        status, fields, _ = await self.call_with_key()
+        self.assertEqual(status, 502)
+        self.assertEqual(fields["hyssopwind-outcome"], "unknown")
+        self.assertEqual(self.count_executions(), 1)
+
 
 class SecrecyTest(TenantTestCase):
     async def test_key_is_in_no_log_line_and_no_metric(self):
