--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -49,6 +49,8 @@
         tried_servers: servers that it was sent to before.
         is_caller_retry: whether the caller retries it after a refusal.
         priority: its priority, by its route and its tenant.
+        persists: whether it waits although the line is too long to meet its
+            target, rather than being refused.
     """
 
     route: tables.Route
@@ -58,6 +60,7 @@
     tried_servers: frozenset[ids.ServerId]
     is_caller_retry: bool
     priority: priorities.Priority = priorities.Priority(0)
+    persists: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,12 +202,16 @@
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if self._is_overfull(line, request, rank):
+                    if not request.persists and self._is_overfull(
+                        line, request, rank
+                    ):
                         return _OVERFULL
                     await asyncio.sleep(decision.seconds)
                     continue
                 if place is None:
-                    if not line.has_room(useful_seconds, rank):
+                    if not request.persists and not line.has_room(
+                        useful_seconds, rank
+                    ):
                         return _OVERFULL
                     place = line.join(rank)
                 search.answered_server = await place.wait(
