--- a/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -2,9 +2,9 @@
 
 More urgent requests go first, then those that return after a refusal, then
 those that arrived earlier. A class that waits is not passed over for ever: each
-time a request of another class leaves the head of the line, the class gains a
-part of a turn in proportion to its share of the line, and with a whole turn
-its first request is the next one.
+time a request leaves the head of the line, each class gains a part of a turn in
+proportion to its share of the line, and with a whole turn its first request is
+the next one.
 """
 
 import dataclasses
@@ -17,6 +17,11 @@
 # Share of the turns that a class gets at least, relative to its share of the
 # requests that wait.
 MIN_TURN_RATIO = 0.25
+# Turns that a class may have in advance. Several classes may have a whole turn
+# at the same time, so that one of them waits for that of another.
+MAX_TURNS = 2.0
+# A whole turn, less the rounding of its parts.
+WHOLE_TURN = 1.0 - 1e-9
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -54,7 +59,7 @@
     def __init__(self) -> None:
         # In order of arrival.
         self._ranks: dict[Key, Rank] = {}
-        # Parts of a turn that classes have gained, up to one turn.
+        # Parts of a turn that classes have gained.
         self._turns: dict[priorities.Priority, float] = {}
 
     def __len__(self) -> int:
@@ -72,9 +77,9 @@
             was_first: whether it was at the head of the line, so that it has
                 used a turn.
         """
-        rank = self._ranks.pop(key)
         if was_first:
-            self._record_turn(rank.priority)
+            self._record_turn(self._ranks[key].priority)
+        del self._ranks[key]
 
     def find_first(self) -> Key | None:
         """Returns the request that gets the next server; `None` if none."""
@@ -106,19 +111,15 @@
         due = [
             priority
             for priority, turns in self._turns.items()
-            if turns >= 1.0 and priority in waiting
+            if turns >= WHOLE_TURN and priority in waiting
         ]
         return min(due, default=None)
 
     def _record_turn(self, priority: priorities.Priority) -> None:
-        counts: dict[priorities.Priority, int] = {}
-        for rank in self._ranks.values():
-            counts[rank.priority] = counts.get(rank.priority, 0) + 1
         total_count = len(self._ranks)
-        self._turns.pop(priority, None)
-        for other, count in counts.items():
-            if other == priority:
-                continue
-            gained = MIN_TURN_RATIO * count / total_count
-            turns = self._turns.get(other, 0.0) + gained
-            self._turns[other] = min(1.0, turns)
+        for rank in self._ranks.values():
+            turns = self._turns.get(rank.priority, 0.0)
+            self._turns[rank.priority] = min(
+                MAX_TURNS, turns + MIN_TURN_RATIO / total_count
+            )
+        self._turns[priority] = max(0.0, self._turns[priority] - 1.0)
