--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -23,6 +23,8 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import stop_plan
+from hyssopwind.core.tenants import allowance_results
+from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import picker
@@ -49,13 +51,14 @@
     """State of one request while it is served.
 
     Attributes:
-        request: the request.
+        request: the request, without the key of its tenant.
+        admission: its admission.
         route: its route.
         service: the service selected for it.
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to.
         max_attempts: number of servers that it may be sent to.
-        priority: its priority.
+        priority: its priority, by its route and its tenant.
         spent_seconds: seconds that the caller spent on earlier requests that
             were refused, or at the daemon that handed it over.
         is_caller_retry: whether the caller retries it after a refusal.
@@ -66,9 +69,13 @@
         may_have_run: servers that may have run it.
         may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
+        is_refusal_counted: whether its refusal has part in a line about many,
+            and gets none of its own.
+        granted: the part of its tenant's allowance that it was granted.
     """
 
     request: caller_requests.CallerRequest
+    admission: authenticator.Admission
     route: tables.Route
     service: ids.ServiceId
     deadline: float
@@ -87,6 +94,18 @@
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
+    is_refusal_counted: bool = False
+    granted: allowance_results.Granted | None = None
+
+
+def _find_priority(
+    route: tables.Route, admission: authenticator.Admission
+) -> priorities.Priority:
+    """Returns the priority of a request, by its route and its tenant."""
+    tenant = admission.tenant
+    return priorities.effective_priority(
+        route.priority, None if tenant is None else tenant.priority
+    )
 
 
 def _read_caller_timeout(
@@ -104,6 +123,7 @@
 
 def _create_peer_context(
     request: caller_requests.CallerRequest,
+    admission: authenticator.Admission,
     route: tables.Route,
     service: ids.ServiceId,
     terms: handovers.Terms,
@@ -115,19 +135,23 @@
     route = dataclasses.replace(route, is_idempotent=is_idempotent)
     return _RequestContext(
         request,
+        admission,
         route,
         service,
         request.arrived_at
         + min(route.timeout_seconds, terms.remaining_ms / 1000),
         tried_servers,
         len(tried_servers) + terms.attempts_left,
-        priorities.effective_priority(route.priority),
+        _find_priority(route, admission),
         terms.waited_ms / 1000,
         is_caller_retry=terms.is_caller_retry,
         terms=terms,
     )
 
 
+_WITHHELD = attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
+
+
 def _is_unconnected(result: attempt_results.AttemptResult) -> bool:
     return result == attempt_results.Failed(
         attempt_results.FailureKind.NOT_CONNECTED
@@ -143,6 +167,7 @@
     def __init__(
         self,
         platform_state: replicated_state.PlatformState,
+        request_authenticator: authenticator.Authenticator,
         server_picker: picker.Picker,
         sender: sending.Sender,
         monitor: reachability.ReachabilityMonitor,
@@ -152,9 +177,18 @@
         retry_settings: tuning.RetryHedgeSettings,
         random_source: random.Random,
         configuration_bound_seconds: float,
+        acquire_allowance: allowance_results.Acquire = (
+            allowance_results.grant_all
+        ),
+        release_allowance: allowance_results.Release = (
+            allowance_results.keep_released
+        ),
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
+        self._authenticator = request_authenticator
+        self._acquire_allowance = acquire_allowance
+        self._release_allowance = release_allowance
         self._picker = server_picker
         self._sender = sender
         self._monitor = monitor
@@ -213,6 +247,18 @@
         route = self.find_route(request)
         return route is not None and route.is_idempotent
 
+    def refuse_unauthenticated(
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request whose key is not in force."""
+        route = self.find_route(request)
+        if route is None:
+            return None
+        admission = self._authenticator.admit(request, route, terms)
+        return admission if isinstance(admission, outcomes.NotRun) else None
+
     async def serve_for_peer(
         self, request: caller_requests.CallerRequest, terms: handovers.Terms
     ) -> outcomes.Outcome:
@@ -249,7 +295,11 @@
         route = self.find_route(request)
         if route is None:
             return self._log_outcome(request, None, self._no_route_outcome())
-        context = self._create_context(request, route, terms)
+        admission = self._authenticator.admit(request, route, terms)
+        if isinstance(admission, outcomes.NotRun):
+            return admission
+        request = admission.prepare(request)
+        context = self._create_context(request, admission, route, terms)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
         if (
@@ -270,7 +320,9 @@
             ) as timeout:
                 self._timeouts.add(timeout)
                 try:
-                    outcome = await self._run_attempts(context)
+                    outcome = await self._check_allowance(
+                        context
+                    ) or await self._run_attempts(context)
                 finally:
                     self._timeouts.discard(timeout)
         except TimeoutError:
@@ -281,6 +333,10 @@
                 extra=self._log_fields(context),
             )
             raise
+        if context.granted is not None and isinstance(outcome, outcomes.NotRun):
+            self._release_allowance(context.granted)
+        if context.is_refusal_counted:
+            return outcome
         return self._log_outcome(request, context, outcome)
 
     def _no_route_outcome(self) -> outcomes.NotRun:
@@ -300,11 +356,12 @@
     def _create_context(
         self,
         request: caller_requests.CallerRequest,
+        admission: authenticator.Admission,
         route: tables.Route,
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        priority = priorities.effective_priority(route.priority)
+        priority = _find_priority(route, admission)
         self._retry_budget.record_request(
             service,
             request.arrived_at,
@@ -313,7 +370,9 @@
             route.max_attempts - 1,
         )
         if terms is not None:
-            return _create_peer_context(request, route, service, terms)
+            return _create_peer_context(
+                request, admission, route, service, terms
+            )
         caller_timeout_seconds = _read_caller_timeout(request)
         timeout_seconds = (
             route.timeout_seconds
@@ -326,6 +385,7 @@
         deadline = request.arrived_at + timeout_seconds
         return _RequestContext(
             request,
+            admission,
             route,
             service,
             deadline,
@@ -357,6 +417,32 @@
             stop_plan.RETRY_AFTER_SECONDS,
         )
 
+    async def _check_allowance(
+        self, context: _RequestContext
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request beyond its tenant's allowance."""
+        admission = context.admission
+        if admission.tenant is None or admission.is_charged:
+            return None
+        result = await self._acquire_allowance(admission.tenant)
+        if isinstance(result, allowance_results.Granted):
+            context.granted = result
+            return None
+        context.is_refusal_counted = True
+        # It is not sent, so it does not count for the retries of the service.
+        self._retry_budget.withdraw_request(context.service)
+        if result.cause is allowance_results.DenialCause.EXHAUSTED:
+            return outcomes.NotRun(
+                outcomes.Reason.TENANT_LIMIT,
+                "the allowance of the tenant is used up",
+                result.retry_after_seconds,
+            )
+        return outcomes.NotRun(
+            outcomes.Reason.NOT_READY,
+            "what is left of the allowance of the tenant is not known",
+            result.retry_after_seconds,
+        )
+
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
             if self._monitor.is_cut_off:
@@ -371,10 +457,17 @@
                 ):
                     return await self._serve_elsewhere(context)
                 return self._handle_refusal(context, selected)
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             if self._is_retry(context) and not self._try_acquire_retry(context):
                 return self._final_outcome(context)
             result = await self._attempt_with_hedge(context, selected)
             context.last_result = result
+            if result == _WITHHELD:
+                revoked = self._refuse_revoked(context)
+                if revoked is not None:
+                    return revoked
             if (
                 _is_unconnected(result)
                 and await self._monitor.is_confirmed_unreachable()
@@ -416,6 +509,24 @@
             service, boot_clock.now()
         ).has_several_classes
 
+    def _refuse_revoked(
+        self, context: _RequestContext
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a request whose key is not in force now."""
+        refusal = self._authenticator.refuse_revoked(
+            context.admission, context.request, context.route
+        )
+        if refusal is None:
+            return None
+        if not context.may_have_run and not context.may_have_run_elsewhere:
+            context.is_refusal_counted = True
+            return refusal
+        if context.last_result is None or context.may_have_run_elsewhere:
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, refusal.detail
+            )
+        return self._final_outcome(context)
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -429,6 +540,7 @@
             is_caller_retry=context.is_caller_retry,
             persists=context.is_caller_retry
             and self._has_several_classes(context.service),
+            priority=context.priority,
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
@@ -459,6 +571,9 @@
             )
             if peer is None:
                 break
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             tried_peers.add(peer.name)
             handed = await self._hand_over(context, peer, attempts_left)
             if handed.result is handovers.HandoverResult.BROKEN:
@@ -521,6 +636,7 @@
             ),
             may_have_run=bool(context.may_have_run) or might_have_run,
         )
+        terms = context.admission.add_terms(terms)
         context.may_have_run_elsewhere = True
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
@@ -678,6 +794,9 @@
             min_seconds=0.0
             if self._stop_plan is None
             else selected.estimated_seconds,
+            may_send=lambda: self._authenticator.may_send(
+                context.admission, context.request, context.route
+            ),
         )
         attempt = asyncio.create_task(self._send(context, attempt_request))
         self._attempts.add(attempt)
@@ -806,6 +925,8 @@
             "ms": round((boot_clock.now() - context.request.arrived_at) * 1000),
             **self._platform_state.log_fields(),
         }
+        if context.admission.tenant is not None:
+            log_fields["tenant"] = context.admission.tenant.id
         if context.terms is not None:
             log_fields["handed_by"] = context.terms.sender
         return log_fields
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -116,6 +116,8 @@
             self._send_permit_message,
             self._announce_reachability,
             self._random,
+            self._live_settings,
+            self._send_allowance_message,
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -132,6 +134,7 @@
             self._request_path.withdrawals.leaving_servers,
             self._random,
             self._handle_reachability_notice,
+            self._request_path.allowances.handle,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready,
@@ -165,6 +168,7 @@
             ("announcements", self._announce_changes),
             ("gossip", self._gossip.run),
             ("permits", self._request_path.permits.run),
+            ("allowances", self._request_path.allowances.run),
             ("store reader", self._store_reader.run),
             ("reloader", self._reloader.run),
             ("housekeeping", self._run_housekeeping),
@@ -237,12 +241,19 @@
         return outcome
 
     def _check_quarantine(
-        self, request: caller_requests.CallerRequest
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request that is quarantined."""
         retry_after = self._crash_detector.quarantine_seconds(request)
         if retry_after is None:
             return None
+        unauthenticated = self._dispatcher.refuse_unauthenticated(
+            request, terms
+        )
+        if unauthenticated is not None:
+            return unauthenticated
         refusal = outcomes.NotRun(
             outcomes.Reason.QUARANTINED,
             "servers crashed on this request",
@@ -265,7 +276,9 @@
         monitor = self._request_path.monitor
         # Only a daemon that is cut off itself hands requests over.
         self._handle_reachability_notice(ids.DaemonId(terms.sender), True)
-        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        outcome: outcomes.Outcome | None = self._check_quarantine(
+            request, terms
+        )
         if outcome is None:
             outcome = await self._dispatcher.serve_for_peer(request, terms)
         result = handovers.make_result(
@@ -417,6 +430,7 @@
                 )
             )
             self._request_path.drop_removed_servers()
+            self._request_path.authenticator.log_refusals()
 
     def _caller_limits(self) -> tables.CallerLimits:
         configuration = self._platform_state.catalogue.configuration
@@ -476,6 +490,11 @@
     ) -> None:
         self._gossip.send_permit_message(message, ip)
 
+    def _send_allowance_message(
+        self, message: gossip_messages.AllowanceMessage, ip: str
+    ) -> None:
+        self._gossip.send_allowance_message(message, ip)
+
     def _log_rejection(self, failure: outcomes.Failure) -> None:
         _log.info(
             "rejected",
@@ -506,6 +525,9 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            allowance_counts=lambda: (
+                self._request_path.allowances.result_counts
+            ),
             transfer_counts=lambda: self._gossip.transfers.counts,
             transfer_bytes=lambda: self._gossip.transfers.byte_counts,
             daemons=self._member_list.fleet_size,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -48,6 +48,7 @@
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
         permit_counts: requests for permits by result.
+        allowance_counts: requests for tokens of allowances by result.
         transfer_counts: transfers of changes from and to peers by result.
         transfer_bytes: bytes of these transfers by direction.
         daemons: daemons that were live recently, this one included.
@@ -71,6 +72,7 @@
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
+    allowance_counts: Callable[[], Mapping[str, int]]
     transfer_counts: Callable[[], Mapping[str, int]]
     transfer_bytes: Callable[[], Mapping[str, int]]
     daemons: Callable[[], float]
@@ -122,6 +124,7 @@
         self._handovers: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._authentications: collections.Counter[str] = collections.Counter()
         self._bucket_counts: dict[str, list[int]] = {}
         self._latency_sums: dict[str, float] = {}
         self._sources: GaugeSources | None = None
@@ -158,6 +161,10 @@
         """Counts a request that was sent to or received from a peer."""
         self._handovers[direction, result] += 1
 
+    def count_authentication(self, result: str) -> None:
+        """Counts a request that needed a key, or whose key was hidden."""
+        self._authentications[result] += 1
+
     def count_undelivered(
         self, stage: deliveries.DeliveryStage, cause: deliveries.CloseCause
     ) -> None:
@@ -176,7 +183,9 @@
         """Yields the metrics of a scrape."""
         from prometheus_client import metrics_core
 
-        permit_counts = self._sources.permit_counts() if self._sources else {}
+        sources = self._sources
+        permit_counts = sources.permit_counts() if sources else {}
+        allowance_counts = sources.allowance_counts() if sources else {}
         yield _make_counter(
             "hyssopwind_requests",
             "Requests of callers by how they ended",
@@ -201,6 +210,12 @@
             ["result"],
             {(result,): count for result, count in permit_counts.items()},
         )
+        yield _make_counter(
+            "hyssopwind_allowances",
+            "Requests for tokens of the allowances of tenants",
+            ["result"],
+            {(result,): count for result, count in allowance_counts.items()},
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
@@ -213,6 +228,12 @@
             ["stage", "cause"],
             self._undelivered,
         )
+        yield _make_counter(
+            "hyssopwind_authentications",
+            "Checks of requests for keys of tenants by result",
+            ["result"],
+            {(result,): n for result, n in self._authentications.items()},
+        )
         yield from self._collect_transfers()
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
