--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -58,7 +58,6 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to.
         max_attempts: number of servers that it may be sent to.
-        priority: its priority, by its route and its tenant.
         spent_seconds: seconds that the caller spent on earlier requests that
             were refused, or at the daemon that handed it over.
         is_caller_retry: whether the caller retries it after a refusal.
@@ -81,7 +80,6 @@
     deadline: float
     tried_servers: set[ids.ServerId]
     max_attempts: int
-    priority: priorities.Priority
     spent_seconds: float = 0.0
     is_caller_retry: bool = False
     terms: handovers.Terms | None = None
@@ -97,15 +95,10 @@
     is_refusal_counted: bool = False
     granted: allowance_results.Granted | None = None
 
-
-def _find_priority(
-    route: tables.Route, admission: authenticator.Admission
-) -> priorities.Priority:
-    """Returns the priority of a request, by its route and its tenant."""
-    tenant = admission.tenant
-    return priorities.effective_priority(
-        route.priority, None if tenant is None else tenant.priority
-    )
+    @property
+    def priority(self) -> priorities.Priority:
+        """Its priority, by its route and its tenant."""
+        return self.admission.priority(self.route)
 
 
 def _read_caller_timeout(
@@ -142,7 +135,6 @@
         + min(route.timeout_seconds, terms.remaining_ms / 1000),
         tried_servers,
         len(tried_servers) + terms.attempts_left,
-        _find_priority(route, admission),
         terms.waited_ms / 1000,
         is_caller_retry=terms.is_caller_retry,
         terms=terms,
@@ -361,11 +353,10 @@
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        priority = _find_priority(route, admission)
         self._retry_budget.record_request(
             service,
             request.arrived_at,
-            priority,
+            admission.priority(route),
             self._picker.expected_work_seconds(route),
             route.max_attempts - 1,
         )
@@ -391,7 +382,6 @@
             deadline,
             set(),
             route.max_attempts,
-            priority,
             spent_seconds,
             is_caller_retry=refusal_policy.is_returned(
                 spent_seconds,
@@ -483,6 +473,24 @@
                 continue
             return self._final_outcome(context)
 
+    def _refuse_revoked(
+        self, context: _RequestContext
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a request whose key is not in force now."""
+        refusal = self._authenticator.refuse_revoked(
+            context.admission, context.request, context.route
+        )
+        if refusal is None:
+            return None
+        if not context.may_have_run and not context.may_have_run_elsewhere:
+            context.is_refusal_counted = True
+            return refusal
+        if context.last_result is None or context.may_have_run_elsewhere:
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, refusal.detail
+            )
+        return self._final_outcome(context)
+
     async def _select_server(
         self, context: _RequestContext
     ) -> server_selection.Send | server_selection.Refuse:
@@ -509,24 +517,6 @@
             service, boot_clock.now()
         ).has_several_classes
 
-    def _refuse_revoked(
-        self, context: _RequestContext
-    ) -> outcomes.Outcome | None:
-        """Returns the outcome of a request whose key is not in force now."""
-        refusal = self._authenticator.refuse_revoked(
-            context.admission, context.request, context.route
-        )
-        if refusal is None:
-            return None
-        if not context.may_have_run and not context.may_have_run_elsewhere:
-            context.is_refusal_counted = True
-            return refusal
-        if context.last_result is None or context.may_have_run_elsewhere:
-            return outcomes.Unknown(
-                outcomes.Reason.SERVER_FAILED, refusal.detail
-            )
-        return self._final_outcome(context)
-
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -538,9 +528,9 @@
             deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
+            priority=context.priority,
             persists=context.is_caller_retry
             and self._has_several_classes(context.service),
-            priority=context.priority,
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -48,9 +48,9 @@
         deadline: monotonic time at which the caller or the route times out.
         tried_servers: servers that it was sent to before.
         is_caller_retry: whether the caller retries it after a refusal.
+        priority: its priority, by its route and its tenant.
         persists: whether it waits although the line is too long to meet its
             target, rather than being refused.
-        priority: its priority, by its route and its tenant.
     """
 
     route: tables.Route
@@ -59,8 +59,8 @@
     deadline: float
     tried_servers: frozenset[ids.ServerId]
     is_caller_retry: bool
-    persists: bool = False
     priority: priorities.Priority = priorities.Priority(0)
+    persists: bool = False
 
 
 @dataclasses.dataclass(slots=True)
