Count and log retries by priority

Operators could not see which requests lose their retries when a budget runs short. A counter by priority, kind and result, and one log line a second for each service, priority and kind, state the inputs of the decision.

--- a/packages/core/src/hyssopwind/core/dispatch/priorities.py
+++ b/packages/core/src/hyssopwind/core/dispatch/priorities.py
@@ -23,3 +23,19 @@
     if tenant_priority is None:
         return Priority(route_priority)
     return Priority(tenant_priority)
+
+
+# Priorities from this one on share a label, which bounds the number of labels.
+FIRST_SHARED_LABEL = 3
+
+
+def label(priority: Priority) -> str:
+    """Returns the label of a priority in metrics.
+
+    Examples:
+        >>> label(Priority(1)), label(Priority(3)), label(Priority(70))
+        ('1', '3+', '3+')
+    """
+    if priority >= FIRST_SHARED_LABEL:
+        return f"{FIRST_SHARED_LABEL}+"
+    return str(max(0, priority))
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -14,6 +14,7 @@
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import refusal_policy
+from hyssopwind.core.dispatch import retry_denials
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
@@ -175,7 +176,12 @@
         release_allowance: allowance_results.Release = (
             allowance_results.keep_released
         ),
+        count_retry: Callable[[str, str, str], None] = (
+            lambda _priority, _kind, _result: None
+        ),
     ):
+        self._count_retry = count_retry
+        self._retry_denials = retry_denials.RetryDenials()
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
         self._authenticator = request_authenticator
@@ -661,16 +667,15 @@
         Services with requests of one class search first, as a retry may become
         available meanwhile.
         """
-        now = boot_clock.now()
-        reserves = self._retry_budget.reserves(context.service, now)
-        return reserves.has_several_classes and not (
-            self._retry_budget.may_acquire(
-                context.service,
-                now,
-                self._daemon_count(),
-                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
-            )
-        )
+        if not self._has_several_classes(context.service):
+            return False
+        demand = self._retry_demand(context, retry_reserves.RetryKind.RETRY)
+        if self._retry_budget.may_acquire(
+            context.service, boot_clock.now(), self._daemon_count(), demand
+        ):
+            return False
+        self._record_denial(context.service, demand)
+        return True
 
     def _retry_demand(
         self, context: _RequestContext, kind: retry_reserves.RetryKind
@@ -687,11 +692,47 @@
         context: _RequestContext,
         kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
     ) -> bool:
-        return self._retry_budget.try_acquire(
-            context.service,
-            boot_clock.now(),
-            self._daemon_count(),
-            self._retry_demand(context, kind),
+        demand = self._retry_demand(context, kind)
+        is_allowed = self._retry_budget.try_acquire(
+            context.service, boot_clock.now(), self._daemon_count(), demand
+        )
+        if not self._has_several_classes(context.service):
+            return is_allowed
+        if is_allowed:
+            label = priorities.label(demand.priority)
+            self._count_retry(label, kind.value, "allowed")
+        else:
+            self._record_denial(context.service, demand)
+        return is_allowed
+
+    def _record_denial(
+        self, service: ids.ServiceId, demand: retry_reserves.RetryDemand
+    ) -> None:
+        """Counts a denied retry; logs one line a second for each class."""
+        label = priorities.label(demand.priority)
+        self._count_retry(label, demand.kind.value, "denied")
+        now = boot_clock.now()
+        count = self._retry_denials.record(
+            retry_denials.DenialClass(service, label, demand.kind), now
+        )
+        if not count:
+            return
+        reserves = self._retry_budget.reserves(service, now)
+        available_count = self._retry_budget.available_count(
+            service, now, self._daemon_count()
+        )
+        _log.info(
+            "retries denied",
+            extra={
+                "service": service,
+                "priority": label,
+                "kind": demand.kind.value,
+                "count": count,
+                "available": round(available_count, 2),
+                "reserved": round(reserves.reserved_count(demand), 2),
+                "failed_ratio": round(reserves.failure_ratio, 2),
+                "work_ms": round(demand.work_seconds * 1000),
+            },
         )
 
     async def _attempt_with_hedge(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -121,6 +121,9 @@
         self._undelivered: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._retries: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
         self._handovers: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -157,6 +160,16 @@
         if len(self._attempts) < MAX_SERIES:
             self._attempts[service, result] += 1
 
+    def count_retry(self, priority: str, kind: str, result: str) -> None:
+        """Counts a retry or hedge at a service with several priorities.
+
+        Args:
+            priority: label of the priority of the request.
+            kind: `retry` or `hedge`.
+            result: `allowed` or `denied`.
+        """
+        self._retries[priority, kind, result] += 1
+
     def count_handover(self, direction: str, result: str) -> None:
         """Counts a request that was sent to or received from a peer."""
         self._handovers[direction, result] += 1
@@ -216,6 +229,12 @@
             ["result"],
             {(result,): count for result, count in allowance_counts.items()},
         )
+        yield _make_counter(
+            "hyssopwind_retries",
+            "Retries and hedges at services with several priorities",
+            ["priority", "kind", "result"],
+            self._retries,
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -182,6 +182,7 @@
             gateway_settings.configuration_bound,
             self.allowances.acquire,
             self.allowances.release,
+            metrics.count_retry,
         )
 
     def drop_removed_servers(self) -> None:
