--- a/packages/standins/src/hyssopwind/standins/tests/test_kinds_at_rejecting_servers.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_kinds_at_rejecting_servers.py
@@ -39,6 +39,21 @@
                     )
 
 
+class RetryBudgetTest(unittest.TestCase):
+    # Retries of the urgent kind beyond the shares of their daemons could exceed
+    # the budget of the fleet.
+    def test_fleet_stays_within_its_budget(self):
+        for kinds in (kind_fleet.KINDS, kind_fleet.KINDS_AT_MEMBERS):
+            plan = dataclasses.replace(PLAN, kinds=kinds)
+            fleet = kind_fleet.run_in_virtual_time(plan)
+            for service, _ in plan.server_counts:
+                with self.subTest(service=service, kinds=kinds[-1].service):
+                    self.assertGreater(len(fleet.retry_times[service]), 10)
+                    self.assertLessEqual(
+                        fleet.highest_spent_ratio(service), 1.0
+                    )
+
+
 class OnePriorityTest(unittest.TestCase):
     # Services whose routes have one priority keep their seeded decisions. The
     # digests are those of the release before priorities were considered.
--- a/packages/standins/src/hyssopwind/standins/virtual/kind_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/kind_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import bisect
 import dataclasses
 import json
 import random
@@ -34,6 +35,8 @@
 DAEMONS_PER_DATA_CENTRE = 5
 # The fleet's fixed number of retries, which is 58 for 98 daemons.
 RETRY_SLACK = 9.0
+RETRY_RATIO = 0.2
+RETRY_WINDOW_SECONDS = 10.0
 # Pause of a caller that is told nothing about its return.
 RETRY_PAUSE_SECONDS = 0.05
 
@@ -178,7 +181,7 @@
         """Runs a request and returns the answer to it."""
         fields = {field_names.REQUEST_ID: request_id}
         kind = self._kind_fleet.kinds[request_id]
-        self._kind_fleet.arrival_count += 1
+        self._kind_fleet.record_arrival(request_id)
         work_seconds = kind.work_seconds * self._random.lognormvariate(
             0.0, WORK_SPREAD
         )
@@ -219,6 +222,9 @@
         counts: how the requests of each kind ended.
         arrival_count: number of arrivals at servers.
         rejected_count: number of these that servers rejected.
+        request_times: times at which requests reached daemons, by service.
+        retry_times: times of arrivals at servers beyond the first of a request,
+            by service.
         decisions: id, end in milliseconds and tag of each request's outcome.
     """
 
@@ -230,9 +236,12 @@
         )
         self.plan = plan
         self.kinds: dict[str, Kind] = {}
+        self._arrived: set[str] = set()
         self.counts = {kind.name: KindCounts() for kind in plan.kinds}
         self.arrival_count = 0
         self.rejected_count = 0
+        self.request_times = self._make_times()
+        self.retry_times = self._make_times()
         self.decisions: list[tuple[str, int, str]] = []
         self.servers = []
         for service, count in plan.server_counts:
@@ -248,7 +257,10 @@
                 )
         for ip, options in self._options.items():
             self._options[ip] = dataclasses.replace(
-                options, retry_slack=RETRY_SLACK, retry_ratio=0.2
+                options,
+                retry_slack=RETRY_SLACK,
+                retry_ratio=RETRY_RATIO,
+                retry_window=RETRY_WINDOW_SECONDS,
             )
 
     @property
@@ -257,6 +269,37 @@
         elapsed = boot_clock.now() - self.traffic_started_at
         return self.plan.trouble[0] <= elapsed < self.plan.trouble[1]
 
+    def record_arrival(self, request_id: str) -> None:
+        """Records the arrival of a request at a server."""
+        self.arrival_count += 1
+        if request_id not in self._arrived:
+            self._arrived.add(request_id)
+            return
+        service = self.kinds[request_id].service
+        self.retry_times[service].append(boot_clock.now())
+
+    def highest_spent_ratio(self, service: str) -> float:
+        """Returns the largest part of the retry budget spent in a window."""
+        highest = 0.0
+        start = self.traffic_started_at
+        for step in range(int(10 * self.plan.seconds)):
+            counts = []
+            for times in (
+                self.request_times[service],
+                self.retry_times[service],
+            ):
+                first = bisect.bisect_left(times, start + step / 10)
+                last = bisect.bisect_left(
+                    times, start + step / 10 + RETRY_WINDOW_SECONDS
+                )
+                counts.append(last - first)
+            allowed = RETRY_RATIO * counts[0] + RETRY_SLACK
+            highest = max(highest, counts[1] / allowed)
+        return highest
+
+    def _make_times(self) -> dict[str, list[float]]:
+        return {service: [] for service, _ in self.plan.server_counts}
+
     def _publish(self) -> None:
         routes = [
             documents.make_route_resource(
@@ -350,6 +393,7 @@
             (1, 1),
             False,
         )
+        self.request_times[kind.service].append(boot_clock.now())
         outcome = await daemon.request_path.dispatcher.serve(request)
         ended_at_ms = round(boot_clock.now() * 1000)
         self.decisions.append((request_id, ended_at_ms, outcome.tag))
