--- a/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
@@ -49,26 +49,41 @@
         self._refusals = tenant_refusals.TenantRefusals()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
-        self._node = allowances.Allowances(
-            gateway_settings.name,
-            gateway_settings.data_centre,
-            allowance_issuer.QuotaSettings(
-                gateway_settings.quota_window,
-                gateway_settings.quota_overshoot,
-                gateway_settings.quota_slack,
-                gateway_settings.fail_closed,
-            ),
-            member_list.started_at,
-            self._send,
-            self._resolve,
-            self._find_allowance,
-            random_source,
-        )
+        self._settings = gateway_settings
+        self._random = random_source
+        self._node_in_use: allowances.Allowances | None = None
 
     @property
     def result_counts(self) -> "collections.Counter[str]":
         """Results of requests for tokens, for the metrics."""
-        return self._node.result_counts
+        if self._node_in_use is None:
+            return collections.Counter()
+        return self._node_in_use.result_counts
+
+    @property
+    def _node(self) -> allowances.Allowances:
+        """The state of this daemon.
+
+        It is created at the first use: it draws random numbers, which would
+        change the decisions of other parts that share the source.
+        """
+        if self._node_in_use is None:
+            self._node_in_use = allowances.Allowances(
+                self._settings.name,
+                self._settings.data_centre,
+                allowance_issuer.QuotaSettings(
+                    self._settings.quota_window,
+                    self._settings.quota_overshoot,
+                    self._settings.quota_slack,
+                    self._settings.fail_closed,
+                ),
+                self._member_list.started_at,
+                self._send,
+                self._resolve,
+                self._find_allowance,
+                self._random,
+            )
+        return self._node_in_use
 
     async def run(self) -> None:
         """Lends the share of this daemon until it is cancelled."""
