Ask silent owners of allowances less often while another one answers

Daemons of the previous release never answer and log each message that they cannot decode. A daemon asked up to three of them twice a second; now every other second once it has an owner.

--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -28,6 +28,9 @@
 from hyssopwind.core.tenants import allowance_results
 
 ROUND_SECONDS = 0.5
+# Rounds between two questions to silent daemons that would be preferred to the
+# owner. Daemons of the previous release never answer and log each message.
+CONTACT_ROUNDS = 4
 # Age below which a daemon does not know the size of the fleet, on which its
 # share depends; the same as for the limits of servers.
 MIN_ISSUER_AGE_SECONDS = 3.0
@@ -215,6 +218,7 @@
         self._skips: dict[ids.DaemonId, _Skip] = {}
         # No owner is asked until this time, as none has answered.
         self._silent_until = started_at
+        self._round_number = 0
         self._stamps: dict[ids.DaemonId, tuple[int, float]] = {}
         self._stated_sizes: dict[ids.DaemonId, tuple[int, float]] = {}
         # Owners remember the numbers that this daemon used before a restart.
@@ -325,13 +329,17 @@
         # A share that was lent before a restart has come back by this age.
         may_lend = now - self._started_at >= share_lending.LOAN_SENT_SECONDS
         owner = plan.owner
-        if owner is not None and owner != self._own_name and may_lend:
-            self._lend(owner, now)
-        for contact in plan.contacts:
-            self._send(self._make_loan(contact, now, is_lent=False), contact)
-        if owner not in (None, self._own_name) and not may_lend:
-            assert owner is not None
-            self._send(self._make_loan(owner, now, is_lent=False), owner)
+        if owner is not None and owner != self._own_name:
+            if may_lend:
+                self._lend(owner, now)
+            else:
+                self._send(self._make_loan(owner, now, is_lent=False), owner)
+        self._round_number += 1
+        has_owner = owner not in (None, self._own_name)
+        if not has_owner or self._round_number % CONTACT_ROUNDS == 0:
+            for contact in plan.contacts:
+                question = self._make_loan(contact, now, is_lent=False)
+                self._send(question, contact)
         self._prune(now)
 
     def _is_mature(self, now: float) -> bool:
--- a/packages/core/src/hyssopwind/core/tenants/tests/allowance_fleet.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/allowance_fleet.py
@@ -1,6 +1,7 @@
 """Daemons in virtual time that acquire tokens from each other."""
 
 import bisect
+import collections
 import heapq
 import itertools
 import random
@@ -130,6 +131,7 @@
         self.message_count = 0
         self.byte_count = 0
         self.bytes_by_daemon = {}
+        self.sent_to = collections.Counter()
         self._events = []
         self._sequence = itertools.count()
         self._died_at = {}
@@ -210,6 +212,7 @@
     def transmit(self, sender, message, receiver):
         data = gossip_messages.encode(message)
         self.message_count += 1
+        self.sent_to[receiver] += 1
         self.byte_count += len(data)
         self.bytes_by_daemon[sender.name] = self.bytes_by_daemon.get(
             sender.name, 0
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -228,6 +228,26 @@
         self.check_bound(fleet, allowance)
         self.assertGreaterEqual(fleet.granted_between(2.0, 18.0), 300)
 
+    # Daemons of the previous release count, and never answer.
+    def test_half_of_the_fleet_is_of_the_previous_release(self):
+        allowance = allowance_fleet.make_allowance()
+        fleet = allowance_fleet.SimulatedFleet((8, 8), [allowance])
+        old = fleet.names[::2]
+        for name in old:
+            fleet.daemons[name].is_alive = False
+        fleet.demand("t", 200.0, fleet.names[1::2], 0.0, 20.0)
+        fleet.run_until(10.0)
+        fleet.sent_to.clear()
+        fleet.run_until(20.0)
+        self.check_bound(fleet, allowance)
+        # The shares of the others; theirs are not used.
+        self.assertGreaterEqual(
+            fleet.granted_between(10.0, 20.0), 0.9 * 0.5 * 40.0 * 10.0
+        )
+        # Each message is a line in the log of the daemon.
+        most = max(fleet.sent_to[name] for name in old)
+        self.assertLessEqual(most, 10.0 * len(old))
+
     # More requests must not cost more messages once the tenant is denied.
     def test_denials_are_answered_without_messages(self):
         counts = {}
