--- a/packages/standins/src/hyssopwind/standins/site/documents.py
+++ b/packages/standins/src/hyssopwind/standins/site/documents.py
@@ -16,6 +16,8 @@
     grace_seconds: float = 4.0,
     zone: str = "north",
     link_mbps: float = 1_000.0,
+    memory_mb: int = 300,
+    max_fds: int = 0,
 ) -> str:
     """Returns the settings file that the platform writes for a daemon.
 
@@ -28,9 +30,12 @@
         grace_seconds: time between SIGTERM and SIGKILL.
         zone: zone of its VM.
         link_mbps: width of the link of its VM in Mbit/s.
+        memory_mb: memory of its VM in units of 1,000,000 bytes.
+        max_fds: descriptors that it may open; not stated if 0.
     """
     callers_port, ready_port, peers_port, gossip_port = ports
     seeds = f'"{seed_address}"' if seed_address else ""
+    descriptors = f"max_fds = {max_fds}" if max_fds else ""
     return f"""
 node_name = "{name}"
 role = "gateway"
@@ -48,8 +53,9 @@
 ready = "{ip}:{ready_port}"
 control = "{ip}:{peers_port}"
 [limits]
-memory_mb = 300
+memory_mb = {memory_mb}
 link_mbps = {link_mbps:g}
+{descriptors}
 [bounds]
 grace_s = {grace_seconds:g}
 drain_s = 2
--- /dev/null
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
@@ -0,0 +1,146 @@
+"""Crowds of callers that hold the memory and the descriptors of a daemon.
+
+Without an account of what callers make the daemon hold, most of these crowds
+took several times the memory of the VM. `HYSSOPWIND_TEST_FIGURES=1` prints the
+figures of each case.
+"""
+
+from hyssopwind.standins.tests import caller_crowd_case
+
+RUNS_ALONE = True  # real processes, sockets and times
+
+BODY_BYTES = 990_000
+MISSING_BYTES = 3
+PIECE_BYTES = 1_000
+DECLARED_BYTES = 80_000_000
+SENT_BYTES = 3_000_000
+PIPELINED_GETS = 3_000
+PIPELINED_POSTS = 60
+POST_BYTES = 60_000
+HEAD_FIELDS = 2_200
+PIPELINED_HEADS = 20
+UNREAD_ANSWERS = 200
+ANSWER_BYTES = 1_000
+SILENT_CONNECTIONS = 1_100
+
+make_head = caller_crowd_case.make_head
+
+
+def split(body):
+    """Returns a body in pieces."""
+    return [
+        body[start : start + PIECE_BYTES]
+        for start in range(0, len(body), PIECE_BYTES)
+    ]
+
+
+def make_body_pieces(way, target):
+    """Returns the pieces of a request whose body stops short of its end."""
+    body = b"x" * BODY_BYTES
+    if way == "chunks":
+        head = make_head(target, "POST", Transfer_Encoding="chunked")
+        chunks = [b"%x\r\n%b\r\n" % (len(each), each) for each in split(body)]
+        return [head, b"".join(chunks)[:-MISSING_BYTES]]
+    head = make_head(target, "POST", Content_Length=str(BODY_BYTES))
+    if way == "one piece":
+        return [head + body[:-MISSING_BYTES]]
+    return [head, *split(body[:-MISSING_BYTES])]
+
+
+class ShortBodyTest(caller_crowd_case.CallerCrowdTestCase):
+    """Bodies of legal size stop 3 bytes short on open connections."""
+
+    async def check(self, way, target, port_index=0):
+        pieces = make_body_pieces(way, target)
+        port = self.ports[port_index]
+        await self.run_crowd(lambda: self.send_unread(port, pieces))
+        await self.check_served()
+
+    async def test_one_piece_at_a_route(self):
+        await self.check("one piece", "/unsafe/a")
+
+    async def test_one_piece_without_a_route(self):
+        await self.check("one piece", "/none/a")
+
+    async def test_one_piece_at_the_ready_address(self):
+        await self.check("one piece", "/ready", 1)
+
+    async def test_pieces_at_a_route(self):
+        await self.check("pieces", "/unsafe/a")
+
+    async def test_pieces_without_a_route(self):
+        await self.check("pieces", "/none/a")
+
+    async def test_pieces_at_the_ready_address(self):
+        await self.check("pieces", "/ready", 1)
+
+    async def test_chunks_at_a_route(self):
+        await self.check("chunks", "/unsafe/a")
+
+    async def test_chunks_without_a_route(self):
+        await self.check("chunks", "/none/a")
+
+    async def test_chunks_at_the_ready_address(self):
+        await self.check("chunks", "/ready", 1)
+
+
+class LargeBodyTest(caller_crowd_case.CallerCrowdTestCase):
+    async def check(self, target, port_index):
+        pieces = [
+            make_head(target, "POST", Content_Length=str(DECLARED_BYTES)),
+            b"x" * SENT_BYTES,
+        ]
+        port = self.ports[port_index]
+        await self.run_crowd(lambda: self.send_unread(port, pieces))
+        await self.check_served()
+
+    async def test_bodies_far_over_the_limit(self):
+        await self.check("/unsafe/a", 0)
+
+    async def test_bodies_far_over_the_limit_at_the_ready_address(self):
+        await self.check("/ready", 1)
+
+    # A limit on the memory of all callers must not refuse a single one.
+    async def test_single_body_of_full_size_is_served(self):
+        size = caller_crowd_case.MAX_BODY_BYTES
+        head = make_head("/unsafe/a", "POST", Content_Length=str(size))
+        status = await self.status(head + b"x" * size, self.ports[0])
+        self.assertEqual(status, 200)
+        await self.check_served()
+
+
+class PipelineTest(caller_crowd_case.CallerCrowdTestCase):
+    """Requests follow one another on connections that read no answer."""
+
+    async def check(self, pieces, receive_bytes=None):
+        port = self.ports[0]
+        await self.run_crowd(
+            lambda: self.send_unread(port, pieces, receive_bytes)
+        )
+        await self.check_served()
+
+    async def test_requests_whose_answers_are_not_read(self):
+        await self.check([make_head("/safe/a") * PIPELINED_GETS])
+
+    async def test_posts(self):
+        head = make_head("/unsafe/a", "POST", Content_Length=str(POST_BYTES))
+        await self.check([(head + b"x" * POST_BYTES) * PIPELINED_POSTS])
+
+    async def test_heads_of_many_short_fields(self):
+        fields = b"a:b\r\n" * HEAD_FIELDS
+        head = make_head("/safe/a")[:-2] + fields + b"\r\n"
+        await self.check([head * PIPELINED_HEADS])
+
+    async def test_answers_that_are_not_read(self):
+        head = make_head("/safe/a", "POST", Content_Length=str(ANSWER_BYTES))
+        request = head + b"x" * ANSWER_BYTES
+        await self.check([request * UNREAD_ANSWERS], receive_bytes=4_096)
+
+
+class SilentConnectionTest(caller_crowd_case.CallerCrowdTestCase):
+    async def test_silent_connections(self):
+        port = self.ports[0]
+        await self.run_crowd(
+            lambda: self.send_unread(port, []), SILENT_CONNECTIONS
+        )
+        await self.check_served()
