Bound what callers make a gateway hold

One account (core/callers/caller_account.py) counts connections, heads with their fields, bodies, pipelined requests and unsent answers of all listeners against a quarter of memory_mb. A connection that may not hold more is not read; stalled ones are closed first when others wait, never one with a request at a server. The head decides refusals without a route and declared lengths over the limit; such bodies are discarded. Bodies have a stall time and a minimum pace. Parsing is bounded in one turn of the event loop and goes round the connections; accepting and running requests are bounded by limits.max_fds.

Trailers of chunked bodies are no longer merged into the fields of the request. A caller with more than 64 unanswered requests is not read instead of being refused.

--- /dev/null
+++ b/packages/core/src/hyssopwind/core/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers make the daemon hold, and when it refuses or closes."""
--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -36,6 +36,8 @@
         probe_rate: probes of one server per second, over all daemons.
         memory_bytes: memory above which the process is killed.
         link_mbps: width of the link of the VM in Mbit/s; 0 if unknown.
+        max_descriptors: descriptors that the process may open; 0 for those
+            that the system allows.
     """
 
     name: ids.DaemonId
@@ -61,6 +63,7 @@
     probe_rate: float
     memory_bytes: int
     link_mbps: int = 0
+    max_descriptors: int = 0
 
     @property
     def change_bound_seconds(self) -> float:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -14,6 +14,8 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import quarantine
+from hyssopwind.core.callers import caller_account
+from hyssopwind.core.callers import head_decisions
 from hyssopwind.core.discovery import positions
 from hyssopwind.core.dispatch import settings
 from hyssopwind.core.fleet import fleet_members
@@ -28,12 +30,13 @@
 from hyssopwind.daemon import headers
 from hyssopwind.daemon import log_output
 from hyssopwind.daemon import supervision
+from hyssopwind.daemon.gateway import accepting
 from hyssopwind.daemon.gateway import caller_connection
 from hyssopwind.daemon.gateway import caller_requests
+from hyssopwind.daemon.gateway import caller_resources
 from hyssopwind.daemon.gateway import gateway_metrics
 from hyssopwind.daemon.gateway import gossip
 from hyssopwind.daemon.gateway import internal_listeners
-from hyssopwind.daemon.gateway import listening
 from hyssopwind.daemon.gateway import reloading
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.daemon.gateway import request_path
@@ -83,6 +86,9 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._metrics = gateway_metrics.GatewayMetrics()
+        self._resources = caller_resources.CallerResources(
+            self._loop, initial_settings, self._random
+        )
         self._platform_state = replicated_state.PlatformState()
         self._pool = connection_pools.ConnectionPool(
             int(ANSWERS_MEMORY_RATIO * initial_settings.memory_bytes),
@@ -138,6 +144,8 @@
             self._gossip.transfers.answer,
             self._metrics.render,
             self._serve_handover,
+            self._resources,
+            self._caller_limits,
         )
         self._reloader = reloading.Reloader(
             self._live_settings,
@@ -159,7 +167,7 @@
         await self._internal_listeners.start(
             self._initial_settings, self._metrics_port
         )
-        server = await self._listen()
+        server = self._listen()
         await self._gossip.start()
         for name, run in (
             ("announcements", self._announce_changes),
@@ -200,23 +208,56 @@
         plan = self._stop_plan
         return plan is None or plan.takes_followers(boot_clock.now())
 
-    async def _listen(self) -> asyncio.Server:
+    def _listen(self) -> accepting.Acceptor:
         callbacks = caller_connection.CallerCallbacks(
             serve=self._serve,
             may_overlap=self._dispatcher.may_overlap,
             limits=self._caller_limits,
+            judge_head=self._judge_head,
             is_stopping=self._stop_event.is_set,
             takes_followers=self._takes_followers,
-            log_rejection=self._log_rejection,
+            log_rejection=lambda failure, address: (
+                self._resources.record_refusal(
+                    failure.reason.slug, address, failure.detail
+                )
+            ),
             count_undelivered=self._metrics.count_undelivered,
         )
-        return await self._loop.create_server(
-            lambda: caller_connection.CallerConnection(
-                self._loop, callbacks, self._connections
+        acceptor = accepting.Acceptor(
+            caller_account.Listener.CALLERS,
+            self._listener,
+            self._resources,
+            lambda holding: caller_connection.CallerConnection(
+                self._loop,
+                callbacks,
+                self._connections,
+                self._resources,
+                holding,
             ),
-            sock=self._listener,
-            backlog=listening.BACKLOG,
         )
+        acceptor.start()
+        return acceptor
+
+    def _judge_head(
+        self, head: caller_requests.CallerRequest
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a request that its head decides."""
+        if self._platform_state.catalogue.configuration is None:
+            return None
+        if self._dispatcher.find_route(head) is not None:
+            return None
+        refusal = head_decisions.no_route(
+            may_lack_configuration=self._platform_state.may_lack_configuration(
+                self._initial_settings.configuration_bound
+            )
+        )
+        self._metrics.count_request(
+            "",
+            refusal.tag,
+            refusal.reason.slug,
+            boot_clock.now() - head.arrived_at,
+        )
+        return refusal
 
     async def _serve(
         self, request: caller_requests.CallerRequest
@@ -279,7 +320,7 @@
             )
         return outcomes.Answered(200, fields, b"")
 
-    async def _drain(self, server: asyncio.Server) -> None:
+    async def _drain(self, server: accepting.Acceptor) -> None:
         """Waits until all answers are delivered, at most until the deadline."""
         plan = self._stop_plan
         assert plan is not None
@@ -342,7 +383,7 @@
                 connection.drop()
 
     async def _wait_for_idle(
-        self, server: asyncio.Server, plan: stop_plan.StopPlan
+        self, server: accepting.Acceptor, plan: stop_plan.StopPlan
     ) -> bool:
         """Waits for running requests; returns whether none is left.
 
@@ -409,6 +450,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self._platform_state.expire()
+            self._resources.apply_settings(self._live_settings.current)
             server_catalogue = self._platform_state.catalogue
             self._pool.retain(server_catalogue.addresses())
             self._pool.limit_idle(
