--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -12,7 +12,10 @@
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import refusal_policy
 from hyssopwind.core.dispatch import retry_policy
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -20,6 +23,8 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.core.stopping import stop_plan
+from hyssopwind.core.tenants import allowance_results
+from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import handover_client
 from hyssopwind.daemon.gateway import picker
@@ -46,7 +51,8 @@
     """State of one request while it is served.
 
     Attributes:
-        request: the request.
+        request: the request, without the key of its tenant.
+        admission: its admission.
         route: its route.
         service: the service selected for it.
         deadline: monotonic time at which the caller or the route times out.
@@ -62,9 +68,13 @@
         may_have_run: servers that may have run it.
         may_have_run_elsewhere: whether it may have run at a peer's servers.
         last_result: result of the latest attempt.
+        is_refusal_counted: whether its refusal has part in a line about many,
+            and gets none of its own.
+        granted: the part of its tenant's allowance that it was granted.
     """
 
     request: caller_requests.CallerRequest
+    admission: authenticator.Admission
     route: tables.Route
     service: ids.ServiceId
     deadline: float
@@ -82,6 +92,13 @@
     may_have_run: set[ids.ServerId] = dataclasses.field(default_factory=set)
     may_have_run_elsewhere: bool = False
     last_result: attempt_results.AttemptResult | None = None
+    is_refusal_counted: bool = False
+    granted: allowance_results.Granted | None = None
+
+    @property
+    def priority(self) -> priorities.Priority:
+        """Its priority, by its route and its tenant."""
+        return self.admission.priority(self.route)
 
 
 def _read_caller_timeout(
@@ -99,6 +116,7 @@
 
 def _create_peer_context(
     request: caller_requests.CallerRequest,
+    admission: authenticator.Admission,
     route: tables.Route,
     service: ids.ServiceId,
     terms: handovers.Terms,
@@ -110,6 +128,7 @@
     route = dataclasses.replace(route, is_idempotent=is_idempotent)
     return _RequestContext(
         request,
+        admission,
         route,
         service,
         request.arrived_at
@@ -122,6 +141,9 @@
     )
 
 
+_WITHHELD = attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
+
+
 def _is_unconnected(result: attempt_results.AttemptResult) -> bool:
     return result == attempt_results.Failed(
         attempt_results.FailureKind.NOT_CONNECTED
@@ -137,6 +159,7 @@
     def __init__(
         self,
         platform_state: replicated_state.PlatformState,
+        request_authenticator: authenticator.Authenticator,
         server_picker: picker.Picker,
         sender: sending.Sender,
         monitor: reachability.ReachabilityMonitor,
@@ -146,9 +169,18 @@
         retry_settings: tuning.RetryHedgeSettings,
         random_source: random.Random,
         configuration_bound_seconds: float,
+        acquire_allowance: allowance_results.Acquire = (
+            allowance_results.grant_all
+        ),
+        release_allowance: allowance_results.Release = (
+            allowance_results.keep_released
+        ),
     ):
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
+        self._authenticator = request_authenticator
+        self._acquire_allowance = acquire_allowance
+        self._release_allowance = release_allowance
         self._picker = server_picker
         self._sender = sender
         self._monitor = monitor
@@ -158,6 +190,9 @@
         self._retry_settings = retry_settings
         self._random = random_source
         self._deadline_tracker = retry_policy.DeadlineTracker()
+        self._forecasts: dict[
+            ids.ServiceId, refusal_policy.CapacityForecast
+        ] = {}
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
@@ -204,6 +239,18 @@
         route = self.find_route(request)
         return route is not None and route.is_idempotent
 
+    def refuse_unauthenticated(
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request whose key is not in force."""
+        route = self.find_route(request)
+        if route is None:
+            return None
+        admission = self._authenticator.admit(request, route, terms)
+        return admission if isinstance(admission, outcomes.NotRun) else None
+
     async def serve_for_peer(
         self, request: caller_requests.CallerRequest, terms: handovers.Terms
     ) -> outcomes.Outcome:
@@ -240,7 +287,11 @@
         route = self.find_route(request)
         if route is None:
             return self._log_outcome(request, None, self._no_route_outcome())
-        context = self._create_context(request, route, terms)
+        admission = self._authenticator.admit(request, route, terms)
+        if isinstance(admission, outcomes.NotRun):
+            return admission
+        request = admission.prepare(request)
+        context = self._create_context(request, admission, route, terms)
         if not self._may_start(context):
             return self._log_outcome(request, context, self._stop_outcome())
         if (
@@ -261,7 +312,9 @@
             ) as timeout:
                 self._timeouts.add(timeout)
                 try:
-                    outcome = await self._run_attempts(context)
+                    outcome = await self._check_allowance(
+                        context
+                    ) or await self._run_attempts(context)
                 finally:
                     self._timeouts.discard(timeout)
         except TimeoutError:
@@ -272,6 +325,10 @@
                 extra=self._log_fields(context),
             )
             raise
+        if context.granted is not None and isinstance(outcome, outcomes.NotRun):
+            self._release_allowance(context.granted)
+        if context.is_refusal_counted:
+            return outcome
         return self._log_outcome(request, context, outcome)
 
     def _no_route_outcome(self) -> outcomes.NotRun:
@@ -291,13 +348,22 @@
     def _create_context(
         self,
         request: caller_requests.CallerRequest,
+        admission: authenticator.Admission,
         route: tables.Route,
         terms: handovers.Terms | None,
     ) -> _RequestContext:
         service = self._splitter.choose(route.name, route.parts)
-        self._retry_budget.record_request(service, request.arrived_at)
+        self._retry_budget.record_request(
+            service,
+            request.arrived_at,
+            admission.priority(route),
+            self._picker.expected_work_seconds(route),
+            route.max_attempts - 1,
+        )
         if terms is not None:
-            return _create_peer_context(request, route, service, terms)
+            return _create_peer_context(
+                request, admission, route, service, terms
+            )
         caller_timeout_seconds = _read_caller_timeout(request)
         timeout_seconds = (
             route.timeout_seconds
@@ -310,14 +376,17 @@
         deadline = request.arrived_at + timeout_seconds
         return _RequestContext(
             request,
+            admission,
             route,
             service,
             deadline,
             set(),
             route.max_attempts,
             spent_seconds,
-            is_caller_retry=spent_seconds
-            > retry_policy.CALLER_RETRY_MIN_SECONDS,
+            is_caller_retry=refusal_policy.is_returned(
+                spent_seconds,
+                has_several_classes=self._has_several_classes(service),
+            ),
         )
 
     def _may_start(self, context: _RequestContext) -> bool:
@@ -338,11 +407,39 @@
             stop_plan.RETRY_AFTER_SECONDS,
         )
 
+    async def _check_allowance(
+        self, context: _RequestContext
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request beyond its tenant's allowance."""
+        admission = context.admission
+        if admission.tenant is None or admission.is_charged:
+            return None
+        result = await self._acquire_allowance(admission.tenant)
+        if isinstance(result, allowance_results.Granted):
+            context.granted = result
+            return None
+        context.is_refusal_counted = True
+        # It is not sent, so it does not count for the retries of the service.
+        self._retry_budget.withdraw_request(context.service)
+        if result.cause is allowance_results.DenialCause.EXHAUSTED:
+            return outcomes.NotRun(
+                outcomes.Reason.TENANT_LIMIT,
+                "the allowance of the tenant is used up",
+                result.retry_after_seconds,
+            )
+        return outcomes.NotRun(
+            outcomes.Reason.NOT_READY,
+            "what is left of the allowance of the tenant is not known",
+            result.retry_after_seconds,
+        )
+
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
-            selected = await self._picker.pick(self._selection_request(context))
+            if self._is_retry(context) and self._is_retry_hopeless(context):
+                return self._final_outcome(context)
+            selected = await self._select_server(context)
             if isinstance(selected, server_selection.Refuse):
                 if (
                     selected.answered_count == 0
@@ -350,10 +447,17 @@
                 ):
                     return await self._serve_elsewhere(context)
                 return self._handle_refusal(context, selected)
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             if self._is_retry(context) and not self._try_acquire_retry(context):
                 return self._final_outcome(context)
             result = await self._attempt_with_hedge(context, selected)
             context.last_result = result
+            if result == _WITHHELD:
+                revoked = self._refuse_revoked(context)
+                if revoked is not None:
+                    return revoked
             if (
                 _is_unconnected(result)
                 and await self._monitor.is_confirmed_unreachable()
@@ -369,6 +473,50 @@
                 continue
             return self._final_outcome(context)
 
+    def _refuse_revoked(
+        self, context: _RequestContext
+    ) -> outcomes.Outcome | None:
+        """Returns the outcome of a request whose key is not in force now."""
+        refusal = self._authenticator.refuse_revoked(
+            context.admission, context.request, context.route
+        )
+        if refusal is None:
+            return None
+        if not context.may_have_run and not context.may_have_run_elsewhere:
+            context.is_refusal_counted = True
+            return refusal
+        if context.last_result is None or context.may_have_run_elsewhere:
+            return outcomes.Unknown(
+                outcomes.Reason.SERVER_FAILED, refusal.detail
+            )
+        return self._final_outcome(context)
+
+    async def _select_server(
+        self, context: _RequestContext
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Searches a server and records how long that took."""
+        started_at = boot_clock.now()
+        selected = await self._picker.pick(self._selection_request(context))
+        now = boot_clock.now()
+        self._forecast(context.service).record_search(
+            now - started_at,
+            is_found=isinstance(selected, server_selection.Send),
+            now=now,
+        )
+        return selected
+
+    def _forecast(
+        self, service: ids.ServiceId
+    ) -> refusal_policy.CapacityForecast:
+        return self._forecasts.setdefault(
+            service, refusal_policy.CapacityForecast()
+        )
+
+    def _has_several_classes(self, service: ids.ServiceId) -> bool:
+        return self._retry_budget.reserves(
+            service, boot_clock.now()
+        ).has_several_classes
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -380,6 +528,9 @@
             deadline=deadline,
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
+            priority=context.priority,
+            persists=context.is_caller_retry
+            and self._has_several_classes(context.service),
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
@@ -410,6 +561,9 @@
             )
             if peer is None:
                 break
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             tried_peers.add(peer.name)
             handed = await self._hand_over(context, peer, attempts_left)
             if handed.result is handovers.HandoverResult.BROKEN:
@@ -430,7 +584,9 @@
                 and handed.outcome.reason in handovers.PEER_REASONS
             ):
                 continue
-            self._retry_budget.withdraw_request(context.service)
+            self._retry_budget.withdraw_request(
+                context.service, context.priority
+            )
             if isinstance(handed.outcome, outcomes.NotRun):
                 failure = handed.outcome
                 break
@@ -470,6 +626,7 @@
             ),
             may_have_run=bool(context.may_have_run) or might_have_run,
         )
+        terms = context.admission.add_terms(terms)
         context.may_have_run_elsewhere = True
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
@@ -498,9 +655,43 @@
             context.terms is not None and context.terms.may_have_run
         )
 
-    def _try_acquire_retry(self, context: _RequestContext) -> bool:
+    def _is_retry_hopeless(self, context: _RequestContext) -> bool:
+        """Whether a retry is denied, so that a server need not be searched.
+
+        Services with requests of one class search first, as a retry may become
+        available meanwhile.
+        """
+        now = boot_clock.now()
+        reserves = self._retry_budget.reserves(context.service, now)
+        return reserves.has_several_classes and not (
+            self._retry_budget.may_acquire(
+                context.service,
+                now,
+                self._daemon_count(),
+                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
+            )
+        )
+
+    def _retry_demand(
+        self, context: _RequestContext, kind: retry_reserves.RetryKind
+    ) -> retry_reserves.RetryDemand:
+        return retry_reserves.RetryDemand(
+            context.priority,
+            self._picker.expected_work_seconds(context.route),
+            kind,
+            is_caller_retry=context.is_caller_retry,
+        )
+
+    def _try_acquire_retry(
+        self,
+        context: _RequestContext,
+        kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
+    ) -> bool:
         return self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count()
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            self._retry_demand(context, kind),
         )
 
     async def _attempt_with_hedge(
@@ -552,7 +743,7 @@
         selected = search.result()
         if selected is None or not self._is_listed(selected):
             return None
-        if not self._try_acquire_retry(context):
+        if not self._try_acquire_retry(context, retry_reserves.RetryKind.HEDGE):
             return None
         return self._start_attempt(context, selected)
 
@@ -593,6 +784,9 @@
             min_seconds=0.0
             if self._stop_plan is None
             else selected.estimated_seconds,
+            may_send=lambda: self._authenticator.may_send(
+                context.admission, context.request, context.route
+            ),
         )
         attempt = asyncio.create_task(self._send(context, attempt_request))
         self._attempts.add(attempt)
@@ -603,6 +797,9 @@
         self, context: _RequestContext, attempt_request: sending.AttemptRequest
     ) -> attempt_results.AttemptResult:
         result = await self._sender.send(attempt_request)
+        self._retry_budget.record_attempt(
+            context.service, has_failed=retry_policy.is_failure(result)
+        )
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
@@ -692,8 +889,21 @@
         )
 
     def _retry_after(self, context: _RequestContext) -> float:
-        return retry_policy.retry_after_seconds(
-            context.route.latency_target_seconds, self._random.random()
+        random_draw = self._random.random()
+        if not self._has_several_classes(context.service):
+            return retry_policy.retry_after_seconds(
+                context.route.latency_target_seconds, random_draw
+            )
+        now = boot_clock.now()
+        return refusal_policy.return_after_seconds(
+            refusal_policy.ReturnTiming(
+                context.route.latency_target_seconds,
+                now - context.request.arrived_at + context.spent_seconds,
+                context.deadline - now,
+                self._picker.expected_work_seconds(context.route),
+                self._forecast(context.service).free_after_seconds(now),
+            ),
+            random_draw,
         )
 
     def _log_fields(self, context: _RequestContext) -> dict[str, object]:
@@ -705,6 +915,8 @@
             "ms": round((boot_clock.now() - context.request.arrived_at) * 1000),
             **self._platform_state.log_fields(),
         }
+        if context.admission.tenant is not None:
+            log_fields["tenant"] = context.admission.tenant.id
         if context.terms is not None:
             log_fields["handed_by"] = context.terms.sender
         return log_fields
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -122,6 +122,8 @@
             self._send_permit_message,
             self._announce_reachability,
             self._random,
+            self._live_settings,
+            self._send_allowance_message,
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -138,6 +140,7 @@
             self._request_path.withdrawals.leaving_servers,
             self._random,
             self._handle_reachability_notice,
+            self._request_path.allowances.handle,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready,
@@ -173,6 +176,7 @@
             ("announcements", self._announce_changes),
             ("gossip", self._gossip.run),
             ("permits", self._request_path.permits.run),
+            ("allowances", self._request_path.allowances.run),
             ("store reader", self._store_reader.run),
             ("reloader", self._reloader.run),
             ("housekeeping", self._run_housekeeping),
@@ -244,15 +248,22 @@
         """Returns the outcome of a request that its head decides."""
         if self._platform_state.catalogue.configuration is None:
             return None
-        if self._dispatcher.find_route(head) is not None:
-            return None
-        refusal = head_decisions.no_route(
-            may_lack_configuration=self._platform_state.may_lack_configuration(
-                self._initial_settings.configuration_bound
+        route = self._dispatcher.find_route(head)
+        if route is None:
+            state = self._platform_state
+            refusal = head_decisions.no_route(
+                may_lack_configuration=state.may_lack_configuration(
+                    self._initial_settings.configuration_bound
+                )
             )
-        )
+        else:
+            authenticator = self._request_path.authenticator
+            unauthenticated = authenticator.refuse_head(head, route)
+            if unauthenticated is None:
+                return None
+            refusal = unauthenticated
         self._metrics.count_request(
-            "",
+            route.name if route else "",
             refusal.tag,
             refusal.reason.slug,
             boot_clock.now() - head.arrived_at,
@@ -278,12 +289,19 @@
         return outcome
 
     def _check_quarantine(
-        self, request: caller_requests.CallerRequest
+        self,
+        request: caller_requests.CallerRequest,
+        terms: handovers.Terms | None = None,
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request that is quarantined."""
         retry_after = self._crash_detector.quarantine_seconds(request)
         if retry_after is None:
             return None
+        unauthenticated = self._dispatcher.refuse_unauthenticated(
+            request, terms
+        )
+        if unauthenticated is not None:
+            return unauthenticated
         refusal = outcomes.NotRun(
             outcomes.Reason.QUARANTINED,
             "servers crashed on this request",
@@ -306,7 +324,9 @@
         monitor = self._request_path.monitor
         # Only a daemon that is cut off itself hands requests over.
         self._handle_reachability_notice(ids.DaemonId(terms.sender), True)
-        outcome: outcomes.Outcome | None = self._check_quarantine(request)
+        outcome: outcomes.Outcome | None = self._check_quarantine(
+            request, terms
+        )
         if outcome is None:
             outcome = await self._dispatcher.serve_for_peer(request, terms)
         result = handovers.make_result(
@@ -459,6 +479,7 @@
                 )
             )
             self._request_path.drop_removed_servers()
+            self._request_path.authenticator.log_refusals()
 
     def _caller_limits(self) -> tables.CallerLimits:
         configuration = self._platform_state.catalogue.configuration
@@ -518,6 +539,11 @@
     ) -> None:
         self._gossip.send_permit_message(message, ip)
 
+    def _send_allowance_message(
+        self, message: gossip_messages.AllowanceMessage, ip: str
+    ) -> None:
+        self._gossip.send_allowance_message(message, ip)
+
     def _log_rejection(self, failure: outcomes.Failure) -> None:
         _log.info(
             "rejected",
@@ -548,6 +574,9 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            allowance_counts=lambda: (
+                self._request_path.allowances.result_counts
+            ),
             transfer_counts=lambda: self._gossip.transfers.counts,
             transfer_bytes=lambda: self._gossip.transfers.byte_counts,
             daemons=self._member_list.fleet_size,
@@ -560,6 +589,10 @@
             lines_dropped=lambda: log_stream.dropped_count,
             ready=lambda: float(self._is_ready()),
             cut_off=lambda: float(not self._request_path.monitor.is_reachable),
+            caller_bytes=lambda: self._resources.account.held_bytes,
+            caller_connections=lambda: self._resources.account.connection_count,
+            caller_requests=lambda: self._resources.account.running_count,
+            caller_refusal_counts=lambda: self._resources.refusal_counts,
         )
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -14,6 +14,8 @@
 from hyssopwind.core.limits import server_withdrawals
 from hyssopwind.core.limits import stated_limits
 from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import allowances
+from hyssopwind.daemon.gateway import authenticator
 from hyssopwind.daemon.gateway import crash_detection
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import gateway_metrics
@@ -43,6 +45,8 @@
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
         retry_budget: budget of retries and hedges.
+        authenticator: checks the keys of requests.
+        allowances: allowances of tenants over the fleet.
         dispatcher: serves the requests.
     """
 
@@ -61,6 +65,10 @@
         send_permit_message: permits.SendMessage,
         announce_reachability: Callable[[bool], None],
         random_source: random.Random,
+        live_settings: settings.LiveSettings | None = None,
+        send_allowance_message: allowances.SendMessage = (
+            lambda _message, _ip: None
+        ),
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
@@ -126,11 +134,13 @@
             gateway_tuning.choosing,
             random_source,
             lambda: self.monitor.state,
+            member_list.fleet_size,
         )
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
                 gateway_settings, gateway_tuning.repeating
-            )
+            ),
+            fleet_retry_budgets.rounding_phase(gateway_settings.name),
         )
         self._sender = sending.Sender(
             pool,
@@ -143,8 +153,21 @@
             self.monitor,
             server_picker.handle_answer,
         )
+        self.authenticator = authenticator.Authenticator(
+            platform_state,
+            live_settings or settings.LiveSettings(gateway_settings),
+            metrics,
+        )
+        self.allowances = allowances.FleetAllowances(
+            gateway_settings,
+            member_list,
+            platform_state,
+            send_allowance_message,
+            random_source,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
+            self.authenticator,
             server_picker,
             self._sender,
             self.monitor,
@@ -154,6 +177,8 @@
             gateway_tuning.repeating,
             random_source,
             gateway_settings.configuration_bound,
+            self.allowances.acquire,
+            self.allowances.release,
         )
 
     def drop_removed_servers(self) -> None:
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
@@ -5,6 +5,8 @@
 figures of each case.
 """
 
+import asyncio
+
 from hyssopwind.standins.tests import caller_crowd_case
 
 RUNS_ALONE = True  # real processes, sockets and times
@@ -144,3 +146,57 @@
             lambda: self.send_unread(port, []), SILENT_CONNECTIONS
         )
         await self.check_served()
+
+
+class ChangeTest(caller_crowd_case.CallerCrowdTestCase):
+    """The daemon stops, starts again or gets lower limits during a crowd."""
+
+    def start_crowd(self):
+        pieces = make_body_pieces("one piece", "/unsafe/a")
+        port = self.ports[0]
+        crowd = asyncio.create_task(
+            self.run_crowd(lambda: self.send_unread(port, pieces))
+        )
+        self.addAsyncCleanup(asyncio.gather, crowd, return_exceptions=True)
+        return crowd
+
+    # A request at a server must not lose its answer to the crowd.
+    async def test_running_request_is_answered_in_a_stop(self):
+        crowd = self.start_crowd()
+        await asyncio.sleep(2.0)
+        post = make_head("/unsafe/a", "POST", Content_Length="5") + b"hello"
+        answer = asyncio.create_task(self.status(post, self.ports[0]))
+        await asyncio.sleep(0.005)
+        await self.stop_process()
+        self.assertEqual(self.process.returncode, 0)
+        self.assertEqual(await answer, 200)
+        await crowd
+
+    async def test_daemon_that_starts_again_serves(self):
+        crowd = self.start_crowd()
+        await asyncio.sleep(1.0)
+        self.process.kill()
+        await self.process.wait()
+        await self.start_process()
+        await crowd
+        await self.check_served()
+
+    async def test_lower_limits_are_in_force_after_a_reload(self):
+        crowd = self.start_crowd()
+        await asyncio.sleep(1.0)
+        text = self.settings_path.read_text()
+        text = text.replace(
+            f"max_fds = {caller_crowd_case.MAX_FDS}", "max_fds = 200"
+        )
+        self.settings_path.write_text(
+            text.replace("memory_mb = 100", "memory_mb = 60")
+        )
+        await self.configure(2, max_body_bytes=100_000)
+        await crowd
+        port = self.ports[0]
+        self.max_fds_seen = 0
+        await self.run_crowd(lambda: self.send_unread(port, []), 400)
+        self.assertLess(self.max_fds_seen, 200)
+        await self.check_served()
+        head = make_head("/unsafe/a", "POST", Content_Length="100001")
+        self.assertEqual(await self.status(head, port), 413)
