--- a/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
@@ -127,6 +127,19 @@
             sender_version=sender_version,
         )
 
+    def refuse_head(
+        self, head: caller_requests.CallerRequest, route: tables.Route
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request before its body is read, if any.
+
+        The request is admitted and counted when it is whole.
+        """
+        credentials = _read_credentials(head, None)
+        decision = self._decide(credentials, route, 0)
+        if isinstance(decision, authentication.Refused):
+            return self._refuse(decision, head, route)
+        return None
+
     def may_send(
         self,
         admission: Admission,
