--- a/packages/core/src/hyssopwind/core/callers/body_pace.py
+++ b/packages/core/src/hyssopwind/core/callers/body_pace.py
@@ -107,6 +107,8 @@
 
     def next_check_seconds(self, now: float) -> float:
         """Returns the time until the next check."""
+        if self._suspended_at is not None:
+            return self._stall_seconds
         times = [
             self._progress_at + self._stall_seconds,
             self._started_at + self._deadline_seconds,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_connection.py
@@ -154,6 +154,7 @@
         self._is_reading_paused = False
         self._pace: body_pace.BodyPace | None = None
         self._paced_message = 0
+        self._invited_message = 0
         self._paced_bytes = 0
         self._pending_cost = 0
         self._seen_outstanding_bytes = 0
@@ -217,7 +218,11 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that all connections share."""
         del sizehint  # The buffer bounds the work of a turn.
-        return self._resources.receive_view
+        if self._request_reader.is_reading_body:
+            return self._resources.receive_view
+        return self._resources.receive_view[
+            : caller_resources.RECEIVE_HEAD_BYTES
+        ]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parses bytes of the caller and starts the requests they complete."""
@@ -600,7 +605,11 @@
 
     def _invite_body(self) -> None:
         """Sends `100 Continue` if the caller waits for it."""
-        if self._request_reader.expects_continue:
+        reader = self._request_reader
+        if self._block is _Block.MEMORY or not reader.expects_continue:
+            return
+        if self._invited_message != reader.message_count:
+            self._invited_message = reader.message_count
             self._write(rendering.CONTINUE_RESPONSE)
 
     def _is_last_of_stop(self) -> bool:
@@ -640,6 +649,7 @@
                 is_head=is_head,
             )
         self._last_answered = request
+        self._holding.progress_at = boot_clock.now()
         self._buffered_requests.append(request)
         self._write(answer)
         if not self._is_write_paused:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_resources.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_resources.py
@@ -15,7 +15,9 @@
 from hyssopwind.core.dispatch import settings
 from hyssopwind.transport import boot_clock
 
-RECEIVE_BYTES = 65_536  # read from a connection at a time
+RECEIVE_BYTES = 65_536  # read at a time of a body
+# Read at a time otherwise. A connection that is blocked holds as much unparsed.
+RECEIVE_HEAD_BYTES = 16_384
 # Interval at which connections without progress are closed while others wait.
 RECLAIM_INTERVAL_SECONDS = 0.1
 # Waiting connections that are tried when memory becomes free.
