--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -190,8 +190,8 @@
 
     Examples:
         >>> [reserved_slots(load, 6, 0.5) for load in (0.0, 0.1, 0.75, 9.0)]
-        [0, 0, 2, 3]
-        >>> [reserved_slots(0.15, 6, phase) for phase in (0.1, 0.4, 0.7)]
+        [0, 1, 2, 3]
+        >>> [reserved_slots(0.04, 6, phase) for phase in (0.1, 0.4, 0.7)]
         [0, 0, 1]
         >>> [reserved_slots(1.0, slots, 0.5) for slots in (1, 2, 3)]
         [0, 1, 1]
