--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -13,6 +13,8 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import refusal_policy
+from hyssopwind.core.dispatch import retry_denials
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
@@ -174,7 +176,12 @@
         release_allowance: allowance_results.Release = (
             allowance_results.keep_released
         ),
+        count_retry: Callable[[str, str, str], None] = (
+            lambda _priority, _kind, _result: None
+        ),
     ):
+        self._count_retry = count_retry
+        self._retry_denials = retry_denials.RetryDenials()
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
         self._authenticator = request_authenticator
@@ -189,6 +196,9 @@
         self._retry_settings = retry_settings
         self._random = random_source
         self._deadline_tracker = retry_policy.DeadlineTracker()
+        self._forecasts: dict[
+            ids.ServiceId, refusal_policy.CapacityForecast
+        ] = {}
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
@@ -379,8 +389,10 @@
             set(),
             route.max_attempts,
             spent_seconds,
-            is_caller_retry=spent_seconds
-            > retry_policy.CALLER_RETRY_MIN_SECONDS,
+            is_caller_retry=refusal_policy.is_returned(
+                spent_seconds,
+                has_several_classes=self._has_several_classes(service),
+            ),
         )
 
     def _may_start(self, context: _RequestContext) -> bool:
@@ -433,7 +445,7 @@
                 return await self._serve_elsewhere(context)
             if self._is_retry(context) and self._is_retry_hopeless(context):
                 return self._final_outcome(context)
-            selected = await self._picker.pick(self._selection_request(context))
+            selected = await self._select_server(context)
             if isinstance(selected, server_selection.Refuse):
                 if (
                     selected.answered_count == 0
@@ -485,6 +497,32 @@
             )
         return self._final_outcome(context)
 
+    async def _select_server(
+        self, context: _RequestContext
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Searches a server and records how long that took."""
+        started_at = boot_clock.now()
+        selected = await self._picker.pick(self._selection_request(context))
+        now = boot_clock.now()
+        self._forecast(context.service).record_search(
+            now - started_at,
+            is_found=isinstance(selected, server_selection.Send),
+            now=now,
+        )
+        return selected
+
+    def _forecast(
+        self, service: ids.ServiceId
+    ) -> refusal_policy.CapacityForecast:
+        return self._forecasts.setdefault(
+            service, refusal_policy.CapacityForecast()
+        )
+
+    def _has_several_classes(self, service: ids.ServiceId) -> bool:
+        return self._retry_budget.reserves(
+            service, boot_clock.now()
+        ).has_several_classes
+
     def _selection_request(
         self, context: _RequestContext
     ) -> picker.SelectionRequest:
@@ -497,6 +535,8 @@
             tried_servers=frozenset(context.tried_servers),
             is_caller_retry=context.is_caller_retry,
             priority=context.priority,
+            persists=context.is_caller_retry
+            and self._has_several_classes(context.service),
         )
 
     def _send_deadline(self, context: _RequestContext) -> float:
@@ -627,16 +667,15 @@
         Services with requests of one class search first, as a retry may become
         available meanwhile.
         """
-        now = boot_clock.now()
-        reserves = self._retry_budget.reserves(context.service, now)
-        return reserves.has_several_classes and not (
-            self._retry_budget.may_acquire(
-                context.service,
-                now,
-                self._daemon_count(),
-                self._retry_demand(context, retry_reserves.RetryKind.RETRY),
-            )
-        )
+        if not self._has_several_classes(context.service):
+            return False
+        demand = self._retry_demand(context, retry_reserves.RetryKind.RETRY)
+        if self._retry_budget.may_acquire(
+            context.service, boot_clock.now(), self._daemon_count(), demand
+        ):
+            return False
+        self._record_denial(context.service, demand)
+        return True
 
     def _retry_demand(
         self, context: _RequestContext, kind: retry_reserves.RetryKind
@@ -653,11 +692,47 @@
         context: _RequestContext,
         kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
     ) -> bool:
-        return self._retry_budget.try_acquire(
-            context.service,
-            boot_clock.now(),
-            self._daemon_count(),
-            self._retry_demand(context, kind),
+        demand = self._retry_demand(context, kind)
+        is_allowed = self._retry_budget.try_acquire(
+            context.service, boot_clock.now(), self._daemon_count(), demand
+        )
+        if not self._has_several_classes(context.service):
+            return is_allowed
+        if is_allowed:
+            label = priorities.label(demand.priority)
+            self._count_retry(label, kind.value, "allowed")
+        else:
+            self._record_denial(context.service, demand)
+        return is_allowed
+
+    def _record_denial(
+        self, service: ids.ServiceId, demand: retry_reserves.RetryDemand
+    ) -> None:
+        """Counts a denied retry; logs one line a second for each class."""
+        label = priorities.label(demand.priority)
+        self._count_retry(label, demand.kind.value, "denied")
+        now = boot_clock.now()
+        count = self._retry_denials.record(
+            retry_denials.DenialClass(service, label, demand.kind), now
+        )
+        if not count:
+            return
+        reserves = self._retry_budget.reserves(service, now)
+        available_count = self._retry_budget.available_count(
+            service, now, self._daemon_count()
+        )
+        _log.info(
+            "retries denied",
+            extra={
+                "service": service,
+                "priority": label,
+                "kind": demand.kind.value,
+                "count": count,
+                "available": round(available_count, 2),
+                "reserved": round(reserves.reserved_count(demand), 2),
+                "failed_ratio": round(reserves.failure_ratio, 2),
+                "work_ms": round(demand.work_seconds * 1000),
+            },
         )
 
     async def _attempt_with_hedge(
@@ -855,8 +930,21 @@
         )
 
     def _retry_after(self, context: _RequestContext) -> float:
-        return retry_policy.retry_after_seconds(
-            context.route.latency_target_seconds, self._random.random()
+        random_draw = self._random.random()
+        if not self._has_several_classes(context.service):
+            return retry_policy.retry_after_seconds(
+                context.route.latency_target_seconds, random_draw
+            )
+        now = boot_clock.now()
+        return refusal_policy.return_after_seconds(
+            refusal_policy.ReturnTiming(
+                context.route.latency_target_seconds,
+                now - context.request.arrived_at + context.spent_seconds,
+                context.deadline - now,
+                self._picker.expected_work_seconds(context.route),
+                self._forecast(context.service).free_after_seconds(now),
+            ),
+            random_draw,
         )
 
     def _log_fields(self, context: _RequestContext) -> dict[str, object]:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -58,6 +58,11 @@
         lines_dropped: log lines dropped.
         ready: whether the daemon reports that it is ready.
         cut_off: whether the daemon has no way to the servers.
+        caller_bytes: memory that callers make the daemon hold.
+        caller_connections: open connections of all listeners.
+        caller_requests: requests of callers that run.
+        caller_refusal_counts: refused requests and closed connections of
+            callers by reason.
     """
 
     copy_age: Callable[[], float]
@@ -82,6 +87,10 @@
     lines_dropped: Callable[[], float]
     ready: Callable[[], float]
     cut_off: Callable[[], float]
+    caller_bytes: Callable[[], float]
+    caller_connections: Callable[[], float]
+    caller_requests: Callable[[], float]
+    caller_refusal_counts: Callable[[], Mapping[str, int]]
 
 
 # Help texts by the name of the source, which is the end of the metric's name.
@@ -104,6 +113,9 @@
     "lines_dropped": "Log lines dropped so far",
     "ready": "Whether the daemon says that it is ready",
     "cut_off": "Whether the daemon has no way to the servers",
+    "caller_bytes": "Memory that callers make the daemon hold",
+    "caller_connections": "Open connections of all listeners",
+    "caller_requests": "Requests of callers that run",
 }
 
 
@@ -121,6 +133,9 @@
         self._undelivered: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._retries: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
         self._handovers: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -157,6 +172,16 @@
         if len(self._attempts) < MAX_SERIES:
             self._attempts[service, result] += 1
 
+    def count_retry(self, priority: str, kind: str, result: str) -> None:
+        """Counts a retry or hedge at a service with several priorities.
+
+        Args:
+            priority: label of the priority of the request.
+            kind: `retry` or `hedge`.
+            result: `allowed` or `denied`.
+        """
+        self._retries[priority, kind, result] += 1
+
     def count_handover(self, direction: str, result: str) -> None:
         """Counts a request that was sent to or received from a peer."""
         self._handovers[direction, result] += 1
@@ -216,6 +241,12 @@
             ["result"],
             {(result,): count for result, count in allowance_counts.items()},
         )
+        yield _make_counter(
+            "hyssopwind_retries",
+            "Retries and hedges at services with several priorities",
+            ["priority", "kind", "result"],
+            self._retries,
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
@@ -234,6 +265,15 @@
             ["result"],
             {(result,): n for result, n in self._authentications.items()},
         )
+        refusal_counts = (
+            self._sources.caller_refusal_counts() if self._sources else {}
+        )
+        yield _make_counter(
+            "hyssopwind_caller_refusals",
+            "Refused requests and closed connections of callers",
+            ["reason"],
+            {(reason,): count for reason, count in refusal_counts.items()},
+        )
         yield from self._collect_transfers()
         yield self._collect_latencies()
         for name, text in _GAUGES.items():
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -1,5 +1,6 @@
 """Composes what serves the requests of callers, apart from all listeners."""
 
+import copy
 import random
 from collections.abc import Callable
 
@@ -163,7 +164,9 @@
             member_list,
             platform_state,
             send_allowance_message,
-            random_source,
+            # Draws from the source itself would change the decisions of
+            # daemons without tenants.
+            copy.copy(random_source),
         )
         self.dispatcher = dispatcher.Dispatcher(
             platform_state,
@@ -179,6 +182,7 @@
             gateway_settings.configuration_bound,
             self.allowances.acquire,
             self.allowances.release,
+            metrics.count_retry,
         )
 
     def drop_removed_servers(self) -> None:
