--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -574,6 +574,9 @@
                 self._request_path.limits.stated.in_force(boot_clock.now())
             ),
             permit_counts=lambda: self._request_path.permits.result_counts,
+            priority_counts=lambda: (
+                self._request_path.priority_decisions.counts
+            ),
             allowance_counts=lambda: (
                 self._request_path.allowances.result_counts
             ),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -48,6 +48,8 @@
         servers: listed servers.
         limited_servers: servers whose stated limits hold.
         permit_counts: requests for permits by result.
+        priority_counts: decisions of searches by the label of the priority and
+            the decision.
         allowance_counts: requests for tokens of allowances by result.
         transfer_counts: transfers of changes from and to peers by result.
         transfer_bytes: bytes of these transfers by direction.
@@ -77,6 +79,7 @@
     servers: Callable[[], float]
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
+    priority_counts: Callable[[], Mapping[tuple[str, str], int]]
     allowance_counts: Callable[[], Mapping[str, int]]
     transfer_counts: Callable[[], Mapping[str, int]]
     transfer_bytes: Callable[[], Mapping[str, int]]
@@ -247,6 +250,12 @@
             ["priority", "kind", "result"],
             self._retries,
         )
+        yield _make_counter(
+            "hyssopwind_priority_decisions",
+            "Searches for a server that the priority of the request changed",
+            ["priority", "decision"],
+            self._sources.priority_counts() if self._sources else {},
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -5,11 +5,14 @@
 import random
 from collections.abc import Callable
 
+import logbook
+
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import entries
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import priority_classes
+from hyssopwind.core.dispatch import priority_decisions
 from hyssopwind.core.dispatch import probe_results
 from hyssopwind.core.dispatch import sampling
 from hyssopwind.core.dispatch import server_health
@@ -33,6 +36,7 @@
 MAX_DENIAL_SECONDS = 1.0
 # Ratio of the latency target over which the ends of a quiet are spread.
 QUIET_END_SPREAD_RATIO = 0.5
+_log = logbook.Logger("selection")
 _UNREACHABLE = server_selection.Refuse("no server can be reached")
 _OVERFULL = server_selection.Refuse("too many requests wait for a server")
 
@@ -81,7 +85,11 @@
 
 
 class Picker:
-    """Picks servers by their load, which it probes for each request."""
+    """Picks servers by their load, which it probes for each request.
+
+    Attributes:
+        priority_decisions: what the priorities of requests changed.
+    """
 
     def __init__(
         self,
@@ -116,6 +124,7 @@
         self._lines: dict[ids.ServiceId, waiting_lines.WaitingLine] = {}
         self._daemon_count = daemon_count
         self._priority_classes = priority_classes.PriorityClasses()
+        self.priority_decisions = priority_decisions.PriorityDecisions()
         # Of the services whose requests differ in priority.
         self._demands: dict[ids.ServiceId, slot_reserves.ServiceDemand] = {}
 
@@ -282,6 +291,13 @@
             return dataclasses.replace(decision, answered_count=len(candidates))
         if not await self._try_reserve(decision.server, request):
             return None
+        if decision.is_congested and self._may_congest(request):
+            self._record_decision(
+                request,
+                priority_decisions.Decision.USED_RESERVE,
+                offered_load=0.0,
+                waited_seconds=decision.waited_seconds,
+            )
         return decision
 
     def _find_answered(
@@ -331,12 +347,45 @@
             offered_load = demand.offered_load(priority, shape, now)
         timing = self._request_timing(request, now)
         good_factor = self._selection_settings.good_factor
-        return [
+        marked = [
             slot_reserves.mark_reserved(
                 candidate, timing, offered_load, good_factor
             )
             for candidate in candidates
         ]
+        if any(candidate.is_reserved for candidate in marked):
+            self._record_decision(
+                request,
+                priority_decisions.Decision.LEFT_SLOTS,
+                offered_load=offered_load,
+                waited_seconds=timing.waited_seconds,
+            )
+        return marked
+
+    def _record_decision(
+        self,
+        request: SelectionRequest,
+        decision: priority_decisions.Decision,
+        *,
+        offered_load: float,
+        waited_seconds: float,
+    ) -> None:
+        count = self.priority_decisions.record(
+            request.service, request.priority, decision, boot_clock.now()
+        )
+        if not count:
+            return
+        _log.info(
+            "selection by priority",
+            extra={
+                "service": request.service,
+                "priority": request.priority,
+                "decision": decision.value,
+                "count": count,
+                "urgent_per_server": round(offered_load, 3),
+                "waited_ms": round(waited_seconds * 1000),
+            },
+        )
 
     def _may_congest(self, request: SelectionRequest) -> bool:
         """Whether other requests leave slots to a request."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -45,6 +45,7 @@
         handover: hands requests to peers.
         probe_client: client of the health endpoints of servers.
         crash_detector: detector of requests that crash servers.
+        priority_decisions: what the priorities of requests changed.
         retry_budget: budget of retries and hedges.
         authenticator: checks the keys of requests.
         allowances: allowances of tenants over the fleet.
@@ -137,6 +138,7 @@
             lambda: self.monitor.state,
             member_list.fleet_size,
         )
+        self.priority_decisions = server_picker.priority_decisions
         self.retry_budget = fleet_retry_budgets.FleetRetryBudget(
             fleet_retry_budgets.fleet_retry_settings(
                 gateway_settings, gateway_tuning.repeating
