Tell peers of a server that ignores requests

Change: a daemon to which a server reports no request, although it has sent some, ejects it for 4 s and tells its peers, at most once a second; they eject it for 5 s, so that one daemon tries it first. If more than a third of the servers of a service are ejected, the ejections last 1 s.

--- a/packages/core/src/hyssopwind/core/dispatch/server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_health.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import math
+from collections.abc import Collection
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import probe_results
@@ -20,6 +21,16 @@
 FAILURES_TO_EJECT = 2  # consecutive ones; single failures are common
 # Duration of the ejection after a probe without an answer.
 UNANSWERED_PROBE_EJECTION_SECONDS = 0.5
+# Duration of the ejection of a server that ignores requests and reports none.
+# Each further trial costs a request of a caller; servers restart in less.
+HANG_EJECTION_SECONDS = 4.0
+# Ratio of the servers of a service that may be ejected for so long. If more of
+# them hang, no trial can be spared, and the others cannot do without them when
+# they are back.
+MAX_HANGING_RATIO = 0.34
+# Time by which the ejection lasts longer at daemons that a peer told of it. The
+# peer tries the server first, and finds in less whether it still hangs.
+TOLD_HANG_EXTRA_SECONDS = 1.0
 # First estimate of the work of a route relative to its latency target.
 INITIAL_WORK_RATIO = 0.4
 # Weights of the newest sample in the moving averages.
@@ -226,6 +237,40 @@
             state.ejected_until, now + UNANSWERED_PROBE_EJECTION_SECONDS
         )
 
+    def record_hang(
+        self,
+        server: ids.ServerId,
+        servers: Collection[ids.ServerId],
+        now: float,
+        *,
+        is_told: bool,
+    ) -> None:
+        """Records that a server ignores requests and reports none.
+
+        Args:
+            server: the server.
+            servers: all servers of its service.
+            now: monotonic time in seconds.
+            is_told: whether a peer found it.
+        """
+        state = self._find_or_add(server)
+        ejection_seconds = HANG_EJECTION_SECONDS
+        if is_told:
+            ejection_seconds += TOLD_HANG_EXTRA_SECONDS
+        state.failed_at = now
+        state.ejected_until = max(state.ejected_until, now + ejection_seconds)
+        ejected = [
+            each
+            for other in servers
+            if (each := self._servers.get(other)) and now < each.ejected_until
+        ]
+        if len(ejected) <= max(1.0, MAX_HANGING_RATIO * len(servers)):
+            return
+        for each in ejected:
+            each.ejected_until = min(
+                each.ejected_until, now + FIRST_EJECTION_SECONDS
+            )
+
     def forget_failures(self, since: float) -> None:
         """Forgets the failures of all servers that failed since a time.
 
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_server_health.py
@@ -120,3 +120,37 @@
                 SERVER, server_health.UNANSWERED_PROBE_EJECTION_SECONDS
             )
         )
+
+
+class HangTest(unittest.TestCase):
+    """Servers ignore requests and report none."""
+
+    def setUp(self):
+        self.passive_health = server_health.PassiveHealth()
+        self.servers = [ids.ServerId(f"i-{number}") for number in range(6)]
+
+    def record_hang(self, number, now, is_told=False):
+        self.passive_health.record_hang(
+            self.servers[number], self.servers, now, is_told=is_told
+        )
+
+    def count_ejected(self, now):
+        return sum(
+            self.passive_health.is_ejected(server, now)
+            for server in self.servers
+        )
+
+    # Each daemon tried a server that hangs again after a second.
+    def test_daemon_that_found_it_tries_the_server_first(self):
+        self.record_hang(0, 0.0)
+        self.record_hang(1, 0.0, is_told=True)
+        self.assertEqual(self.count_ejected(3.9), 2)
+        self.assertEqual(self.count_ejected(4.1), 1)
+        self.assertEqual(self.count_ejected(5.1), 0)
+
+    # A service that had hung as a whole was served by a few servers only.
+    def test_ejections_are_short_if_most_servers_hang(self):
+        for number in range(6):
+            self.record_hang(number, 0.1 * number, is_told=number % 2 == 0)
+        self.assertEqual(self.count_ejected(0.6), 6)
+        self.assertEqual(self.count_ejected(1.6), 0)
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -242,6 +242,18 @@
     instance: str
 
 
+class HangNotice(msgspec.Struct, array_like=True, tag="h", frozen=True):
+    """A notice that a server ignores requests while it reports none.
+
+    Attributes:
+        sender: name of the daemon whose requests it ignores.
+        server: the server.
+    """
+
+    sender: str
+    server: str
+
+
 class ReachabilityNotice(msgspec.Struct, array_like=True, tag="u", frozen=True):
     """A notice whether the sender has a way to the servers.
 
@@ -345,6 +357,7 @@
     | MemberListPage
     | CrashNotice
     | LeavingNotice
+    | HangNotice
     | ReachabilityNotice
     | PermitMessage
     | AllowanceMessage
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -118,6 +118,7 @@
             self._random,
             self._live_settings,
             self._send_allowance_message,
+            lambda server: self._gossip.announce_hang(server),
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
@@ -135,6 +136,7 @@
             self._random,
             self._handle_reachability_notice,
             self._request_path.allowances.handle,
+            self._request_path.handle_hang_notice,
         )
         self._internal_listeners = internal_listeners.InternalListeners(
             self._is_ready,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -92,7 +92,9 @@
         on_allowance_message: Callable[
             [gossip_messages.AllowanceMessage], None
         ] = lambda _message: None,
+        on_hang_notice: Callable[[ids.ServerId], None] = lambda _server: None,
     ):
+        self._on_hang_notice = on_hang_notice
         self._live_settings = live_settings
         initial_settings = live_settings.current
         self._initial_settings = initial_settings
@@ -201,6 +203,12 @@
         """Announces to all peers that a server is about to stop."""
         self._send_repeatedly(self._make_leaving_notice(instance))
 
+    def announce_hang(self, server: ids.ServerId) -> None:
+        """Announces to all peers that a server ignores requests."""
+        self._send_repeatedly(
+            gossip_messages.HangNotice(self._initial_settings.name, server)
+        )
+
     def announce_reachability(self, is_cut_off: bool) -> None:
         """Announces to all peers whether this daemon reaches servers."""
         notice = gossip_messages.ReachabilityNotice(
@@ -270,6 +278,8 @@
             self._on_reachability_notice(
                 ids.DaemonId(message.sender), message.is_cut_off
             )
+        elif isinstance(message, gossip_messages.HangNotice):
+            self._on_hang_notice(ids.ServerId(message.server))
         elif isinstance(message, gossip_messages.AllowanceMessage):
             self._on_allowance_message(message)
         else:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -38,6 +38,8 @@
 CONCURRENT_COUNT = 1
 # Age up to which a request may not be included in the load in an answer.
 ANSWER_DELAY_SECONDS = 0.005
+# Time between two notices to peers that a server hangs.
+MIN_HANG_NOTICE_SECONDS = 1.0
 
 _log = logbook.Logger("probes")
 
@@ -82,7 +84,10 @@
         member_list: fleet_members.MemberList,
         probe_budget: probe_budgets.ProbeBudget,
         cut_off_count: Callable[[], int] = lambda: 0,
+        announce_hang: Callable[[ids.ServerId], None] = lambda _server: None,
     ):
+        self._announce_hang = announce_hang
+        self._announced_hang_at = float("-inf")
         self._catalogue = server_catalogue
         self._passive_health = passive_health
         self._probe_client = probe_client
@@ -324,6 +329,9 @@
                     "in_flight": self._passive_health.in_flight_count(server),
                 },
             )
+            # One that is full ignores single requests and serves others.
+            if result.load.running + result.load.waiting == 0:
+                self._record_hang(listed_server, now)
         # The result includes requests sent before the probe, not later ones.
         sent_later = [t for t in self._sent_at.pop(server, ()) if t >= sent_at]
         if sent_later:
@@ -331,6 +339,40 @@
         self._recent_results[server] = _TimedResult(now, result)
         return result
 
+    def handle_hang_notice(self, server: ids.ServerId) -> None:
+        """Handles a notice of a peer whose requests a server ignores."""
+        listed_server = self._catalogue.find(server)
+        if listed_server is not None:
+            now = boot_clock.now()
+            self._passive_health.record_hang(
+                server, self._servers_beside(listed_server), now, is_told=True
+            )
+
+    def _servers_beside(
+        self, listed_server: catalogue.ListedServer
+    ) -> list[ids.ServerId]:
+        """Returns the servers of the same service."""
+        service = listed_server.entry.service
+        return [
+            each.entry.id
+            for each in self._catalogue.usable_servers(
+                service, boot_clock.now()
+            )
+        ]
+
+    def _record_hang(
+        self, listed_server: catalogue.ListedServer, now: float
+    ) -> None:
+        server = listed_server.entry.id
+        self._passive_health.record_hang(
+            server, self._servers_beside(listed_server), now, is_told=False
+        )
+        # Several at once point to the network of this daemon.
+        if now < self._announced_hang_at + MIN_HANG_NOTICE_SECONDS:
+            return
+        self._announced_hang_at = now
+        self._announce_hang(server)
+
     def _add_probed_server(
         self,
         probed_servers: list[ProbedServer],
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -41,6 +41,7 @@
         withdrawals: servers that want no requests.
         permits: permits to send to servers with limits.
         handle_leaving_notice: records what a peer heard of a leaving server.
+        handle_hang_notice: records that a peer found a server to hang.
         monitor: whether this daemon reaches servers.
         handover: hands requests to peers.
         probe_client: client of the health endpoints of servers.
@@ -70,6 +71,7 @@
         send_allowance_message: allowances.SendMessage = (
             lambda _message, _ip: None
         ),
+        announce_hang: Callable[[ids.ServerId], None] = lambda _server: None,
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
@@ -123,7 +125,9 @@
             member_list,
             probe_budget,
             lambda: self.handover.cut_off_count,
+            announce_hang,
         )
+        self.handle_hang_notice = self._prober.handle_hang_notice
         server_picker = picker.Picker(
             gateway_settings,
             platform_state.catalogue,
--- a/packages/standins/src/hyssopwind/standins/fuzzing/places.py
+++ b/packages/standins/src/hyssopwind/standins/fuzzing/places.py
@@ -316,6 +316,7 @@
                     "a", [gossip_messages.Member("b", "127.0.0.2", "north", 5)]
                 ),
                 gossip_messages.LeavingNotice("a", ids.InstanceId("i-1@2")),
+                gossip_messages.HangNotice("a", "i-1"),
             )
         ),
         gossip_messages.encode_deflated(
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -333,6 +333,7 @@
             self.gossip.send_permit_message,
             self.gossip.announce_reachability,
             random.Random(fleet.random_source.random()),
+            announce_hang=self.gossip.announce_hang,
         )
         self._tasks += [
             asyncio.ensure_future(self._run_housekeeping()),
@@ -361,6 +362,10 @@
         """Handles a notice that a server is leaving."""
         self.request_path.handle_leaving_notice(instance)
 
+    def handle_hang_notice(self, server: ids.ServerId) -> None:
+        """Handles a notice that a server hangs."""
+        self.request_path.handle_hang_notice(server)
+
     def handle_reachability_notice(
         self, sender: ids.DaemonId, is_cut_off: bool
     ) -> None:
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -206,6 +206,7 @@
             daemon.leaving_servers,
             random.Random(fleet.random_source.random()),
             daemon.handle_reachability_notice,
+            on_hang_notice=daemon.handle_hang_notice,
         )
         self._virtual_fleet = fleet
         self._daemon = daemon
@@ -320,6 +321,9 @@
     def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
         """Ignores that a server is leaving; this model sends no requests."""
 
+    def handle_hang_notice(self, server: ids.ServerId) -> None:
+        """Ignores that a server hangs; this model sends no requests."""
+
     def handle_reachability_notice(
         self, sender: ids.DaemonId, is_cut_off: bool
     ) -> None:
