--- a/packages/core/src/hyssopwind/core/dispatch/settings.py
+++ b/packages/core/src/hyssopwind/core/dispatch/settings.py
@@ -36,6 +36,8 @@
         probe_rate: probes of one server per second, over all daemons.
         memory_bytes: memory above which the process is killed.
         link_mbps: width of the link of the VM in Mbit/s; 0 if unknown.
+        max_descriptors: descriptors that the process may open; 0 for those
+            that the system allows.
         fail_closed: whether requests that need a key are refused while the
             replica of the store may be too old to show that it is in force.
         revoke_bound: seconds within which a revoked key must be refused.
@@ -68,6 +70,7 @@
     probe_rate: float
     memory_bytes: int
     link_mbps: int = 0
+    max_descriptors: int = 0
     fail_closed: bool = False
     revoke_bound: float = 5.0
     quota_window: float = 5.0
@@ -78,7 +81,10 @@
     def change_bound_seconds(self) -> float:
         """Seconds within which any published change must take effect."""
         return min(
-            self.drain_bound, self.configuration_bound, self.evacuation_bound
+            self.drain_bound,
+            self.configuration_bound,
+            self.evacuation_bound,
+            self.revoke_bound,
         )
 
 
--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -28,6 +28,9 @@
 from hyssopwind.core.tenants import allowance_results
 
 ROUND_SECONDS = 0.5
+# Rounds between two questions to silent daemons that would be preferred to the
+# owner. Daemons of the previous release never answer and log each message.
+CONTACT_ROUNDS = 4
 # Age below which a daemon does not know the size of the fleet, on which its
 # share depends; the same as for the limits of servers.
 MIN_ISSUER_AGE_SECONDS = 3.0
@@ -215,16 +218,26 @@
         self._skips: dict[ids.DaemonId, _Skip] = {}
         # No owner is asked until this time, as none has answered.
         self._silent_until = started_at
+        self._round_number = 0
         self._stamps: dict[ids.DaemonId, tuple[int, float]] = {}
         self._stated_sizes: dict[ids.DaemonId, tuple[int, float]] = {}
-        # Owners remember the numbers that this daemon used before a restart.
-        self._request_number = random_source.getrandbits(NUMBER_BITS) + 1
-        # Stamps of an earlier start of this daemon are not mistaken for own.
-        self._first_stamp = random_source.getrandbits(NUMBER_BITS) + 1
+        # Owners remember the numbers that this daemon used before a restart,
+        # and stamps of an earlier start must not be mistaken for own ones, so
+        # that both begin at random. They are drawn with their first use: a
+        # daemon without tenants takes the same random decisions as before.
+        self._latest_number: int | None = None
+        self._drawn_first_stamp: int | None = None
         self._replies: collections.OrderedDict[
             tuple[str, int], gossip_messages.AllowanceReply
         ] = collections.OrderedDict()
 
+    @property
+    def _first_stamp(self) -> int:
+        """The stamp of the start of this daemon."""
+        if self._drawn_first_stamp is None:
+            self._drawn_first_stamp = self._random.getrandbits(NUMBER_BITS) + 1
+        return self._drawn_first_stamp
+
     @property
     def next_timer_at(self) -> float | None:
         """Monotonic time at which `run_timers` is due, if at all."""
@@ -237,6 +250,14 @@
         """Sets the daemons of the fleet."""
         self._view = view
 
+    def owner(self, now: float) -> ids.DaemonId | None:
+        """Returns the owner in the own data centre, if there is one."""
+        return self._owner(now)
+
+    def fleet_size(self, now: float) -> int:
+        """Returns the number of daemons by which the shares are determined."""
+        return self._fleet_size(now)
+
     def share_ratio(self, now: float) -> float:
         """Returns the ratio of the allowances that this daemon holds."""
         self._owner(now)
@@ -317,13 +338,17 @@
         # A share that was lent before a restart has come back by this age.
         may_lend = now - self._started_at >= share_lending.LOAN_SENT_SECONDS
         owner = plan.owner
-        if owner is not None and owner != self._own_name and may_lend:
-            self._lend(owner, now)
-        for contact in plan.contacts:
-            self._send(self._make_loan(contact, now, is_lent=False), contact)
-        if owner not in (None, self._own_name) and not may_lend:
-            assert owner is not None
-            self._send(self._make_loan(owner, now, is_lent=False), owner)
+        if owner is not None and owner != self._own_name:
+            if may_lend:
+                self._lend(owner, now)
+            else:
+                self._send(self._make_loan(owner, now, is_lent=False), owner)
+        self._round_number += 1
+        has_owner = owner not in (None, self._own_name)
+        if not has_owner or self._round_number % CONTACT_ROUNDS == 0:
+            for contact in plan.contacts:
+                question = self._make_loan(contact, now, is_lent=False)
+                self._send(question, contact)
         self._prune(now)
 
     def _is_mature(self, now: float) -> bool:
@@ -460,17 +485,19 @@
         count: int,
         now: float,
     ) -> None:
-        self._request_number += 1
+        if self._latest_number is None:
+            self._latest_number = self._random.getrandbits(NUMBER_BITS)
+        self._latest_number += 1
         message = gossip_messages.AllowanceRequest(
             self._own_name,
-            self._request_number,
+            self._latest_number,
             state.allowance.tenant,
             count,
             state.allowance.version,
             state.allowance.requests_per_second,
             state.allowance.burst,
         )
-        self._pending[self._request_number] = _Pending(
+        self._pending[self._latest_number] = _Pending(
             state.allowance.tenant, owner, message, now
         )
         self._send(message, owner)
