--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -344,6 +344,8 @@
         listed_server = self._catalogue.find(server)
         if listed_server is not None:
             now = boot_clock.now()
+            if not self._passive_health.is_ejected(server, now):
+                _log.info("server hangs", extra={"server": server})
             self._passive_health.record_hang(
                 server, self._servers_beside(listed_server), now, is_told=True
             )
