Keep the Tenant field whatever Connection names

A caller that sent "Connection: Tenant" had the field of the daemon removed as hop-by-hop, so the server received no tenant. The name is now removed from Connection when the daemon sets the field; other names still take effect.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/authenticator.py
@@ -13,6 +13,7 @@
 from hyssopwind.core.routing import tables
 from hyssopwind.core.tenants import authentication
 from hyssopwind.core.tenants import tenant_table
+from hyssopwind.daemon import headers
 from hyssopwind.daemon.gateway import caller_requests
 from hyssopwind.daemon.gateway import gateway_metrics
 from hyssopwind.daemon.gateway import replicated_state
@@ -68,6 +69,8 @@
             # One character for each byte, as in the fields of callers.
             name = self.tenant.id.encode("utf-8").decode("latin-1")
             fields[field_names.TENANT] = name
+            # The caller must not have the field of the daemon removed.
+            headers.forward_field(fields, field_names.TENANT)
         return dataclasses.replace(request, fields=fields)
 
     def add_terms(self, terms: handovers.Terms) -> handovers.Terms:
--- a/packages/daemon/src/hyssopwind/daemon/headers.py
+++ b/packages/daemon/src/hyssopwind/daemon/headers.py
@@ -63,6 +63,29 @@
     return end_to_end_fields
 
 
+def forward_field(
+    headers: "multidict.CIMultiDict[str]", field_name: str
+) -> None:
+    """Removes a field from those that `Connection` ends at this hop.
+
+    Examples:
+        >>> fields = multidict.CIMultiDict(
+        ...     {"Connection": "close, A", "A": "1"})
+        >>> forward_field(fields, "a")
+        >>> list(end_to_end(fields))
+        ['A']
+    """
+    values = headers.popall("Connection", ())
+    for value in values:
+        kept = [
+            name
+            for name in value.split(",")
+            if name.strip().lower() != field_name.lower()
+        ]
+        if kept:
+            headers.add("Connection", ",".join(kept))
+
+
 def to_pairs(
     headers: "multidict.CIMultiDict[str]",
 ) -> tuple[tuple[str, str], ...]:
