Withdraw requests over the allowance with their priority

A request refused for its tenant's allowance was withdrawn from the retry budget as one of priority 0, so the reserves counted a class that had sent nothing. The priority is passed, and its default is removed so that no caller can omit it.

--- a/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
@@ -123,9 +123,7 @@
         )
 
     def withdraw_request(
-        self,
-        service: ids.ServiceId,
-        priority: priorities.Priority = DEFAULT_PRIORITY,
+        self, service: ids.ServiceId, priority: priorities.Priority
     ) -> None:
         """Takes back a request that another daemon sends and counts."""
         times = self._requests.get(service)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -426,7 +426,7 @@
             return None
         context.is_refusal_counted = True
         # It is not sent, so it does not count for the retries of the service.
-        self._retry_budget.withdraw_request(context.service)
+        self._retry_budget.withdraw_request(context.service, context.priority)
         if result.cause is allowance_results.DenialCause.EXHAUSTED:
             return outcomes.NotRun(
                 outcomes.Reason.TENANT_LIMIT,
