Send the digest of a key with requests on public routes

A peer with a newer version, in which the route is not public, answered 401 to a valid key because the terms of the handover had no digest without a tenant. The digest is sent whenever the request has a key. Result: the new test failed before and passes, as do the others of test_peer_choice; make check passes.

--- a/packages/core/src/hyssopwind/core/fleet/handovers.py
+++ b/packages/core/src/hyssopwind/core/fleet/handovers.py
@@ -32,8 +32,8 @@
         tenant: name of its tenant, whose allowance the sender has charged.
         key_digest: digest of its key, never the key itself.
         configuration_version: version by which the sender accepted the key.
-            The last three are absent if that version has no tenants, and the
-            first two of them if the request needs no key.
+            The last three are absent if that version has no tenants, the tenant
+            if the route is public, and the digest if the request has no key.
     """
 
     sender: str
@@ -102,14 +102,12 @@
     """
     if configuration_version is None:
         return terms
-    if tenant is None or key_digest is None:
-        return msgspec.structs.replace(
-            terms, configuration_version=configuration_version
-        )
     return msgspec.structs.replace(
         terms,
-        tenant=str(tenant),
-        key_digest=str(key_digest),
+        tenant=msgspec.UNSET if tenant is None else str(tenant),
+        # Also on a public route, which a newer version of the peer may not have
+        # as public.
+        key_digest=msgspec.UNSET if key_digest is None else str(key_digest),
         configuration_version=configuration_version,
     )
 
--- a/packages/core/src/hyssopwind/core/fleet/tests/test_peer_choice.py
+++ b/packages/core/src/hyssopwind/core/fleet/tests/test_peer_choice.py
@@ -133,6 +133,17 @@
         self.assertEqual((decoded.tenant, decoded.key_digest), ("a", "d1"))
         self.assertEqual(decoded.configuration_version, 3)
 
+    # A peer in whose newer version the route is not public refused a valid
+    # key, because the terms did not contain its digest.
+    def test_digest_is_sent_without_a_tenant(self):
+        terms = handovers.add_tenant(
+            self.make_terms(), None, ids.KeyDigest("d1"), 3
+        )
+        self.assertFalse(terms.tenant)
+        self.assertEqual(
+            (terms.key_digest, terms.configuration_version), ("d1", 3)
+        )
+
     def test_terms_of_the_previous_release_have_no_tenant(self):
         decoded = handovers.decode_terms(handovers.encode(self.make_terms()))
         self.assertFalse(decoded.tenant)
