Do not treat owners of allowances as silent before each was asked

A batch whose timers are late ended before the owner of the last data centre was asked, and no owner was asked for a second, so all tenants were refused. The pause now begins only if an owner of each other data centre was tried or is skipped. Daemons that would replace a silent owner are asked after the owners of the other data centres, so that all of those are tried.

--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -385,6 +385,8 @@
     def _owners(self, now: float) -> list[ids.DaemonId]:
         """Returns the owners to ask, that of the own data centre first."""
         owners = []
+        # Daemons that would replace a silent owner of another data centre.
+        replacements: list[ids.DaemonId] = []
         own = self._owner(now)
         if own == self._own_name and not self._is_mature(now):
             own = None
@@ -399,11 +401,26 @@
         for centre in centres[start:] + centres[:start]:
             if centre == self._data_centre:
                 continue
-            for name in self._view.ranked_daemons[centre]:
+            for rank, name in enumerate(self._view.ranked_daemons[centre]):
                 if not self._is_skipped(name, now):
-                    owners.append(name)
+                    (replacements if rank > 0 else owners).append(name)
                     break
-        return owners
+        return owners + replacements
+
+    def _has_tried_all_centres(self, batch: _Batch, now: float) -> bool:
+        """Whether an owner of each data centre was tried or is skipped.
+
+        The owner of the own data centre is always asked first.
+        """
+        for centre, names in self._view.ranked_daemons.items():
+            if centre == self._data_centre:
+                continue
+            if not any(
+                name in batch.tried_owners or self._is_skipped(name, now)
+                for name in names
+            ):
+                return False
+        return True
 
     def _is_skipped(self, daemon: ids.DaemonId, now: float) -> bool:
         skip = self._skips.get(daemon)
@@ -447,7 +464,13 @@
         state.batch = None
         if not batch.tickets:
             return
-        if batch.has_timed_out and not batch.has_peer_answered:
+        # A batch may end before all owners were asked, if timers are late.
+        is_silent = (
+            batch.has_timed_out
+            and not batch.has_peer_answered
+            and self._has_tried_all_centres(batch, now)
+        )
+        if is_silent:
             self._silent_until = now + SKIP_SECONDS
         may_start = (
             not self._is_mature(now)
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -519,5 +519,48 @@
         self.assertEqual(self.sent[-1], self.sent[-2])
 
 
+class SilentOwnerTest(unittest.TestCase):
+    """A daemon whose requests for tokens are not answered."""
+
+    def setUp(self):
+        self.sent = []
+        self.results = {}
+        self.node = allowances.Allowances(
+            ids.DaemonId("a"),
+            CENTRE,
+            allowance_issuer.QuotaSettings(),
+            0.0,
+            lambda message, receiver: self.sent.append((message, receiver)),
+            self.results.__setitem__,
+            lambda tenant: None,
+            random.Random(1),
+        )
+        self.node.set_view(
+            allowances.make_fleet_view(
+                4,
+                [
+                    (ids.DaemonId(f"b{number}"), ids.DataCentreId(f"c{number}"))
+                    for number in range(1, 4)
+                ],
+            )
+        )
+
+    def request(self, ticket, now):
+        """Requests a token; returns the daemons asked until now."""
+        self.sent.clear()
+        # The own share of this daemon has no token.
+        allowance = allowance_fleet.make_allowance(rate=1.0, burst=1.0)
+        self.node.request(allowance, ticket, now)
+        return [receiver for _, receiver in self.sent]
+
+    # Late timers must not stop all questions before each owner was asked.
+    def test_owner_is_asked_after_a_batch_with_late_timers(self):
+        self.request("first", 10.0)
+        for now in (10.09, 10.23, 10.32, 10.46):
+            self.node.run_timers(now)
+        self.assertIn("first", self.results)
+        self.assertEqual(self.request("second", 10.5), ["b3"])
+
+
 if __name__ == "__main__":
     unittest.main()
