Issue tokens of a tenant whose limit the owner's configuration has removed

The owner made a bucket with a rate of 0 for it, so daemons with an older configuration got no tokens and answered 429. It now issues the count asked for without a bucket and drops an existing one.

make check and the tests of the issuer and of messages pass.

--- a/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
@@ -315,6 +315,10 @@
         wait_seconds = self._wait_seconds(bucket, tokens, share_seconds, now)
         return Issue(granted_count, wait_seconds)
 
+    def drop_bucket(self, tenant: ids.TenantId) -> None:
+        """Drops the bucket of a tenant that has no limit any more."""
+        self._buckets.pop(tenant, None)
+
     def prune(self, now: float) -> None:
         """Drops full buckets that have not been used for some time.
 
--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -659,6 +659,7 @@
         self, request: gossip_messages.AllowanceRequest, now: float
     ) -> allowance_issuer.Issue:
         tenant = ids.TenantId(request.tenant)
+        count = min(MAX_BATCH_COUNT, max(0, request.count))
         allowance = self._find_allowance(tenant)
         if allowance is None or allowance.version < request.version:
             # Of values that no daemon sends, the most careful ones are taken.
@@ -668,7 +669,10 @@
                 _finite(request.burst),
                 request.version,
             )
-        count = min(MAX_BATCH_COUNT, max(0, request.count))
+        elif allowance.requests_per_second <= 0.0:
+            # The limit was removed in a version that the peer may not have.
+            self._issuer.drop_bucket(tenant)
+            return allowance_issuer.Issue(count, 0.0)
         return self._issuer.issue(allowance, count, now)
 
     def _handle_loan(
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -467,6 +467,7 @@
     def setUp(self):
         self.sent = []
         self.results = {}
+        self.configuration = {}
         self.node = allowances.Allowances(
             ids.DaemonId("a"),
             CENTRE,
@@ -474,7 +475,7 @@
             0.0,
             lambda message, receiver: self.sent.append(message),
             self.results.__setitem__,
-            lambda tenant: None,
+            self.configuration.get,
             random.Random(1),
         )
         self.node.set_view(
@@ -508,6 +509,20 @@
         own_share = self.node.share_ratio(10.0)
         self.assertLessEqual(own_share, 0.5)
 
+    # A daemon with an older configuration must not refuse a tenant whose limit
+    # was removed.
+    def test_removed_limit_issues_all_tokens(self):
+        tenant = ids.TenantId("t")
+        message = gossip_messages.AllowanceRequest("b", 7, "t", 5, 1, 1.0, 1.0)
+        self.node.handle(message, 10.0)
+        self.assertLess(self.sent.pop().granted_count, 5)
+        self.configuration[tenant] = allowance_fleet.make_allowance(
+            rate=0.0, burst=0.0, version=2
+        )
+        message = gossip_messages.AllowanceRequest("b", 8, "t", 5, 1, 1.0, 1.0)
+        self.node.handle(message, 10.1)
+        self.assertEqual(self.sent.pop().granted_count, 5)
+
     # A repeated request must not take a second token.
     def test_repeated_request_gets_the_same_reply(self):
         self.node.handle(gossip_messages.AllowanceLoan("b", False, 2), 10.0)
