Bound the wait for a token while the share of an owner grows

The wait was divided by the share of the moment, so denials of an owner that had just matured lasted up to 15 s although loans arrive within 0.5 to 2.5 s. For 3 s after a growth of the share the wait for a token is at most SMALL_SHARE_WAIT_SECONDS, and denied daemons are spread at the full rate, by at most MAX_QUEUED_WAIT_SECONDS. The tokens issued do not depend on it.

--- a/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
@@ -27,6 +27,9 @@
 MAX_QUEUED_WAIT_SECONDS = 2.0
 # Wait for a bucket that cannot hold a token until its share grows.
 SMALL_SHARE_WAIT_SECONDS = 0.5
+# Time after a growth of the share in which more loans may arrive: those of the
+# other daemons follow within 0.5 to 2.5 s after an owner begins to answer.
+GROWTH_SECONDS = 3.0
 MAX_SEGMENTS = 64
 MAX_BUCKETS = 20_000
 # Time without requests after which a full bucket is dropped.
@@ -227,6 +230,7 @@
         self._buckets: dict[ids.TenantId, _Bucket] = {}
         self._holds_own_share = False
         self._fleet_size = 1
+        self._grown_at = float("-inf")
         # No loan ends before this time.
         self._check_at = float("inf")
 
@@ -349,6 +353,10 @@
         if rate <= 0.0 or capacity < 1.0:
             return SMALL_SHARE_WAIT_SECONDS
         token_wait = tokens.seconds_until_token(share_seconds) / share_ratio
+        if now < self._grown_at + GROWTH_SECONDS:
+            # The share is likely to grow before the token is there.
+            token_wait = min(token_wait, SMALL_SHARE_WAIT_SECONDS)
+            rate = bucket.allowance.requests_per_second
         return_at = max(now + token_wait, bucket.next_return_at)
         return_at = min(return_at, now + MAX_QUEUED_WAIT_SECONDS)
         bucket.next_return_at = return_at + 1.0 / rate
@@ -377,4 +385,7 @@
             (loan.fleet_size for loan in self._loans.values()), default=1
         )
         fleet_size = max(1, self._fleet_size, fleet_size)
-        self._clock.set_share(min(1.0, share_count / fleet_size), now)
+        share_ratio = min(1.0, share_count / fleet_size)
+        if share_ratio > self._clock.share_ratio:
+            self._grown_at = now
+        self._clock.set_share(share_ratio, now)
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -453,6 +453,21 @@
         for first, second in zip(waits, waits[1:], strict=False):
             self.assertAlmostEqual(second - first, 0.1)
 
+    # A denial by the share of an owner that has just matured, which grows with
+    # the next loans, must not last for many seconds.
+    def test_denial_is_short_after_the_share_has_grown(self):
+        issuer = allowance_issuer.AllowanceIssuer(
+            allowance_issuer.QuotaSettings(), 0.0
+        )
+        issuer.set_own_share(True, 15, 10.0)
+        issue = issuer.issue(
+            allowance_fleet.make_allowance(rate=1.0, burst=1.0), 1, 10.1
+        )
+        self.assertEqual(issue.granted_count, 0)
+        self.assertLessEqual(
+            issue.wait_seconds, allowance_issuer.SMALL_SHARE_WAIT_SECONDS
+        )
+
     # Thousands of tenants must not use memory after their last request.
     def test_idle_buckets_are_dropped_and_come_back_full(self):
         self.issuer.set_own_share(True, 1, 0.0)
