Use the fleet size that loans state, also shortly after a start

An owner that restarted in a partition knew only its own side, ignored the loans and questions of its first 3 s, and did not use the sizes in them for its own share. Each loan or question now states the size for 5 s. Sizes are kept by value and not by sender, as they are read for each request; a size that a peer corrects to a smaller one holds for up to 5 s more.

--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -220,7 +220,9 @@
         self._silent_until = started_at
         self._round_number = 0
         self._stamps: dict[ids.DaemonId, tuple[int, float]] = {}
-        self._stated_sizes: dict[ids.DaemonId, tuple[int, float]] = {}
+        # Times at which peers last stated each size; they are few, while the
+        # peers of an owner are many and the sizes are read for each request.
+        self._stated_sizes: dict[int, float] = {}
         # Owners remember the numbers that this daemon used before a restart,
         # and stamps of an earlier start must not be mistaken for own ones, so
         # that both begin at random. They are drawn with their first use: a
@@ -312,7 +314,7 @@
             self._handle_reply(message, sender, now)
         elif isinstance(message, gossip_messages.AllowanceRequest):
             self._handle_request(message, sender, now)
-        elif self._is_mature(now):
+        else:
             self._handle_loan(message, sender, now)
 
     def run_timers(self, now: float) -> None:
@@ -368,7 +370,7 @@
     def _fleet_size(self, now: float) -> int:
         """Returns the largest of the sizes that this daemon and peers know."""
         size = self._view.fleet_size
-        for stated_size, stated_at in self._stated_sizes.values():
+        for stated_size, stated_at in self._stated_sizes.items():
             if now < stated_at + STATED_SIZE_SECONDS:
                 size = max(size, stated_size)
         return size
@@ -614,7 +616,7 @@
             return
         self._lender.record_heard(sender, now)
         self._stamps[sender] = (reply.stamp, now)
-        self._record_size(sender, reply.fleet_size, now)
+        self._record_size(reply.fleet_size, now)
         self._skips.pop(sender, None)
         self._silent_until = now
         if pending is None:
@@ -681,6 +683,9 @@
         sender: ids.DaemonId,
         now: float,
     ) -> None:
+        self._record_size(loan.fleet_size, now)
+        if not self._is_mature(now):
+            return
         fleet_size = min(MAX_FLEET_SIZE, max(1, loan.fleet_size))
         sent_at = self._sent_at(loan)
         if loan.is_lent and sent_at is not None:
@@ -729,11 +734,9 @@
             self._first_stamp + math.floor((now - self._started_at) * 1000),
         )
 
-    def _record_size(
-        self, sender: ids.DaemonId, fleet_size: int, now: float
-    ) -> None:
+    def _record_size(self, fleet_size: int, now: float) -> None:
         size = min(MAX_FLEET_SIZE, max(1, fleet_size))
-        self._stated_sizes[sender] = (size, now)
+        self._stated_sizes[size] = now
 
     def _send(
         self,
@@ -749,9 +752,9 @@
         for daemon, skip in list(self._skips.items()):
             if skip.until + MAX_SKIP_SECONDS <= now:
                 del self._skips[daemon]
-        for daemon, (_, stated_at) in list(self._stated_sizes.items()):
+        for size, stated_at in list(self._stated_sizes.items()):
             if now >= stated_at + STATED_SIZE_SECONDS:
-                del self._stated_sizes[daemon]
+                del self._stated_sizes[size]
         for daemon, (_, stamped_at) in list(self._stamps.items()):
             if now >= stamped_at + share_lending.OWNER_SILENCE_SECONDS:
                 del self._stamps[daemon]
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -538,6 +538,14 @@
         self.node.handle(message, 10.1)
         self.assertEqual(self.sent.pop().granted_count, 5)
 
+    # An owner that restarts in a partition knows fewer daemons than its peers
+    # and must not take a larger share than theirs.
+    def test_stated_fleet_size_is_used_while_immature(self):
+        loan = gossip_messages.AllowanceLoan("b", False, 50)
+        self.node.handle(loan, 1.0)
+        self.assertEqual(self.node.fleet_size(3.5), 50)
+        self.assertEqual(self.sent, [])
+
     # A repeated request must not take a second token.
     def test_repeated_request_gets_the_same_reply(self):
         self.node.handle(gossip_messages.AllowanceLoan("b", False, 2), 10.0)
