Skip a silent owner of allowances for a second at least

An owner that had refused with a wait of 1 ms was skipped for 2 ms and then 4 ms after time-outs, as each skip doubles the one before. A skip after a time-out is now never below SKIP_SECONDS.

make check and the tests of the issuer, of messages and of silent owners pass.

--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -330,7 +330,11 @@
             seconds = SKIP_SECONDS
             previous = self._skips.get(pending.owner)
             if previous is not None:
-                seconds = min(MAX_SKIP_SECONDS, 2.0 * previous.seconds)
+                # A refusal may have stated a shorter time.
+                seconds = min(
+                    MAX_SKIP_SECONDS,
+                    max(SKIP_SECONDS, 2.0 * previous.seconds),
+                )
             self._skip(number, seconds, now)
 
     def run_round(self, now: float) -> None:
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -599,6 +599,27 @@
         self.assertIn("first", self.results)
         self.assertEqual(self.request("second", 10.5), ["b3"])
 
+    # A short wait that an owner states before it issues tokens must not
+    # shorten the time for which it is skipped when it is silent.
+    def test_skip_after_a_time_out_is_not_below_the_shortest(self):
+        self.assertEqual(self.request("first", 10.0), ["b1"])
+        self.reply(0, 10.001)
+        self.reply(4, 10.002)
+        self.assertEqual(self.request("second", 10.1), ["b1"])
+        for now in (10.17, 10.31):
+            self.node.run_timers(now)
+        self.reply(4, 10.32)
+        self.assertEqual(self.request("third", 10.4), ["b2"])
+
+    def reply(self, fleet_size, now):
+        """Answers the latest request; a size of 0 refuses it."""
+        message, receiver = self.sent[-1]
+        granted_count = 1 if fleet_size else 0
+        reply = gossip_messages.AllowanceReply(
+            receiver, message.request_number, granted_count, 1, fleet_size, 1
+        )
+        self.node.handle(reply, now)
+
 
 if __name__ == "__main__":
     unittest.main()
