--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -220,7 +220,9 @@
         self._silent_until = started_at
         self._round_number = 0
         self._stamps: dict[ids.DaemonId, tuple[int, float]] = {}
-        self._stated_sizes: dict[ids.DaemonId, tuple[int, float]] = {}
+        # Times at which peers last stated each size; they are few, while the
+        # peers of an owner are many and the sizes are read for each request.
+        self._stated_sizes: dict[int, float] = {}
         # Owners remember the numbers that this daemon used before a restart,
         # and stamps of an earlier start must not be mistaken for own ones, so
         # that both begin at random. They are drawn with their first use: a
@@ -312,7 +314,7 @@
             self._handle_reply(message, sender, now)
         elif isinstance(message, gossip_messages.AllowanceRequest):
             self._handle_request(message, sender, now)
-        elif self._is_mature(now):
+        else:
             self._handle_loan(message, sender, now)
 
     def run_timers(self, now: float) -> None:
@@ -328,7 +330,11 @@
             seconds = SKIP_SECONDS
             previous = self._skips.get(pending.owner)
             if previous is not None:
-                seconds = min(MAX_SKIP_SECONDS, 2.0 * previous.seconds)
+                # A refusal may have stated a shorter time.
+                seconds = min(
+                    MAX_SKIP_SECONDS,
+                    max(SKIP_SECONDS, 2.0 * previous.seconds),
+                )
             self._skip(number, seconds, now)
 
     def run_round(self, now: float) -> None:
@@ -368,7 +374,7 @@
     def _fleet_size(self, now: float) -> int:
         """Returns the largest of the sizes that this daemon and peers know."""
         size = self._view.fleet_size
-        for stated_size, stated_at in self._stated_sizes.values():
+        for stated_size, stated_at in self._stated_sizes.items():
             if now < stated_at + STATED_SIZE_SECONDS:
                 size = max(size, stated_size)
         return size
@@ -385,6 +391,8 @@
     def _owners(self, now: float) -> list[ids.DaemonId]:
         """Returns the owners to ask, that of the own data centre first."""
         owners = []
+        # Daemons that would replace a silent owner of another data centre.
+        replacements: list[ids.DaemonId] = []
         own = self._owner(now)
         if own == self._own_name and not self._is_mature(now):
             own = None
@@ -399,11 +407,26 @@
         for centre in centres[start:] + centres[:start]:
             if centre == self._data_centre:
                 continue
-            for name in self._view.ranked_daemons[centre]:
+            for rank, name in enumerate(self._view.ranked_daemons[centre]):
                 if not self._is_skipped(name, now):
-                    owners.append(name)
+                    (replacements if rank > 0 else owners).append(name)
                     break
-        return owners
+        return owners + replacements
+
+    def _has_tried_all_centres(self, batch: _Batch, now: float) -> bool:
+        """Whether an owner of each data centre was tried or is skipped.
+
+        The owner of the own data centre is always asked first.
+        """
+        for centre, names in self._view.ranked_daemons.items():
+            if centre == self._data_centre:
+                continue
+            if not any(
+                name in batch.tried_owners or self._is_skipped(name, now)
+                for name in names
+            ):
+                return False
+        return True
 
     def _is_skipped(self, daemon: ids.DaemonId, now: float) -> bool:
         skip = self._skips.get(daemon)
@@ -447,7 +470,13 @@
         state.batch = None
         if not batch.tickets:
             return
-        if batch.has_timed_out and not batch.has_peer_answered:
+        # A batch may end before all owners were asked, if timers are late.
+        is_silent = (
+            batch.has_timed_out
+            and not batch.has_peer_answered
+            and self._has_tried_all_centres(batch, now)
+        )
+        if is_silent:
             self._silent_until = now + SKIP_SECONDS
         may_start = (
             not self._is_mature(now)
@@ -591,7 +620,7 @@
             return
         self._lender.record_heard(sender, now)
         self._stamps[sender] = (reply.stamp, now)
-        self._record_size(sender, reply.fleet_size, now)
+        self._record_size(reply.fleet_size, now)
         self._skips.pop(sender, None)
         self._silent_until = now
         if pending is None:
@@ -636,6 +665,7 @@
         self, request: gossip_messages.AllowanceRequest, now: float
     ) -> allowance_issuer.Issue:
         tenant = ids.TenantId(request.tenant)
+        count = min(MAX_BATCH_COUNT, max(0, request.count))
         allowance = self._find_allowance(tenant)
         if allowance is None or allowance.version < request.version:
             # Of values that no daemon sends, the most careful ones are taken.
@@ -645,7 +675,10 @@
                 _finite(request.burst),
                 request.version,
             )
-        count = min(MAX_BATCH_COUNT, max(0, request.count))
+        elif allowance.requests_per_second <= 0.0:
+            # The limit was removed in a version that the peer may not have.
+            self._issuer.drop_bucket(tenant)
+            return allowance_issuer.Issue(count, 0.0)
         return self._issuer.issue(allowance, count, now)
 
     def _handle_loan(
@@ -654,6 +687,9 @@
         sender: ids.DaemonId,
         now: float,
     ) -> None:
+        self._record_size(loan.fleet_size, now)
+        if not self._is_mature(now):
+            return
         fleet_size = min(MAX_FLEET_SIZE, max(1, loan.fleet_size))
         sent_at = self._sent_at(loan)
         if loan.is_lent and sent_at is not None:
@@ -702,11 +738,9 @@
             self._first_stamp + math.floor((now - self._started_at) * 1000),
         )
 
-    def _record_size(
-        self, sender: ids.DaemonId, fleet_size: int, now: float
-    ) -> None:
+    def _record_size(self, fleet_size: int, now: float) -> None:
         size = min(MAX_FLEET_SIZE, max(1, fleet_size))
-        self._stated_sizes[sender] = (size, now)
+        self._stated_sizes[size] = now
 
     def _send(
         self,
@@ -722,9 +756,9 @@
         for daemon, skip in list(self._skips.items()):
             if skip.until + MAX_SKIP_SECONDS <= now:
                 del self._skips[daemon]
-        for daemon, (_, stated_at) in list(self._stated_sizes.items()):
+        for size, stated_at in list(self._stated_sizes.items()):
             if now >= stated_at + STATED_SIZE_SECONDS:
-                del self._stated_sizes[daemon]
+                del self._stated_sizes[size]
         for daemon, (_, stamped_at) in list(self._stamps.items()):
             if now >= stamped_at + share_lending.OWNER_SILENCE_SECONDS:
                 del self._stamps[daemon]
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -453,6 +453,21 @@
         for first, second in zip(waits, waits[1:], strict=False):
             self.assertAlmostEqual(second - first, 0.1)
 
+    # A denial by the share of an owner that has just matured, which grows with
+    # the next loans, must not last for many seconds.
+    def test_denial_is_short_after_the_share_has_grown(self):
+        issuer = allowance_issuer.AllowanceIssuer(
+            allowance_issuer.QuotaSettings(), 0.0
+        )
+        issuer.set_own_share(True, 15, 10.0)
+        issue = issuer.issue(
+            allowance_fleet.make_allowance(rate=1.0, burst=1.0), 1, 10.1
+        )
+        self.assertEqual(issue.granted_count, 0)
+        self.assertLessEqual(
+            issue.wait_seconds, allowance_issuer.SMALL_SHARE_WAIT_SECONDS
+        )
+
     # Thousands of tenants must not use memory after their last request.
     def test_idle_buckets_are_dropped_and_come_back_full(self):
         self.issuer.set_own_share(True, 1, 0.0)
@@ -467,6 +482,7 @@
     def setUp(self):
         self.sent = []
         self.results = {}
+        self.configuration = {}
         self.node = allowances.Allowances(
             ids.DaemonId("a"),
             CENTRE,
@@ -474,7 +490,7 @@
             0.0,
             lambda message, receiver: self.sent.append(message),
             self.results.__setitem__,
-            lambda tenant: None,
+            self.configuration.get,
             random.Random(1),
         )
         self.node.set_view(
@@ -508,6 +524,28 @@
         own_share = self.node.share_ratio(10.0)
         self.assertLessEqual(own_share, 0.5)
 
+    # A daemon with an older configuration must not refuse a tenant whose limit
+    # was removed.
+    def test_removed_limit_issues_all_tokens(self):
+        tenant = ids.TenantId("t")
+        message = gossip_messages.AllowanceRequest("b", 7, "t", 5, 1, 1.0, 1.0)
+        self.node.handle(message, 10.0)
+        self.assertLess(self.sent.pop().granted_count, 5)
+        self.configuration[tenant] = allowance_fleet.make_allowance(
+            rate=0.0, burst=0.0, version=2
+        )
+        message = gossip_messages.AllowanceRequest("b", 8, "t", 5, 1, 1.0, 1.0)
+        self.node.handle(message, 10.1)
+        self.assertEqual(self.sent.pop().granted_count, 5)
+
+    # An owner that restarts in a partition knows fewer daemons than its peers
+    # and must not take a larger share than theirs.
+    def test_stated_fleet_size_is_used_while_immature(self):
+        loan = gossip_messages.AllowanceLoan("b", False, 50)
+        self.node.handle(loan, 1.0)
+        self.assertEqual(self.node.fleet_size(3.5), 50)
+        self.assertEqual(self.sent, [])
+
     # A repeated request must not take a second token.
     def test_repeated_request_gets_the_same_reply(self):
         self.node.handle(gossip_messages.AllowanceLoan("b", False, 2), 10.0)
@@ -519,5 +557,69 @@
         self.assertEqual(self.sent[-1], self.sent[-2])
 
 
+class SilentOwnerTest(unittest.TestCase):
+    """A daemon whose requests for tokens are not answered."""
+
+    def setUp(self):
+        self.sent = []
+        self.results = {}
+        self.node = allowances.Allowances(
+            ids.DaemonId("a"),
+            CENTRE,
+            allowance_issuer.QuotaSettings(),
+            0.0,
+            lambda message, receiver: self.sent.append((message, receiver)),
+            self.results.__setitem__,
+            lambda tenant: None,
+            random.Random(1),
+        )
+        self.node.set_view(
+            allowances.make_fleet_view(
+                4,
+                [
+                    (ids.DaemonId(f"b{number}"), ids.DataCentreId(f"c{number}"))
+                    for number in range(1, 4)
+                ],
+            )
+        )
+
+    def request(self, ticket, now):
+        """Requests a token; returns the daemons asked until now."""
+        self.sent.clear()
+        # The own share of this daemon has no token.
+        allowance = allowance_fleet.make_allowance(rate=1.0, burst=1.0)
+        self.node.request(allowance, ticket, now)
+        return [receiver for _, receiver in self.sent]
+
+    # Late timers must not stop all questions before each owner was asked.
+    def test_owner_is_asked_after_a_batch_with_late_timers(self):
+        self.request("first", 10.0)
+        for now in (10.09, 10.23, 10.32, 10.46):
+            self.node.run_timers(now)
+        self.assertIn("first", self.results)
+        self.assertEqual(self.request("second", 10.5), ["b3"])
+
+    # A short wait that an owner states before it issues tokens must not
+    # shorten the time for which it is skipped when it is silent.
+    def test_skip_after_a_time_out_is_not_below_the_shortest(self):
+        self.assertEqual(self.request("first", 10.0), ["b1"])
+        self.reply(0, 10.001)
+        self.reply(4, 10.002)
+        self.assertEqual(self.request("second", 10.1), ["b1"])
+        for now in (10.17, 10.31):
+            self.node.run_timers(now)
+        self.reply(4, 10.32)
+        self.assertEqual(self.request("third", 10.4), ["b2"])
+
+    def reply(self, fleet_size, now):
+        """Answers the latest request; a size of 0 refuses it."""
+        message, receiver = self.sent[-1]
+        granted_count = 1 if fleet_size else 0
+        reply = gossip_messages.AllowanceReply(
+            receiver, message.request_number, granted_count, 1, fleet_size, 1
+        )
+        self.node.handle(reply, now)
+
+
 if __name__ == "__main__":
     unittest.main()
