Round a daemon's retry share with a constant phase

Cause: the draw that rounds up a daemon's share changed every 10 s of the clock, while retries are counted in a sliding window. Change: each daemon always uses its rounding phase.

--- a/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
@@ -22,8 +22,6 @@
 from hyssopwind.core.settings import tuning
 
 DEFAULT_PRIORITY = priorities.Priority(0)
-# Multiples of it modulo 1 are spread evenly.
-GOLDEN_RATIO = 0.6180339887498949
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +86,9 @@
 
         Args:
             retry_settings: the budget of the fleet.
-            rounding_phase: a number from 0 to 1 that differs between daemons.
+            rounding_phase: a number from 0 to 1 that differs between daemons;
+                the part of a retry that the most urgent class may use beyond
+                the daemon's share.
         """
         self._settings = retry_settings
         self._rounding_phase = rounding_phase
@@ -181,7 +181,11 @@
         daemon_count: int,
         demand: retry_reserves.RetryDemand | None = None,
     ) -> bool:
-        """Returns whether one retry is allowed now."""
+        """Returns whether one retry is allowed now.
+
+        If a service has several classes, retries of the most urgent one may
+        exceed the share by the rounding phase.
+        """
         available_count = self.available_count(service, now, daemon_count)
         if demand is None:
             return available_count >= 1.0
@@ -195,7 +199,12 @@
             or not reserves.is_most_urgent(demand.priority)
         ):
             return False
-        return available_count >= 1.0 - self._rounding_draw(now)
+        # The share of a daemon with little traffic is a small number with a
+        # fraction, which would be lost in each window. The most urgent class
+        # rounds it up at as many daemons as the fraction states, so that the
+        # sum over the fleet stays the same. The phase is constant, as a sliding
+        # window would get the rounded-up retries of two phases.
+        return available_count >= 1.0 - self._rounding_phase
 
     def available_count(
         self, service: ids.ServiceId, now: float, daemon_count: int
@@ -213,18 +222,6 @@
         allowed = self._settings.ratio * request_count
         return allowed + self._settings.slack / max(1, daemon_count)
 
-    def _rounding_draw(self, now: float) -> float:
-        """Returns the part of a retry that is granted beyond the share now.
-
-        The share of a daemon with little traffic is a small number with a
-        fraction, which would be lost in each window. The most urgent class
-        rounds it up in as many windows as the fraction states. The draws are
-        spread evenly over the windows and differ between daemons, so that the
-        sum over the fleet stays the same.
-        """
-        window_number = int(now / self._settings.window_seconds)
-        return (self._rounding_phase + window_number * GOLDEN_RATIO) % 1.0
-
     def _recent_times(
         self,
         times_by_service: dict[ids.ServiceId, collections.deque[float]],
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
@@ -117,6 +117,33 @@
             return
 
 
+def run_persistent_fleet(daemon_count, window_request_count):
+    """Spends, from the middle of a period on, all retries that are allowed."""
+    demand = retry_reserves.RetryDemand(URGENT, 0.1)
+    result = Result()
+    budgets = [
+        fleet_retry_budgets.FleetRetryBudget(
+            SETTINGS, fleet_retry_budgets.rounding_phase(f"d-{number}")
+        )
+        for number in range(daemon_count)
+    ]
+    window_steps = int(10 * SETTINGS.window_seconds)
+    for step in range(4 * window_steps):
+        now = step / 10
+        for budget in budgets:
+            position = step % window_steps * window_request_count
+            if position % window_steps < window_request_count:
+                is_first = step % window_steps == 0
+                priority = TOLERANT if is_first else URGENT
+                budget.record_request(SERVICE, now, priority, 0.1, MAX_RETRIES)
+                result.request_times.append(now)
+            while now >= 15.0 and budget.try_acquire(
+                SERVICE, now, daemon_count, demand
+            ):
+                result.retry_times.append(now)
+    return result
+
+
 class RejectingServersTest(unittest.TestCase):
     # The most urgent kind was served as rarely as the others.
     def test_urgent_requests_get_the_retries(self):
@@ -163,6 +190,14 @@
                     result = run_fleet(load, seed)
                     self.assertLessEqual(result.highest_spent_ratio(), 1.0)
 
+    # Rounding up changed with the clock, so that a sliding window over two
+    # periods got the rounded-up retries of both.
+    def test_trouble_within_a_period_stays_within_the_budget(self):
+        for window_request_count in (2, 5, 10):
+            with self.subTest(window_request_count):
+                result = run_persistent_fleet(100, window_request_count)
+                self.assertLessEqual(result.highest_spent_ratio(), 1.0)
+
     # An estimate of work that is wrong by a factor of 5 starved a class.
     def test_wrong_estimates_of_work_starve_no_class(self):
         for urgent_work_seconds in (0.02, 0.5):
