Decide by the configuration whether retries differ in priority

Cause: the dispatcher decided by the requests of the last 10 s whether a service has several classes, the picker by the configuration. When the one priority of a service changed, requests of the earlier priority formed a class, and the later ones left a reserve to it. Change: the dispatcher uses PriorityClasses as the picker does; the retry budget of a service with one configured priority ignores classes.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -13,6 +13,7 @@
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import priority_classes
 from hyssopwind.core.dispatch import refusal_policy
 from hyssopwind.core.dispatch import retry_denials
 from hyssopwind.core.dispatch import retry_policy
@@ -181,6 +182,7 @@
         ),
     ):
         self._count_retry = count_retry
+        self._priority_classes = priority_classes.PriorityClasses()
         self._retry_denials = retry_denials.RetryDenials()
         self._platform_state = platform_state
         self._configuration_bound_seconds = configuration_bound_seconds
@@ -519,9 +521,9 @@
         )
 
     def _has_several_classes(self, service: ids.ServiceId) -> bool:
-        return self._retry_budget.reserves(
-            service, boot_clock.now()
-        ).has_several_classes
+        return self._priority_classes.has_several(
+            service, self._platform_state.catalogue.configuration
+        )
 
     def _selection_request(
         self, context: _RequestContext
@@ -693,10 +695,15 @@
         kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
     ) -> bool:
         demand = self._retry_demand(context, kind)
+        has_several_classes = self._has_several_classes(context.service)
         is_allowed = self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count(), demand
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            # Requests of an earlier priority may be in the window.
+            demand if has_several_classes else None,
         )
-        if not self._has_several_classes(context.service):
+        if not has_several_classes:
             return is_allowed
         if is_allowed:
             label = priorities.label(demand.priority)
--- /dev/null
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -0,0 +1,61 @@
+import random
+import types
+import unittest
+
+from hyssopwind.core import ids
+from hyssopwind.core.dispatch import fleet_retry_budgets
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.routing import tables
+from hyssopwind.core.settings import tuning
+from hyssopwind.daemon.gateway import dispatcher
+from hyssopwind.transport import boot_clock
+
+SERVICE = ids.ServiceId("s")
+SETTINGS = fleet_retry_budgets.FleetRetrySettings(0.2, 10.0, 5.0)
+
+
+def make_route(priority):
+    parts = (tables.WeightedService(SERVICE, 1.0),)
+    return tables.Route("r", "h", "/", True, 1.0, 0.5, priority, 2, parts)
+
+
+def make_dispatcher(route, budget):
+    configuration = tables.Configuration(1, (route,), {}, tables.CallerLimits())
+    return dispatcher.Dispatcher(
+        platform_state=types.SimpleNamespace(
+            catalogue=types.SimpleNamespace(configuration=configuration)
+        ),
+        request_authenticator=None,
+        server_picker=types.SimpleNamespace(
+            expected_work_seconds=lambda _route: 0.1
+        ),
+        sender=None,
+        monitor=None,
+        handover=None,
+        retry_budget=budget,
+        daemon_count=lambda: 1,
+        retry_settings=tuning.RetryHedgeSettings(),
+        random_source=random.Random(1),
+        configuration_bound_seconds=1.0,
+    )
+
+
+class OnePriorityTest(unittest.TestCase):
+    # Requests of the earlier priority counted as a class of their own, so that
+    # the later ones left a reserve to them.
+    def test_change_of_the_priority_denies_no_retry(self):
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        now = boot_clock.now()
+        for number in range(20):
+            priority = priorities.Priority(1 if number < 15 else 2)
+            budget.record_request(SERVICE, now, priority, 0.1, 1)
+        route = make_route(2)
+        context = types.SimpleNamespace(
+            service=SERVICE,
+            priority=priorities.Priority(2),
+            route=route,
+            is_caller_retry=False,
+        )
+        one_class = make_dispatcher(route, budget)
+        allowed = [one_class._try_acquire_retry(context) for _ in range(10)]
+        self.assertEqual(allowed, [True] * 9 + [False])
