Keep the forecast of free capacity while searches fail

Cause: the forecast halved the duration of searches each second and only successes renewed it, so that it expected capacity at once while all searches failed. A search that ended by a time-out was not recorded.

--- a/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
+++ b/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
@@ -34,6 +34,9 @@
 # by half, as servers may be free again.
 SEARCH_WEIGHT = 0.2
 HALF_LIFE_SECONDS = 1.0
+# Longest time without a successful search that is expected to continue; after
+# it, the forecast would no longer follow servers that become free.
+MAX_OUTAGE_SECONDS = HALF_LIFE_SECONDS
 # Share of successful searches that is assumed at least.
 MIN_FOUND_RATIO = 0.05
 
@@ -124,6 +127,9 @@
         self._search_seconds = 0.0
         self._lost_ratio = 0.0
         self._updated_at = 0.0
+        # Time of the latest success, or of the first failure before any.
+        self._last_found_at: float | None = None
+        self._outage_seconds = 0.0
 
     def record_search(
         self, seconds: float, *, is_found: bool, now: float
@@ -135,23 +141,36 @@
             is_found: whether a server was found.
             now: monotonic time in seconds.
         """
-        self._decay(now)
-        lost = 0.0 if is_found else 1.0
-        self._lost_ratio += SEARCH_WEIGHT * (lost - self._lost_ratio)
         if is_found:
+            factor = self._decay_factor(now)
+            self._search_seconds *= factor
+            self._lost_ratio *= factor
             self._search_seconds += SEARCH_WEIGHT * (
                 seconds - self._search_seconds
             )
+            self._lost_ratio -= SEARCH_WEIGHT * self._lost_ratio
+            self._last_found_at = now
+            self._outage_seconds = 0.0
+        else:
+            # No decay: a failed search shows that no server is free yet.
+            self._lost_ratio += SEARCH_WEIGHT * (1.0 - self._lost_ratio)
+            if self._last_found_at is None:
+                self._last_found_at = now
+            self._outage_seconds = min(
+                MAX_OUTAGE_SECONDS, now - self._last_found_at
+            )
+        self._updated_at = now
 
     def free_after_seconds(self, now: float) -> float:
         """Returns the expected seconds until a request finds a server."""
-        self._decay(now)
-        found_ratio = max(MIN_FOUND_RATIO, 1.0 - self._lost_ratio)
-        return self._search_seconds / found_ratio
-
-    def _decay(self, now: float) -> None:
+        factor = self._decay_factor(now)
+        lost_ratio = factor * self._lost_ratio
+        found_ratio = max(MIN_FOUND_RATIO, 1.0 - lost_ratio)
+        return max(
+            factor * self._search_seconds / found_ratio,
+            lost_ratio * self._outage_seconds,
+        )
+
+    def _decay_factor(self, now: float) -> float:
         half_lives = max(0.0, now - self._updated_at) / HALF_LIFE_SECONDS
-        factor = math.pow(0.5, half_lives)
-        self._search_seconds *= factor
-        self._lost_ratio *= factor
-        self._updated_at = now
+        return math.pow(0.5, half_lives)
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_refusal_policy.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_refusal_policy.py
@@ -62,6 +62,24 @@
                 )
 
 
+class CapacityForecastTest(unittest.TestCase):
+    # Capacity was expected at once while all searches failed, as the duration
+    # of searches decayed and only successes renewed it.
+    def test_capacity_is_not_expected_while_all_searches_fail(self):
+        forecast = refusal_policy.CapacityForecast()
+        forecast.record_search(0.1, is_found=True, now=0.0)
+        for step in range(1, 41):
+            forecast.record_search(0.1, is_found=False, now=step / 4)
+        self.assertGreater(forecast.free_after_seconds(10.0), 0.4)
+        self.assertLess(forecast.free_after_seconds(10.0), 3.0)
+
+    def test_failures_since_the_start_count(self):
+        forecast = refusal_policy.CapacityForecast()
+        for step in range(40):
+            forecast.record_search(0.1, is_found=False, now=100.0 + step / 4)
+        self.assertGreater(forecast.free_after_seconds(109.75), 0.4)
+
+
 class ReturnedRequestTest(unittest.TestCase):
     # A caller that came back after 40 ms was taken for a new one.
     def test_early_return_counts_only_with_several_classes(self):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -504,7 +504,16 @@
     ) -> server_selection.Send | server_selection.Refuse:
         """Searches a server and records how long that took."""
         started_at = boot_clock.now()
-        selected = await self._picker.pick(self._selection_request(context))
+        try:
+            selected = await self._picker.pick(self._selection_request(context))
+        except asyncio.CancelledError:
+            # A caller that leaves earlier shows nothing about capacity.
+            now = boot_clock.now()
+            if now >= context.deadline:
+                self._forecast(context.service).record_search(
+                    now - started_at, is_found=False, now=now
+                )
+            raise
         now = boot_clock.now()
         self._forecast(context.service).record_search(
             now - started_at,
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 import types
 import unittest
@@ -19,6 +20,10 @@
     return tables.Route("r", "h", "/", True, 1.0, 0.5, priority, 2, parts)
 
 
+async def pick_nothing(_request):
+    await asyncio.sleep(60.0)
+
+
 def make_dispatcher(route, budget):
     configuration = tables.Configuration(1, (route,), {}, tables.CallerLimits())
     return dispatcher.Dispatcher(
@@ -27,7 +32,7 @@
         ),
         request_authenticator=None,
         server_picker=types.SimpleNamespace(
-            expected_work_seconds=lambda _route: 0.1
+            expected_work_seconds=lambda _route: 0.1, pick=pick_nothing
         ),
         sender=None,
         monitor=None,
@@ -59,3 +64,28 @@
         one_class = make_dispatcher(route, budget)
         allowed = [one_class._try_acquire_retry(context) for _ in range(10)]
         self.assertEqual(allowed, [True] * 9 + [False])
+
+
+class TimedOutSearchTest(unittest.IsolatedAsyncioTestCase):
+    # A search that lasted until the deadline was not counted as failed.
+    async def test_search_until_the_deadline_counts_as_failed(self):
+        route = make_route(2)
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        one_class = make_dispatcher(route, budget)
+        now = boot_clock.now()
+        forecast = one_class._forecast(SERVICE)
+        forecast.record_search(0.0, is_found=True, now=now - 1.0)
+        context = types.SimpleNamespace(
+            service=SERVICE,
+            request=types.SimpleNamespace(arrived_at=now),
+            priority=priorities.Priority(2),
+            route=route,
+            deadline=now + 0.01,
+            spent_seconds=0.0,
+            tried_servers=set(),
+            is_caller_retry=False,
+        )
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.02):
+                await one_class._select_server(context)
+        self.assertGreater(forecast.free_after_seconds(boot_clock.now()), 0.1)
