Bound Retry-After by a third of the caller's time left

Cause: a caller could be told to come back just before its deadline, or all callers at 0 s if the work no longer fitted. Change: the return is at most a third of the time left, spread over at least the upper half of it where this bound applies.

--- a/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
+++ b/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
@@ -25,6 +25,11 @@
 # Least spread of returns, relative to the target, if capacity is expected only
 # shortly before the work has to start.
 MIN_SPREAD_RATIO = 0.1
+# Largest part of the time until a caller gives up after which it is told to
+# come back, so that another refusal leaves time for one more return. If this
+# bound applies, returns are spread at least over this part below it.
+MAX_REMAINING_RATIO = 1.0 / 3.0
+CAPPED_SPREAD_RATIO = 0.5
 # Time that a caller spent on earlier requests from which on a request counts as
 # returned. Callers are told to come back after less than
 # `retry_policy.CALLER_RETRY_MIN_SECONDS`. A return costs a caller at least two
@@ -75,6 +80,19 @@
         >>> round(return_after_seconds(timing, 0.0), 4)
         0.1355
     """
+    earliest, latest = _return_bounds(timing)
+    limit = MAX_REMAINING_RATIO * timing.remaining_seconds
+    if limit <= 0.0:
+        # The caller has given up; a time of 0 would let all return at once.
+        limit = MIN_LATE_RATIO * timing.latency_target_seconds
+    if not 0.0 < latest <= limit:
+        latest = limit
+        earliest = min(earliest, (1.0 - CAPPED_SPREAD_RATIO) * latest)
+    return earliest + (latest - earliest) * random_draw
+
+
+def _return_bounds(timing: ReturnTiming) -> tuple[float, float]:
+    """Returns the earliest and the latest useful return in seconds."""
     work_seconds = WORK_FACTOR * timing.work_seconds
     earliest = max(0.0, timing.free_after_seconds)
     spare_seconds = (
@@ -82,13 +100,13 @@
     )
     spread = IN_TARGET_RATIO * (spare_seconds - earliest)
     if spread >= MIN_SPREAD_RATIO * timing.latency_target_seconds:
-        return earliest + spread * random_draw
+        return earliest, earliest + spread
     earliest = max(earliest, MIN_LATE_RATIO * timing.latency_target_seconds)
     spread = timing.latency_target_seconds * (MAX_LATE_RATIO - MIN_LATE_RATIO)
     last_useful_seconds = max(0.0, timing.remaining_seconds - work_seconds)
     latest = min(earliest + spread, last_useful_seconds)
     earliest = min(earliest, IN_TARGET_RATIO * last_useful_seconds)
-    return earliest + (latest - earliest) * random_draw
+    return earliest, latest
 
 
 def is_returned(spent_seconds: float, *, has_several_classes: bool) -> bool:
