--- a/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
+++ b/packages/core/src/hyssopwind/core/dispatch/refusal_policy.py
@@ -25,6 +25,11 @@
 # Least spread of returns, relative to the target, if capacity is expected only
 # shortly before the work has to start.
 MIN_SPREAD_RATIO = 0.1
+# Largest part of the time until a caller gives up after which it is told to
+# come back, so that another refusal leaves time for one more return. If this
+# bound applies, returns are spread at least over this part below it.
+MAX_REMAINING_RATIO = 1.0 / 3.0
+CAPPED_SPREAD_RATIO = 0.5
 # Time that a caller spent on earlier requests from which on a request counts as
 # returned. Callers are told to come back after less than
 # `retry_policy.CALLER_RETRY_MIN_SECONDS`. A return costs a caller at least two
@@ -34,6 +39,9 @@
 # by half, as servers may be free again.
 SEARCH_WEIGHT = 0.2
 HALF_LIFE_SECONDS = 1.0
+# Longest time without a successful search that is expected to continue; after
+# it, the forecast would no longer follow servers that become free.
+MAX_OUTAGE_SECONDS = HALF_LIFE_SECONDS
 # Share of successful searches that is assumed at least.
 MIN_FOUND_RATIO = 0.05
 
@@ -72,6 +80,19 @@
         >>> round(return_after_seconds(timing, 0.0), 4)
         0.1355
     """
+    earliest, latest = _return_bounds(timing)
+    limit = MAX_REMAINING_RATIO * timing.remaining_seconds
+    if limit <= 0.0:
+        # The caller has given up; a time of 0 would let all return at once.
+        limit = MIN_LATE_RATIO * timing.latency_target_seconds
+    if not 0.0 < latest <= limit:
+        latest = limit
+        earliest = min(earliest, (1.0 - CAPPED_SPREAD_RATIO) * latest)
+    return earliest + (latest - earliest) * random_draw
+
+
+def _return_bounds(timing: ReturnTiming) -> tuple[float, float]:
+    """Returns the earliest and the latest useful return in seconds."""
     work_seconds = WORK_FACTOR * timing.work_seconds
     earliest = max(0.0, timing.free_after_seconds)
     spare_seconds = (
@@ -79,13 +100,13 @@
     )
     spread = IN_TARGET_RATIO * (spare_seconds - earliest)
     if spread >= MIN_SPREAD_RATIO * timing.latency_target_seconds:
-        return earliest + spread * random_draw
+        return earliest, earliest + spread
     earliest = max(earliest, MIN_LATE_RATIO * timing.latency_target_seconds)
     spread = timing.latency_target_seconds * (MAX_LATE_RATIO - MIN_LATE_RATIO)
     last_useful_seconds = max(0.0, timing.remaining_seconds - work_seconds)
     latest = min(earliest + spread, last_useful_seconds)
     earliest = min(earliest, IN_TARGET_RATIO * last_useful_seconds)
-    return earliest + (latest - earliest) * random_draw
+    return earliest, latest
 
 
 def is_returned(spent_seconds: float, *, has_several_classes: bool) -> bool:
@@ -124,6 +145,9 @@
         self._search_seconds = 0.0
         self._lost_ratio = 0.0
         self._updated_at = 0.0
+        # Time of the latest success, or of the first failure before any.
+        self._last_found_at: float | None = None
+        self._outage_seconds = 0.0
 
     def record_search(
         self, seconds: float, *, is_found: bool, now: float
@@ -135,23 +159,36 @@
             is_found: whether a server was found.
             now: monotonic time in seconds.
         """
-        self._decay(now)
-        lost = 0.0 if is_found else 1.0
-        self._lost_ratio += SEARCH_WEIGHT * (lost - self._lost_ratio)
         if is_found:
+            factor = self._decay_factor(now)
+            self._search_seconds *= factor
+            self._lost_ratio *= factor
             self._search_seconds += SEARCH_WEIGHT * (
                 seconds - self._search_seconds
             )
+            self._lost_ratio -= SEARCH_WEIGHT * self._lost_ratio
+            self._last_found_at = now
+            self._outage_seconds = 0.0
+        else:
+            # No decay: a failed search shows that no server is free yet.
+            self._lost_ratio += SEARCH_WEIGHT * (1.0 - self._lost_ratio)
+            if self._last_found_at is None:
+                self._last_found_at = now
+            self._outage_seconds = min(
+                MAX_OUTAGE_SECONDS, now - self._last_found_at
+            )
+        self._updated_at = now
 
     def free_after_seconds(self, now: float) -> float:
         """Returns the expected seconds until a request finds a server."""
-        self._decay(now)
-        found_ratio = max(MIN_FOUND_RATIO, 1.0 - self._lost_ratio)
-        return self._search_seconds / found_ratio
-
-    def _decay(self, now: float) -> None:
+        factor = self._decay_factor(now)
+        lost_ratio = factor * self._lost_ratio
+        found_ratio = max(MIN_FOUND_RATIO, 1.0 - lost_ratio)
+        return max(
+            factor * self._search_seconds / found_ratio,
+            lost_ratio * self._outage_seconds,
+        )
+
+    def _decay_factor(self, now: float) -> float:
         half_lives = max(0.0, now - self._updated_at) / HALF_LIFE_SECONDS
-        factor = math.pow(0.5, half_lives)
-        self._search_seconds *= factor
-        self._lost_ratio *= factor
-        self._updated_at = now
+        return math.pow(0.5, half_lives)
