Reserve slots for the variation of urgent requests only

Urgent requests that run are counted in the load of the server already, and a daemon needs a slot at one of six servers only: 2 sqrt(a / 6) slots, at most a third.

--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -22,11 +22,15 @@
 # two, and short compared with the minutes for which loads last.
 HALF_LIFE_SECONDS = 10.0
 # Ratio of the slots of a server that may be reserved, so that less urgent
-# requests keep the others if the work of urgent ones is overestimated.
-MAX_RESERVED_RATIO = 0.5
-# Standard deviations of the number of urgent requests at a server that the
-# reserve covers beyond its mean; two cover 19 of 20 cases.
+# requests keep the others if the work of urgent ones is overestimated. Servers
+# of two slots reserve none: half of a service is more than urgent ones need.
+MAX_RESERVED_RATIO = 1 / 3
+# Standard deviations of the number of urgent requests that the reserve covers;
+# two cover 19 of 20 cases. Their mean number occupies slots already.
 DEVIATIONS = 2.0
+# Servers that a daemon probes for a request, a free slot at any of which is
+# enough (`near_sample`). The variation at all of them together counts.
+PROBED_SERVER_COUNT = 6
 # A class is starved if the share of its requests that found a server is below
 # this ratio of the share over all classes. It is twice the ratio that is
 # guaranteed, as the estimates follow the load with a delay.
@@ -178,9 +182,11 @@
 ) -> int:
     """Returns the slots of a server that are left to more urgent requests.
 
-    The square root stands for the variation of independent arrivals around
-    their mean (square-root staffing, Halfin and Whitt 1981). With it an error
-    of the estimate by a factor of five changes the result by one or two slots.
+    Urgent requests that run occupy slots already; the reserve is for those that
+    may come before one of them ends. The square root stands for the variation
+    of independent arrivals around their mean (square-root staffing, Halfin and
+    Whitt 1981). With it an error of the estimate by a factor of five changes
+    the result by one slot.
 
     Args:
         offered_load: mean number of more urgent requests at the server.
@@ -190,13 +196,13 @@
 
     Examples:
         >>> [reserved_slots(load, 6, 0.5) for load in (0.0, 0.1, 0.75, 9.0)]
-        [0, 1, 2, 3]
-        >>> [reserved_slots(0.04, 6, phase) for phase in (0.1, 0.4, 0.7)]
+        [0, 0, 1, 2]
+        >>> [reserved_slots(0.04, 6, phase) for phase in (0.1, 0.5, 0.9)]
         [0, 0, 1]
         >>> [reserved_slots(1.0, slots, 0.5) for slots in (1, 2, 3)]
-        [0, 1, 1]
+        [0, 0, 1]
     """
-    wanted = offered_load + DEVIATIONS * math.sqrt(offered_load)
+    wanted = DEVIATIONS * math.sqrt(offered_load / PROBED_SERVER_COUNT)
     return min(
         int(wanted + rounding_phase), int(MAX_RESERVED_RATIO * slot_count)
     )
