Refuse returned requests whose target is lost

Cause: a request that returned after a refusal was never refused for a long line and waited until near its deadline. Change: it is exempt only while its target can still be met; after that the ordinary refusal applies.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -53,8 +53,8 @@
         tried_servers: servers that it was sent to before.
         is_caller_retry: whether the caller retries it after a refusal.
         priority: its priority, by its route and its tenant.
-        persists: whether it waits although the line is too long to meet its
-            target, rather than being refused.
+        persists: whether it waits although the line is too long, rather than
+            being refused, as long as its target can still be met.
     """
 
     route: tables.Route
@@ -211,9 +211,7 @@
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if not request.persists and self._is_overfull(
-                        line, request, rank
-                    ):
+                    if self._is_overfull(line, request, rank):
                         return _OVERFULL
                     await asyncio.sleep(decision.seconds)
                     continue
