Check the key again before a request is sent to a peer

A key that was revoked while the connection to the peer was opened was still sent. The check is repeated when the connection is there, as for servers; the handover then ends as "withheld" and the request with the refusal. Result: the new test failed without the check (the request was sent) and passes; the 13 tests of test_handovers pass; make check passes.

--- a/packages/core/src/hyssopwind/core/fleet/handovers.py
+++ b/packages/core/src/hyssopwind/core/fleet/handovers.py
@@ -78,6 +78,7 @@
     UNKNOWN = "unknown"
     CUT_OFF = "peer_cut_off"
     NOT_CONNECTED = "not_connected"
+    WITHHELD = "withheld"
     BROKEN = "broken"
 
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -580,6 +580,11 @@
                     )
                 attempts_left -= 1
                 continue
+            if handed.result is handovers.HandoverResult.WITHHELD:
+                revoked = self._refuse_revoked(context)
+                if revoked is not None:
+                    return revoked
+                continue
             if handed.result is handovers.HandoverResult.NOT_CONNECTED:
                 continue
             assert handed.outcome is not None
@@ -637,10 +642,17 @@
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
         handed = await self._handover.hand_over(
-            peer, context.request, terms, self._send_deadline(context)
+            peer,
+            context.request,
+            terms,
+            self._send_deadline(context),
+            lambda: self._authenticator.may_send(
+                context.admission, context.request, context.route
+            ),
         )
         has_run_nowhere = handed.result in (
             handovers.HandoverResult.NOT_CONNECTED,
+            handovers.HandoverResult.WITHHELD,
             handovers.HandoverResult.CUT_OFF,
             handovers.HandoverResult.REFUSED,
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/handover_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from collections.abc import Collection
 
 import logbook
@@ -100,6 +101,7 @@
         request: caller_requests.CallerRequest,
         terms: handovers.Terms,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> Handed:
         """Sends a request to a peer and returns how that ended.
 
@@ -108,11 +110,14 @@
             request: the request of the caller.
             terms: its terms, without the sender, the number and the time left.
             deadline: monotonic time at which the caller or the route times out.
+            may_send: whether the request may still be sent; called last.
         """
         started_at = boot_clock.now()
         self._choice.record_start(peer.name)
         try:
-            handed = await self._exchange(peer, request, terms, deadline)
+            handed = await self._exchange(
+                peer, request, terms, deadline, may_send
+            )
         finally:
             self._choice.record_end(peer.name)
         now = boot_clock.now()
@@ -160,11 +165,15 @@
         request: caller_requests.CallerRequest,
         terms: handovers.Terms,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> Handed:
         try:
             peer_connection = await self._pool.acquire(self._address(peer))
         except connection.ExchangeError:
             return Handed(handovers.HandoverResult.NOT_CONNECTED)
+        if not may_send():
+            self._pool.release(peer_connection)
+            return Handed(handovers.HandoverResult.WITHHELD)
         remaining_seconds = deadline - boot_clock.now() - PEER_MARGIN_SECONDS
         self._number += 1
         number = self._number
