--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -11,6 +11,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.callers import head_decisions
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import priority_classes
@@ -38,7 +39,6 @@
 
 # Longest wait of a request for the first configuration after the start.
 START_WAIT_SECONDS = 0.2
-NOT_READY_RETRY_AFTER_SECONDS = 0.5  # a daemon is configured within a second
 # Peers to which one request is handed at most. It is handed to no further one
 # once a peer has said that it is cut off from the servers itself.
 MAX_PEERS = 3
@@ -289,7 +289,7 @@
                 outcomes.NotRun(
                     outcomes.Reason.NOT_READY,
                     "no configuration is known yet",
-                    NOT_READY_RETRY_AFTER_SECONDS,
+                    head_decisions.NOT_READY_RETRY_AFTER_SECONDS,
                 ),
             )
         route = self.find_route(request)
@@ -340,17 +340,10 @@
         return self._log_outcome(request, context, outcome)
 
     def _no_route_outcome(self) -> outcomes.NotRun:
-        # A route may have been added that this daemon does not know yet.
-        if self._platform_state.may_lack_configuration(
-            self._configuration_bound_seconds
-        ):
-            return outcomes.NotRun(
-                outcomes.Reason.NOT_READY,
-                "a newer configuration may have a route",
-                NOT_READY_RETRY_AFTER_SECONDS,
+        return head_decisions.no_route(
+            may_lack_configuration=self._platform_state.may_lack_configuration(
+                self._configuration_bound_seconds
             )
-        return outcomes.NotRun(
-            outcomes.Reason.NO_ROUTE, "no route matches the request"
         )
 
     def _create_context(
@@ -445,7 +438,7 @@
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
-            if self._is_retry(context) and self._is_retry_hopeless(context):
+            if self._is_retry(context) and self._is_retry_denied(context):
                 return self._final_outcome(context)
             selected = await self._select_server(context)
             if isinstance(selected, server_selection.Refuse):
@@ -684,7 +677,7 @@
             context.terms is not None and context.terms.may_have_run
         )
 
-    def _is_retry_hopeless(self, context: _RequestContext) -> bool:
+    def _is_retry_denied(self, context: _RequestContext) -> bool:
         """Whether a retry is denied, so that a server need not be searched.
 
         Services with requests of one class search first, as a retry may become
