Wait for the first token in the test of a single daemon's allowance

A bucket starts empty and gets its first token after 1 s at a rate of 1/s. If the daemon was older than the minimum age of an issuer when the limit came into force, the test did not wait, and 60 quick requests were all refused.

--- a/packages/standins/src/hyssopwind/standins/tests/test_tenant_allowances.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_tenant_allowances.py
@@ -82,6 +82,8 @@
         catalogue = self.daemon._platform_state.catalogue
         await self.wait_until(lambda: catalogue.configuration_version == 3)
         await self.wait_for_maturity()
+        # A bucket starts empty, and its first token takes 1 s at this rate.
+        await asyncio.sleep(1.5)
         started_at = time.monotonic()
         with logbook.TestHandler().applicationbound() as log:
             answers = [
