Read the quota settings and fail_closed again at a reload

The state of the allowances was created with the settings of the start, so a reload of quota_slack, quota_window_s, quota_overshoot or fail_closed had no effect on them. They are handed to it when they change; the share of the time before is counted with the earlier slack. revoke_s was read live already.

--- a/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
@@ -188,6 +188,14 @@
         self._fill(clock.share_ratio, clock.share_seconds(now))
         return self._tokens
 
+    def set_quota(
+        self, quota: QuotaSettings, clock: _ShareClock, now: float
+    ) -> None:
+        """Changes the bound from now on."""
+        self.update(clock, now)
+        self._quota = quota
+        self.update(clock, now)
+
     def is_full(self, clock: _ShareClock, now: float) -> bool:
         """Whether the bucket holds all tokens that it can."""
         tokens = self.update(clock, now).available_tokens(self._share_seconds)
@@ -319,6 +327,13 @@
         wait_seconds = self._wait_seconds(bucket, tokens, share_seconds, now)
         return Issue(granted_count, wait_seconds)
 
+    def set_quota(self, quota: QuotaSettings, now: float) -> None:
+        """Changes the bound; tokens above a lower capacity are dropped."""
+        self._end_loans(now)
+        self._quota = quota
+        for bucket in self._buckets.values():
+            bucket.set_quota(quota, self._clock, now)
+
     def drop_bucket(self, tenant: ids.TenantId) -> None:
         """Drops the bucket of a tenant that has no limit any more."""
         self._buckets.pop(tenant, None)
--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -252,6 +252,13 @@
         """Sets the daemons of the fleet."""
         self._view = view
 
+    def set_quota(
+        self, quota: allowance_issuer.QuotaSettings, now: float
+    ) -> None:
+        """Changes the bound on the requests of a tenant."""
+        self._quota = quota
+        self._issuer.set_quota(quota, now)
+
     def owner(self, now: float) -> ids.DaemonId | None:
         """Returns the owner in the own data centre, if there is one."""
         return self._owner(now)
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -468,6 +468,25 @@
             issue.wait_seconds, allowance_issuer.SMALL_SHARE_WAIT_SECONDS
         )
 
+    # A reload that lowers the slack had no effect until a restart.
+    def test_lower_slack_holds_from_the_change_on(self):
+        quota = allowance_issuer.QuotaSettings(slack=20.0)
+        issuer = allowance_issuer.AllowanceIssuer(quota, 0.0)
+        issuer.set_own_share(True, 1, 0.0)
+        issuer.issue(self.allowance, 0, 0.0)
+        issuer.set_quota(self.quota, 10.0)
+        self.assertEqual(
+            issuer.issue(self.allowance, 50, 10.0).granted_count, 10
+        )
+        issuer.set_quota(quota, 10.0)
+        # A higher slack adds no tokens at once.
+        self.assertEqual(
+            issuer.issue(self.allowance, 50, 10.0).granted_count, 0
+        )
+        self.assertEqual(
+            issuer.issue(self.allowance, 50, 20.0).granted_count, 26
+        )
+
     # Thousands of tenants must not use memory after their last request.
     def test_idle_buckets_are_dropped_and_come_back_full(self):
         self.issuer.set_own_share(True, 1, 0.0)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        gateway_settings: settings.GatewaySettings,
+        live_settings: settings.LiveSettings,
         member_list: fleet_members.MemberList,
         platform_state: replicated_state.PlatformState,
         send: SendMessage,
@@ -49,7 +49,8 @@
         self._refusals = tenant_refusals.TenantRefusals()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
-        self._settings = gateway_settings
+        self._live_settings = live_settings
+        self._settings = live_settings.current
         self._random = random_source
         self._node_in_use: allowances.Allowances | None = None
 
@@ -71,12 +72,7 @@
             self._node_in_use = allowances.Allowances(
                 self._settings.name,
                 self._settings.data_centre,
-                allowance_issuer.QuotaSettings(
-                    self._settings.quota_window,
-                    self._settings.quota_overshoot,
-                    self._settings.quota_slack,
-                    self._settings.fail_closed,
-                ),
+                _make_quota(self._settings),
                 self._member_list.started_at,
                 self._send,
                 self._resolve,
@@ -92,7 +88,7 @@
             self.log_refusals()
             if self._has_limits():
                 now = boot_clock.now()
-                self._update_view()
+                self._update_view(now)
                 self._node.run_round(now)
                 self._set_timer(now)
                 self._log_owner(now)
@@ -111,7 +107,7 @@
             asyncio.get_running_loop().create_future()
         )
         now = boot_clock.now()
-        self._update_view()
+        self._update_view(now)
         self._node.request(allowance, future, now)
         self._set_timer(now)
         result = await future
@@ -129,7 +125,7 @@
         if self._member_list.find(ids.DaemonId(message.sender)) is None:
             return
         now = boot_clock.now()
-        self._update_view()
+        self._update_view(now)
         self._node.handle(message, now)
         self._set_timer(now)
 
@@ -194,7 +190,11 @@
             return None
         return _make_allowance(tenant, configuration.version)
 
-    def _update_view(self) -> None:
+    def _update_view(self, now: float) -> None:
+        """Hands the settings and the peers of this daemon to its state."""
+        if self._live_settings.current is not self._settings:
+            self._settings = self._live_settings.current
+            self._node.set_quota(_make_quota(self._settings), now)
         fleet_size = self._member_list.fleet_size()
         key = (self._member_list.digest(), fleet_size)
         if key == self._view_key:
@@ -236,11 +236,22 @@
         self._timer = None
         self._timer_at = float("inf")
         now = boot_clock.now()
-        self._update_view()
+        self._update_view(now)
         self._node.run_timers(now)
         self._set_timer(now)
 
 
+def _make_quota(
+    current: settings.GatewaySettings,
+) -> allowance_issuer.QuotaSettings:
+    return allowance_issuer.QuotaSettings(
+        current.quota_window,
+        current.quota_overshoot,
+        current.quota_slack,
+        current.fail_closed,
+    )
+
+
 def _make_allowance(
     tenant: tenant_table.Tenant, version: int
 ) -> allowance_issuer.Allowance:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -160,13 +160,12 @@
             self.monitor,
             server_picker.handle_answer,
         )
+        live_settings = live_settings or settings.LiveSettings(gateway_settings)
         self.authenticator = authenticator.Authenticator(
-            platform_state,
-            live_settings or settings.LiveSettings(gateway_settings),
-            metrics,
+            platform_state, live_settings, metrics
         )
         self.allowances = allowances.FleetAllowances(
-            gateway_settings,
+            live_settings,
             member_list,
             platform_state,
             send_allowance_message,
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_allowances.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_allowances.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import settings
 from hyssopwind.core.tenants import allowance_results
 from hyssopwind.core.tenants import allowances as core_allowances
 from hyssopwind.core.tenants import tenant_table
@@ -29,7 +30,7 @@
     def __init__(self, fleet, options):
         super().__init__(fleet, options)
         self.allowances = allowances.FleetAllowances(
-            options,
+            settings.LiveSettings(options),
             self.member_list,
             self.platform_state,
             self.gossip.send_allowance_message,
