Answer a waiting request when its key is revoked

The key of a request that waited for a server was checked again only when its turn came, so that a request with a revoked key kept its place and its caller waited for up to its deadline. The state of the platform calls a listener when a configuration comes into force, and the dispatcher ends the waits of requests whose keys are not in force. Requests without a tenant are not affected. Result: the two new tests failed before (no such notification) and pass, as do the others of test_dispatcher and test_allowance_refusals; make check passes.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -205,6 +205,8 @@
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
         self._timeouts: set[asyncio.Timeout] = set()
+        # Requests of tenants that wait for a server.
+        self._searches: dict[asyncio.Timeout, _RequestContext] = {}
         # The event loop itself keeps only weak references to tasks.
         self._attempts: set[asyncio.Task[object]] = set()
         self._received_count = 0
@@ -234,6 +236,16 @@
             if not timeout.expired():
                 timeout.reschedule(now)
 
+    def refuse_revoked(self) -> None:
+        """Ends the waits of requests whose keys are not in force any more."""
+        now = asyncio.get_running_loop().time()
+        for search, context in self._searches.items():
+            if search.expired() or self._authenticator.may_send(
+                context.admission, context.request, context.route
+            ):
+                continue
+            search.reschedule(now)
+
     def find_route(
         self, request: caller_requests.CallerRequest
     ) -> tables.Route | None:
@@ -440,7 +452,10 @@
                 return await self._serve_elsewhere(context)
             if self._is_retry(context) and self._is_retry_denied(context):
                 return self._final_outcome(context)
-            selected = await self._select_server(context)
+            selected = await self._select_unless_revoked(context)
+            revoked = self._refuse_revoked(context)
+            if revoked is not None:
+                return revoked
             if isinstance(selected, server_selection.Refuse):
                 if (
                     selected.answered_count == 0
@@ -448,9 +463,6 @@
                 ):
                     return await self._serve_elsewhere(context)
                 return self._handle_refusal(context, selected)
-            revoked = self._refuse_revoked(context)
-            if revoked is not None:
-                return revoked
             if self._is_retry(context) and not self._try_acquire_retry(context):
                 return self._final_outcome(context)
             result = await self._attempt_with_hedge(context, selected)
@@ -492,6 +504,22 @@
             )
         return self._final_outcome(context)
 
+    async def _select_unless_revoked(
+        self, context: _RequestContext
+    ) -> server_selection.Send | server_selection.Refuse:
+        """Searches a server until the key of the request is revoked."""
+        if context.admission.tenant is None:
+            return await self._select_server(context)
+        try:
+            async with asyncio.timeout(None) as search:
+                self._searches[search] = context
+                try:
+                    return await self._select_server(context)
+                finally:
+                    del self._searches[search]
+        except TimeoutError:
+            return server_selection.Refuse("the key was revoked")
+
     async def _select_server(
         self, context: _RequestContext
     ) -> server_selection.Send | server_selection.Refuse:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/replicated_state.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import typing
+from collections.abc import Callable
 
 import logbook
 
@@ -40,6 +41,7 @@
         self._configuration_revision = 0
         self._announced_configuration_revision = 0
         self._configured = asyncio.Event()
+        self._configuration_listeners: list[Callable[[], None]] = []
         self._configuration_source = ""
         self._configured_at = float("-inf")
         # The configuration in force as an item, and whether the platform has
@@ -119,6 +121,10 @@
             self._announced_kept_version, kept_version
         )
 
+    def add_configuration_listener(self, listener: Callable[[], None]) -> None:
+        """Adds a function to call whenever a configuration comes in force."""
+        self._configuration_listeners.append(listener)
+
     def kept_items(self) -> tuple[items.Item, ...]:
         """Returns the items in force that the platform has lost."""
         if not self._is_configuration_kept or self._configuration_item is None:
@@ -259,6 +265,9 @@
                 self._configuration_source = source
                 self._configured_at = now
             _log.info(change.value, extra=fields)
+        if change is catalogue.CatalogueChange.CONFIGURATION_APPLIED:
+            for listener in self._configuration_listeners:
+                listener()
 
     def _is_later(self, item: items.Item) -> bool:
         """Whether a peer has kept a later configuration than that in force."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -189,6 +189,9 @@
             self.allowances.release,
             metrics.count_retry,
         )
+        platform_state.add_configuration_listener(
+            self.dispatcher.refuse_revoked
+        )
 
     def drop_removed_servers(self) -> None:
         """Drops the state of servers that are not listed any more."""
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -4,11 +4,14 @@
 import unittest
 
 from hyssopwind.core import ids
+from hyssopwind.core import outcomes
+from hyssopwind.core.discovery import items
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import dispatcher
+from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.transport import boot_clock
 
 SERVICE = ids.ServiceId("s")
@@ -66,6 +69,70 @@
         self.assertEqual(allowed, [True] * 9 + [False])
 
 
+class RevokedWhileWaitingTest(unittest.IsolatedAsyncioTestCase):
+    # A request with a revoked key waited until its turn came.
+    async def test_request_is_answered_when_the_version_is_applied(self):
+        route = make_route(2)
+        tested = make_dispatcher(
+            route, fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        )
+        refusal = outcomes.NotRun(outcomes.Reason.UNAUTHENTICATED, "")
+        revoked = set()
+        tested._authenticator = types.SimpleNamespace(
+            may_send=lambda admission, _request, _route: (
+                admission.tenant not in revoked
+            ),
+            refuse_revoked=lambda admission, _request, _route: (
+                refusal if admission.tenant in revoked else None
+            ),
+        )
+        tested._monitor = types.SimpleNamespace(is_cut_off=False)
+        contexts = [
+            dispatcher._RequestContext(
+                types.SimpleNamespace(arrived_at=boot_clock.now()),
+                types.SimpleNamespace(tenant=tenant, priority=lambda _route: 2),
+                route,
+                SERVICE,
+                boot_clock.now() + 60.0,
+                set(),
+                2,
+            )
+            for tenant in ("one", "two", None)
+        ]
+        calls = [
+            asyncio.ensure_future(tested._run_attempts(context))
+            for context in contexts
+        ]
+        await asyncio.sleep(0)
+        tested.refuse_revoked()
+        await asyncio.sleep(0.01)
+        self.assertFalse(any(call.done() for call in calls))
+        revoked.update(("one", None))
+        tested.refuse_revoked()
+        self.assertIs(await asyncio.wait_for(calls[0], 1.0), refusal)
+        self.assertTrue(contexts[0].is_refusal_counted)
+        # The others have a key in force, or need none.
+        self.assertFalse(calls[1].done() or calls[2].done())
+        for call in calls[1:]:
+            call.cancel()
+        await asyncio.wait(calls)
+        self.assertFalse(tested._searches)
+
+    def test_listeners_learn_of_each_version_in_force(self):
+        state = replicated_state.PlatformState()
+        versions = []
+        state.add_configuration_listener(
+            lambda: versions.append(state.catalogue.configuration_version)
+        )
+        for revision, version in enumerate((1, 3, 2, 4), 1):
+            value = f'{{"version":{version},"resources":[]}}'.encode()
+            item = items.Item("op/config", value, revision)
+            state.apply_delta(
+                items.Delta((item,), revision, revision == 1), 0.0, "test"
+            )
+        self.assertEqual(versions, [1, 3, 4])
+
+
 class TimedOutSearchTest(unittest.IsolatedAsyncioTestCase):
     # A search that lasted until the deadline was not counted as failed.
     async def test_search_until_the_deadline_counts_as_failed(self):
