Add up the head times of the classes ahead in a waiting line

The time for which a request was the first of its line was lost when a more urgent one overtook it, and the expected wait multiplied the number of all requests ahead by the head time of the class that asked. Less urgent requests joined lines in which they could not be served in time, and urgent ones were taken to be as slow as bulk.

--- a/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -7,8 +7,10 @@
 the next one.
 """
 
+import collections
 import dataclasses
 from collections.abc import Hashable
+from collections.abc import Mapping
 from typing import Generic
 from typing import TypeVar
 
@@ -95,15 +97,21 @@
 
     def count_before(self, rank: Rank) -> int:
         """Returns how many requests are before one more of a rank."""
+        return sum(self.counts_before(rank).values())
+
+    def counts_before(self, rank: Rank) -> Mapping[priorities.Priority, int]:
+        """Returns how many requests of each class are before one of a rank."""
         due = self._find_due_class()
-        count = 0
+        counts: collections.Counter[priorities.Priority] = collections.Counter()
         has_due = False
         for waiting_rank in self._ranks.values():
             if waiting_rank <= rank:
-                count += 1
+                counts[waiting_rank.priority] += 1
             elif waiting_rank.priority == due:
                 has_due = True
-        return count + int(has_due)
+        if due is not None and has_due:
+            counts[due] += 1
+        return counts
 
     def _find_due_class(self) -> priorities.Priority | None:
         """Returns the class whose turn it is although others are urgent."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
@@ -10,7 +10,6 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import head_times
-from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import waiting_order
 from hyssopwind.transport import boot_clock
 
@@ -22,6 +21,8 @@
         rank: its rank in the line.
         first_since: monotonic time since which it is the first; `None` if it
             is not.
+        first_seconds: seconds for which it was the first before it was
+            overtaken.
         is_overtaken: whether it was the first before a more urgent request
             came.
     """
@@ -29,6 +30,7 @@
     def __init__(self, rank: waiting_order.Rank) -> None:
         self.rank = rank
         self.first_since: float | None = None
+        self.first_seconds = 0.0
         self.is_overtaken = False
         self._wake_up: asyncio.Future[ids.ServerId | None] | None = None
 
@@ -57,8 +59,7 @@
     """The requests of one service that wait."""
 
     def __init__(self) -> None:
-        # Of each class, as less urgent requests find servers later.
-        self._head_times: dict[priorities.Priority, head_times.HeadTimes] = {}
+        self._head_times = head_times.ClassHeadTimes()
         self._order: waiting_order.WaitingOrder[Place] = (
             waiting_order.WaitingOrder()
         )
@@ -81,8 +82,11 @@
             max_wait_seconds: longest wait that is of use to the request.
             rank: rank of the request.
         """
-        return self._find_head_times(rank).is_wait_likely_shorter(
-            max_wait_seconds, self._order.count_before(rank), boot_clock.now()
+        return self._head_times.is_wait_likely_shorter(
+            max_wait_seconds,
+            rank.priority,
+            self._order.counts_before(rank),
+            boot_clock.now(),
         )
 
     def join(self, rank: waiting_order.Rank = waiting_order.UNRANKED) -> Place:
@@ -96,12 +100,16 @@
         """Removes a request; the next one becomes the first if it was."""
         was_first = place.first_since is not None
         self._order.remove(place, was_first=was_first)
-        if place.first_since is None:
-            return
         now = boot_clock.now()
-        self._find_head_times(place.rank).record(now - place.first_since, now)
-        self._first = None
-        self._update_first()
+        first_seconds = place.first_seconds
+        if place.first_since is not None:
+            first_seconds += now - place.first_since
+        elif not first_seconds:
+            return
+        self._head_times.record(place.rank.priority, first_seconds, now)
+        if was_first:
+            self._first = None
+            self._update_first()
 
     def handle_answer(self, server: ids.ServerId | None) -> None:
         """Lets the first request look for a server again after an answer.
@@ -112,22 +120,18 @@
         if self._first is not None:
             self._first.wake_up(server)
 
-    def _find_head_times(
-        self, rank: waiting_order.Rank
-    ) -> head_times.HeadTimes:
-        return self._head_times.setdefault(
-            rank.priority, head_times.HeadTimes()
-        )
-
     def _update_first(self) -> None:
         first = self._order.find_first()
         if first is self._first:
             return
+        now = boot_clock.now()
         if self._first is not None:
+            assert self._first.first_since is not None
+            self._first.first_seconds += now - self._first.first_since
             self._first.first_since = None
             self._first.is_overtaken = True
         self._first = first
         if first is not None:
-            first.first_since = boot_clock.now()
+            first.first_since = now
             first.is_overtaken = False
             first.wake_up(None)
--- a/packages/standins/src/hyssopwind/standins/tests/test_waiting_lines.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_waiting_lines.py
@@ -5,11 +5,15 @@
 from unittest import mock
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import waiting_order
 from hyssopwind.daemon.gateway import waiting_lines
 from hyssopwind.standins.virtual import loop
 from hyssopwind.transport import boot_clock
 
 SERVER = ids.ServerId("i-1")
+URGENT = waiting_order.Rank(priorities.Priority(0))
+BULK = waiting_order.Rank(priorities.Priority(2))
 
 
 def run_virtual(make_coroutine):
@@ -69,3 +73,34 @@
             return line.has_room(0.3)
 
         self.assertFalse(run_virtual(run))
+
+    # The time before a request was overtaken was lost, so that requests joined
+    # the line that could not get a server in time.
+    def test_head_time_includes_that_before_a_request_was_overtaken(self):
+        async def run(event_loop):
+            line = waiting_lines.WaitingLine()
+            for _ in range(5):
+                bulk = line.join(BULK)
+                await asyncio.sleep(0.3)
+                urgent = line.join(URGENT)
+                line.leave(urgent)
+                line.leave(bulk)
+            return line.has_room(0.3, BULK), line.has_room(0.3, URGENT)
+
+        self.assertEqual(run_virtual(run), (False, True))
+
+    # Urgent requests ahead were taken to find servers as late as bulk, and bulk
+    # that was due as early as urgent ones.
+    def test_each_request_ahead_counts_with_the_head_time_of_its_class(self):
+        async def run(event_loop):
+            line = waiting_lines.WaitingLine()
+            for _ in range(5):
+                for rank, seconds in ((BULK, 0.05), (URGENT, 0.005)):
+                    place = line.join(rank)
+                    await asyncio.sleep(seconds)
+                    line.leave(place)
+            for _ in range(5):
+                line.join(URGENT)
+            return line.has_room(0.2, BULK), line.has_room(0.1, URGENT)
+
+        self.assertEqual(run_virtual(run), (True, True))
