Let urgent requests pass a due one that the reserve holds back

A class whose turn was due stayed at the head of its line while the reserve kept its request from the free slots, so that the more urgent requests behind it waited although a slot was free for them. Its turn is now deferred until one of the others has left the head of the line.

--- a/packages/core/src/hyssopwind/core/dispatch/server_selection.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_selection.py
@@ -85,6 +85,11 @@
             return max(1, self.listed_slot_count)
         return self.load.slots
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether one more request would be processed at once."""
+        return self.outstanding_count < self.slot_count
+
     @property
     def is_congested(self) -> bool:
         """Whether one more request would occupy nearly all of several slots."""
@@ -317,7 +322,7 @@
     settings: tuning.SelectionSettings,
 ) -> bool:
     """Whether a server has a free slot and its answer is in target."""
-    if best is None or best.outstanding_count >= best.slot_count:
+    if best is None or not best.has_free_slot:
         return False
     time_left = timing.latency_target_seconds - timing.waited_seconds
     estimated_seconds = estimated_answer_seconds(best, timing.work_seconds)
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_waiting_order.py
@@ -85,6 +85,23 @@
             with self.subTest(seed=seed):
                 self.assertGreaterEqual(counts[0], 0.7 * turns)
 
+    # A due class that the reserve held back blocked the line for urgent ones.
+    def test_due_request_without_a_slot_lets_others_pass_and_keeps_its_turn(
+        self,
+    ):
+        order = waiting_order.WaitingOrder()
+        order.add("bulk", rank(2))
+        for number in range(9):
+            order.add(number, rank(0))
+        while order.find_first() != "bulk":
+            number = take_first(order)
+            order.add(f"next {number}", rank(0))
+        order.hold_back("bulk")
+        self.assertNotEqual(order.find_first(), "bulk")
+        self.assertEqual(order.count_before(rank(0)), 9)
+        take_first(order)
+        self.assertEqual(order.find_first(), "bulk")
+
     def test_number_of_times_that_a_request_is_passed_over_is_bounded(self):
         for waiting_count in (1, 2, 5, 10):
             order = waiting_order.WaitingOrder()
--- a/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -4,7 +4,8 @@
 those that arrived earlier. A class that waits is not passed over for ever: each
 time a request leaves the head of the line, each class gains a part of a turn in
 proportion to its share of the line, and with a whole turn its first request is
-the next one.
+the next one. If that one may use no free slot, as they are left to more urgent
+requests, these go first until one of them has left the head of the line.
 """
 
 import collections
@@ -63,6 +64,8 @@
         self._ranks: dict[Key, Rank] = {}
         # Parts of a turn that classes have gained.
         self._turns: dict[priorities.Priority, float] = {}
+        # Classes that keep their turns until another request has left.
+        self._held_classes: set[priorities.Priority] = set()
 
     def __len__(self) -> int:
         return len(self._ranks)
@@ -81,8 +84,17 @@
         """
         if was_first:
             self._record_turn(self._ranks[key].priority)
+            self._held_classes.clear()
         del self._ranks[key]
 
+    def hold_back(self, key: Key) -> None:
+        """Defers the turn of a class whose request may use no free slot.
+
+        Args:
+            key: the request, at the head of the line.
+        """
+        self._held_classes.add(self._ranks[key].priority)
+
     def find_first(self) -> Key | None:
         """Returns the request that gets the next server; `None` if none."""
         due = self._find_due_class()
@@ -119,7 +131,9 @@
         due = [
             priority
             for priority, turns in self._turns.items()
-            if turns >= WHOLE_TURN and priority in waiting
+            if turns >= WHOLE_TURN
+            and priority in waiting
+            and priority not in self._held_classes
         ]
         return min(due, default=None)
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -76,12 +76,15 @@
         is_first_round: whether no server has been probed yet.
         probe_count: number of servers that answered in the last round.
         answered_server: a server that has just answered another request.
+        is_held_back: whether the last round found free slots that are left to
+            more urgent requests.
     """
 
     includes_remote: bool = False
     is_first_round: bool = True
     probe_count: int = 0
     answered_server: ids.ServerId | None = None
+    is_held_back: bool = False
 
 
 class Picker:
@@ -221,6 +224,8 @@
                     ):
                         return _OVERFULL
                     place = line.join(rank)
+                if search.is_held_back:
+                    line.hold_back(place)
                 search.answered_server = await place.wait(
                     max(decision.seconds, useful_seconds - decision.seconds)
                     if place.first_since is None
@@ -271,8 +276,13 @@
             search.probe_count = len(candidates)
         else:
             candidates = self._find_answered(request, answered_server)
+        marked = self._leave_reserve(candidates, request)
+        search.is_held_back = any(
+            candidate.is_reserved and candidate.has_free_slot
+            for candidate in marked
+        )
         decision = server_selection.decide(
-            self._leave_reserve(candidates, request),
+            marked,
             self._request_timing(request, boot_clock.now()),
             self._selection_settings,
             has_probed_remote=search.includes_remote,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
@@ -111,6 +111,16 @@
             self._first = None
             self._update_first()
 
+    def hold_back(self, place: Place) -> None:
+        """Lets others go first if free slots are left to more urgent requests.
+
+        Args:
+            place: a request that may use none of the free slots.
+        """
+        if place is self._first:
+            self._order.hold_back(place)
+            self._update_first()
+
     def handle_answer(self, server: ids.ServerId | None) -> None:
         """Lets the first request look for a server again after an answer.
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_waiting_lines.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_waiting_lines.py
@@ -104,3 +104,20 @@
             return line.has_room(0.2, BULK), line.has_room(0.1, URGENT)
 
         self.assertEqual(run_virtual(run), (True, True))
+
+    # Urgent requests behind a due one waited beside slots that were left to
+    # them.
+    def test_urgent_request_goes_first_while_a_due_one_is_held_back(self):
+        async def run(event_loop):
+            line = waiting_lines.WaitingLine()
+            bulk = line.join(BULK)
+            urgent = line.join(URGENT)
+            while bulk.first_since is None:
+                line.leave(urgent)
+                urgent = line.join(URGENT)
+            line.hold_back(urgent)
+            is_first_after_others = bulk.first_since is not None
+            line.hold_back(bulk)
+            return is_first_after_others, urgent.first_since, bulk.is_overtaken
+
+        self.assertEqual(run_virtual(run), (True, 0.0, True))
