--- a/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -4,11 +4,14 @@
 those that arrived earlier. A class that waits is not passed over for ever: each
 time a request leaves the head of the line, each class gains a part of a turn in
 proportion to its share of the line, and with a whole turn its first request is
-the next one.
+the next one. If that one may use no free slot, as they are left to more urgent
+requests, these go first until one of them has left the head of the line.
 """
 
+import collections
 import dataclasses
 from collections.abc import Hashable
+from collections.abc import Mapping
 from typing import Generic
 from typing import TypeVar
 
@@ -61,6 +64,8 @@
         self._ranks: dict[Key, Rank] = {}
         # Parts of a turn that classes have gained.
         self._turns: dict[priorities.Priority, float] = {}
+        # Classes that keep their turns until another request has left.
+        self._held_classes: set[priorities.Priority] = set()
 
     def __len__(self) -> int:
         return len(self._ranks)
@@ -79,8 +84,17 @@
         """
         if was_first:
             self._record_turn(self._ranks[key].priority)
+            self._held_classes.clear()
         del self._ranks[key]
 
+    def hold_back(self, key: Key) -> None:
+        """Defers the turn of a class whose request may use no free slot.
+
+        Args:
+            key: the request, at the head of the line.
+        """
+        self._held_classes.add(self._ranks[key].priority)
+
     def find_first(self) -> Key | None:
         """Returns the request that gets the next server; `None` if none."""
         due = self._find_due_class()
@@ -95,15 +109,21 @@
 
     def count_before(self, rank: Rank) -> int:
         """Returns how many requests are before one more of a rank."""
+        return sum(self.counts_before(rank).values())
+
+    def counts_before(self, rank: Rank) -> Mapping[priorities.Priority, int]:
+        """Returns how many requests of each class are before one of a rank."""
         due = self._find_due_class()
-        count = 0
+        counts: collections.Counter[priorities.Priority] = collections.Counter()
         has_due = False
         for waiting_rank in self._ranks.values():
             if waiting_rank <= rank:
-                count += 1
+                counts[waiting_rank.priority] += 1
             elif waiting_rank.priority == due:
                 has_due = True
-        return count + int(has_due)
+        if due is not None and has_due:
+            counts[due] += 1
+        return counts
 
     def _find_due_class(self) -> priorities.Priority | None:
         """Returns the class whose turn it is although others are urgent."""
@@ -111,7 +131,9 @@
         due = [
             priority
             for priority, turns in self._turns.items()
-            if turns >= WHOLE_TURN and priority in waiting
+            if turns >= WHOLE_TURN
+            and priority in waiting
+            and priority not in self._held_classes
         ]
         return min(due, default=None)
 
