Retry reserves: no minimum reserve for hedges

Hedges of less urgent requests left a reserve for a quarter of failed attempts of the more urgent classes also when no attempt failed: with 20 urgent and 20 other requests in the window of a daemon, none of 6 were allowed. Hedges now leave what the retries of all classes need at the observed share of failures, which is nothing in quiet times.

--- a/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
@@ -21,7 +21,7 @@
 FAILURE_WEIGHT = 0.2
 # Share of failed attempts that the reserve of more urgent classes assumes at
 # least. The share is learnt from about five attempts, in which less urgent
-# requests would otherwise spend the budget of the whole window.
+# retries would otherwise spend the budget of the whole window.
 MIN_FAILURE_RATIO = 0.25
 # Share up to which failures are assumed to continue; at 1 the need would not
 # depend on the number of attempts that a route allows.
@@ -201,21 +201,19 @@
         """Returns the number of retries that a request leaves to others.
 
         It is 0 if the window has requests of one class only. If it has several,
-        a hedge leaves what the retries of all of them need.
+        a hedge leaves what the retries of all of them need: it is speculative,
+        while a retry follows a failure. Without recent failures that is 0.
         """
-        reserved = self._reserved_for_more_urgent(demand)
-        if demand.is_caller_retry:
-            reserved *= RETURNED_RATIO
-        if demand.kind is RetryKind.RETRY or not self.has_several_classes:
-            return reserved
-        failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
-        return max(
-            reserved,
-            sum(
+        if demand.kind is RetryKind.HEDGE:
+            if not self.has_several_classes:
+                return 0.0
+            failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
+            return sum(
                 one_class.needed_count(failure_ratio)
                 for one_class in self._classes.values()
-            ),
-        )
+            )
+        reserved = self._reserved_for_more_urgent(demand)
+        return RETURNED_RATIO * reserved if demand.is_caller_retry else reserved
 
     def _reserved_for_more_urgent(self, demand: RetryDemand) -> float:
         failure_ratio = min(
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
@@ -290,6 +290,34 @@
 
 
 class HedgeTest(unittest.TestCase):
+    # Load: half of the requests are urgent, and no attempt fails. Hedges of the
+    # others left a reserve for failures that did not occur.
+    def test_less_urgent_hedges_leave_nothing_without_failures(self):
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        for _ in range(20):
+            for priority in (URGENT, TOLERANT):
+                budget.record_request(SERVICE, 0.0, priority, 0.1, MAX_RETRIES)
+                budget.record_attempt(SERVICE, has_failed=False)
+        hedge = retry_reserves.RetryDemand(
+            TOLERANT, 0.1, retry_reserves.RetryKind.HEDGE
+        )
+        count = 0
+        while budget.try_acquire(SERVICE, 0.0, 98, hedge):
+            count += 1
+        self.assertEqual(count, int(0.8 * (0.2 * 40 + 58.0 / 98)))
+
+    # Load: servers reject half of the arrivals of urgent requests.
+    def test_less_urgent_hedges_leave_what_failures_need(self):
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        budget.record_request(SERVICE, 0.0, TOLERANT, 0.1, 0)
+        for number in range(20):
+            budget.record_request(SERVICE, 0.0, URGENT, 0.1, MAX_RETRIES)
+            budget.record_attempt(SERVICE, has_failed=number % 2 == 0)
+        hedge = retry_reserves.RetryDemand(
+            TOLERANT, 0.1, retry_reserves.RetryKind.HEDGE, is_caller_retry=True
+        )
+        self.assertFalse(budget.may_acquire(SERVICE, 0.0, 98, hedge))
+
     # Hedges spent the budget that rejected requests needed.
     def test_hedges_yield_to_retries_of_all_classes(self):
         budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
