Charge each attempt that a server may run

Retries, hedges and handovers after an attempt that may have run were sent on the token of the first attempt, although the bound counts requests that run at servers. Each attempt takes a token; an attempt that a server refused as not run leaves its token to the next one, and a request returns what it has not used when it ends, also if its caller leaves. Without a token a retry or a hedge is not sent. Requests without a tenant take the same steps as before.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -72,7 +72,9 @@
         last_result: result of the latest attempt.
         is_refusal_counted: whether its refusal has part in a line about many,
             and gets none of its own.
-        granted: the part of its tenant's allowance that it was granted.
+        granted: the part of its tenant's allowance that it was granted and
+            that no attempt has used.
+        has_ended: whether its outcome is known, or its caller has left.
     """
 
     request: caller_requests.CallerRequest
@@ -96,6 +98,7 @@
     last_result: attempt_results.AttemptResult | None = None
     is_refusal_counted: bool = False
     granted: allowance_results.Granted | None = None
+    has_ended: bool = False
 
     @property
     def priority(self) -> priorities.Priority:
@@ -345,8 +348,9 @@
                 extra=self._log_fields(context),
             )
             raise
-        if context.granted is not None and isinstance(outcome, outcomes.NotRun):
-            self._release_allowance(context.granted)
+        finally:
+            context.has_ended = True
+            self._release_unused(context)
         if context.is_refusal_counted:
             return outcome
         return self._log_outcome(request, context, outcome)
@@ -425,7 +429,11 @@
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request beyond its tenant's allowance."""
         admission = context.admission
-        if admission.tenant is None or admission.is_charged:
+        if admission.tenant is None:
+            return None
+        if admission.is_charged:
+            # By the daemon that handed it over, for its first attempt.
+            context.granted = allowance_results.Granted()
             return None
         result = await self._acquire_allowance(admission.tenant)
         if isinstance(result, allowance_results.Granted):
@@ -446,12 +454,68 @@
             result.retry_after_seconds,
         )
 
+    async def _charge_attempt(self, context: _RequestContext) -> bool:
+        """Returns whether the allowance of the tenant covers an attempt more.
+
+        An attempt that a server refused leaves its part to the next one.
+        """
+        tenant = context.admission.tenant
+        if tenant is None or context.granted is not None:
+            return True
+        result = await self._acquire_allowance(tenant)
+        if not isinstance(result, allowance_results.Granted):
+            return False
+        self._return_part(context, result)
+        return True
+
+    async def _charge_hedge(
+        self, context: _RequestContext, first_attempt: "asyncio.Task[object]"
+    ) -> bool:
+        """Returns whether the allowance covers a hedge, if it is needed."""
+        if context.admission.tenant is None:
+            return True
+        charge = asyncio.create_task(self._charge_attempt(context))
+        await asyncio.wait(
+            {first_attempt, charge}, return_when="FIRST_COMPLETED"
+        )
+        if not charge.done():
+            charge.cancel()
+            return False
+        return charge.result() and not first_attempt.done()
+
+    def _take_part(
+        self, context: _RequestContext
+    ) -> allowance_results.Granted | None:
+        """Takes the granted part of the allowance for an attempt."""
+        granted, context.granted = context.granted, None
+        return granted
+
+    def _return_part(
+        self,
+        context: _RequestContext,
+        granted: allowance_results.Granted | None,
+    ) -> None:
+        """Keeps a part that no attempt has used for the next attempt."""
+        if granted is None:
+            return
+        if context.granted is None and not context.has_ended:
+            context.granted = granted
+        else:
+            self._release_allowance(granted)
+
+    def _release_unused(self, context: _RequestContext) -> None:
+        granted = self._take_part(context)
+        if granted is not None:
+            self._release_allowance(granted)
+
     async def _run_attempts(self, context: _RequestContext) -> outcomes.Outcome:
         while True:
             if self._monitor.is_cut_off:
                 return await self._serve_elsewhere(context)
             if self._is_retry(context) and self._is_retry_denied(context):
                 return self._final_outcome(context)
+            if not await self._charge_attempt(context):
+                return self._final_outcome(context)
             selected = await self._select_unless_revoked(context)
             revoked = self._refuse_revoked(context)
             if revoked is not None:
@@ -597,7 +661,7 @@
             peer = self._handover.choose_peer(
                 context.request, context.route, tried_peers
             )
-            if peer is None:
+            if peer is None or not await self._charge_attempt(context):
                 break
             revoked = self._refuse_revoked(context)
             if revoked is not None:
@@ -671,6 +735,7 @@
         )
         terms = context.admission.add_terms(terms)
         context.may_have_run_elsewhere = True
+        granted = self._take_part(context)
         # If the caller leaves, the connection to the peer is closed. The peer
         # then decides, as it alone knows whether a server has the request.
         handed = await self._handover.hand_over(
@@ -689,6 +754,7 @@
             handovers.HandoverResult.REFUSED,
         )
         if has_run_nowhere:
+            self._return_part(context, granted)
             context.may_have_run_elsewhere = might_have_run
         return handed
 
@@ -804,6 +870,8 @@
                     hedge = await self._start_hedge(context, first_attempt)
                     if hedge is not None:
                         running.append(hedge)
+                    elif not first_attempt.done():
+                        self._release_unused(context)
             return await self._first_success(running)
         finally:
             for task in running:
@@ -821,6 +889,8 @@
         first_attempt: "asyncio.Task[attempt_results.AttemptResult]",
     ) -> "asyncio.Task[attempt_results.AttemptResult] | None":
         """Starts a hedge if there is a good server and the budget allows it."""
+        if not await self._charge_hedge(context, first_attempt):
+            return None
         search = asyncio.create_task(
             self._picker.find_good_server(self._selection_request(context))
         )
@@ -878,13 +948,18 @@
                 context.admission, context.request, context.route
             ),
         )
-        attempt = asyncio.create_task(self._send(context, attempt_request))
+        attempt = asyncio.create_task(
+            self._send(context, attempt_request, self._take_part(context))
+        )
         self._attempts.add(attempt)
         attempt.add_done_callback(self._attempts.discard)
         return attempt
 
     async def _send(
-        self, context: _RequestContext, attempt_request: sending.AttemptRequest
+        self,
+        context: _RequestContext,
+        attempt_request: sending.AttemptRequest,
+        granted: allowance_results.Granted | None,
     ) -> attempt_results.AttemptResult:
         result = await self._sender.send(attempt_request)
         self._retry_budget.record_attempt(
@@ -893,6 +968,7 @@
         execution = attempt_results.classify_execution(result)
         if execution is attempt_results.Execution.NEVER:
             context.may_have_run.discard(attempt_request.entry.id)
+            self._return_part(context, granted)
         if _is_unconnected(result):
             context.unconnected_servers.add(attempt_request.entry.id)
         if isinstance(result, attempt_results.Failed):
