Return tokens that no server has run a request for to their owners

A token of a request that was refused or whose caller left could be used by the same daemon for 0.5 s only, so a tenant whose requests reach many daemons lost it. The daemon returns it with its next request to the owner, or after 50 ms, in a new last field of AllowanceRequest; the total of each number makes repeated returns harmless, and a lost one costs a token. An owner takes back tokens within 1 s and bounds those held at one time, so that they do not add up while servers refuse. The reuse at the daemon is replaced by this. The property test now has retries and returns; the other new tests could not run before.

--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -298,6 +298,8 @@
         version: version of the sender's configuration.
         requests_per_second: rate of the allowance in this configuration.
         burst: burst of the allowance in this configuration.
+        returns: earlier requests of the sender, each with the number of its
+            tokens, of all that it got, for which no server ran a request.
     """
 
     sender: str
@@ -307,6 +309,7 @@
     version: int
     requests_per_second: float
     burst: float
+    returns: list[tuple[int, int]] = []
 
 
 class AllowanceReply(msgspec.Struct, array_like=True, tag="ar", frozen=True):
--- a/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_issuer.py
@@ -14,6 +14,7 @@
 from hyssopwind.core import buckets
 from hyssopwind.core import ids
 from hyssopwind.core.limits import share_lending
+from hyssopwind.core.tenants import allowance_returns
 
 # A loan ends at the owner before it ends at the lender, whose clock may run
 # at a slightly different rate.
@@ -23,6 +24,11 @@
 # two requests. The rest of the slack, and the overshoot, cover the time between
 # the issue of a token and the request at a server.
 CAPACITY_SLACK_RATIO = 0.8
+# Time from the issue of a token to the request at a server: 0.2 s for the
+# answer, and 0.5 s of waiting for a server.
+ISSUE_DELAY_SECONDS = 0.7
+# Part of the slack that covers tokens which are taken back.
+RETURN_SLACK_RATIO = 0.15
 # Longest wait of a daemon behind others that were denied before it.
 MAX_QUEUED_WAIT_SECONDS = 2.0
 # Wait for a bucket that cannot hold a token until its share grows.
@@ -89,6 +95,23 @@
         extra = CAPACITY_SLACK_RATIO * quota.slack
         return share_ratio * (self.burst + extra)
 
+    def return_limit(self, share_ratio: float, quota: QuotaSettings) -> float:
+        """Returns the most tokens held at one time that are taken back.
+
+        It is what the other parts of the bound leave.
+
+        Examples:
+            >>> allowance = Allowance(ids.TenantId("t"), 2.0, 10.0, 1)
+            >>> allowance.return_limit(0.5, QuotaSettings())
+            3.3
+        """
+        allowed = self.requests_per_second * quota.window_seconds + self.burst
+        spare = quota.overshoot * allowed
+        spare -= ISSUE_DELAY_SECONDS * self.requests_per_second
+        return share_ratio * (
+            max(0.0, spare) + RETURN_SLACK_RATIO * quota.slack
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Issue:
@@ -171,6 +194,7 @@
         self.allowance = allowance
         self.used_at = now
         self.next_return_at = now
+        self.returns = allowance_returns.ReturnLimit()
         self._quota = quota
         # It is filled from the start of the ownership on, also if the first
         # request of the tenant comes later.
@@ -327,6 +351,37 @@
         wait_seconds = self._wait_seconds(bucket, tokens, share_seconds, now)
         return Issue(granted_count, wait_seconds)
 
+    def take_back(
+        self,
+        tenant: ids.TenantId,
+        count: int,
+        issued_at: float,
+        issued_share_ratio: float,
+        now: float,
+    ) -> int:
+        """Takes back tokens that were issued a short time ago.
+
+        Args:
+            tenant: the tenant.
+            count: number of tokens.
+            issued_at: monotonic time at which they were issued.
+            issued_share_ratio: ratio held at that time.
+            now: monotonic time in seconds.
+
+        Returns:
+            The number of tokens that may be issued again.
+        """
+        self._end_loans(now)
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            return 0
+        tokens = bucket.update(self._clock, now)
+        share_ratio = min(issued_share_ratio, self._clock.share_ratio)
+        limit = bucket.allowance.return_limit(share_ratio, self._quota)
+        count = bucket.returns.accept(count, issued_at, limit, now)
+        tokens.deposit(count, self._clock.share_seconds(now))
+        return count
+
     def set_quota(self, quota: QuotaSettings, now: float) -> None:
         """Changes the bound; tokens above a lower capacity are dropped."""
         self._end_loans(now)
--- a/packages/core/src/hyssopwind/core/tenants/allowance_results.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_results.py
@@ -26,10 +26,14 @@
     Attributes:
         tenant: the tenant whose allowance was charged; `None` if none was.
         asked_at: monotonic time at which its part was asked for.
+        owner: the daemon that issued its token; `None` if none did.
+        request_number: number of the request for the token.
     """
 
     tenant: ids.TenantId | None = None
     asked_at: float = 0.0
+    owner: ids.DaemonId | None = None
+    request_number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/hyssopwind/core/tenants/allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowances.py
@@ -26,6 +26,7 @@
 from hyssopwind.core.limits import share_lending
 from hyssopwind.core.tenants import allowance_issuer
 from hyssopwind.core.tenants import allowance_results
+from hyssopwind.core.tenants import allowance_returns
 
 ROUND_SECONDS = 0.5
 # Rounds between two questions to silent daemons that would be preferred to the
@@ -42,10 +43,6 @@
 # Longest time for which an owner is skipped that never answers. A dead daemon
 # of another data centre stays in the member list for 12 s.
 MAX_SKIP_SECONDS = 8.0
-# Time for which the token of a request that reached no server may be used by
-# another request, counted from the request to the owner. A longer time would
-# move more tokens from one window into the next.
-REUSE_SECONDS = 0.5
 # Time for which the size of the fleet that a peer states is used.
 STATED_SIZE_SECONDS = 5.0
 MAX_OWNERS = 10  # asked for one request
@@ -148,6 +145,17 @@
         return self.sent_at + RETRY_SECONDS
 
 
+@dataclasses.dataclass(slots=True)
+class _Issued:
+    """Tokens that this daemon has issued, and the reply that said so."""
+
+    reply: gossip_messages.AllowanceReply
+    tenant: ids.TenantId
+    issued_at: float
+    share_ratio: float
+    returned_count: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class _TenantState:
     """What a daemon knows of the allowance of a tenant."""
@@ -160,7 +168,6 @@
         default_factory=collections.deque
     )
     batch: _Batch | None = None
-    unused_tokens: list[float] = dataclasses.field(default_factory=list)
     denied_count: int = 0  # in this round
     used_at: float = 0.0
 
@@ -229,9 +236,10 @@
         # daemon without tenants takes the same random decisions as before.
         self._latest_number: int | None = None
         self._drawn_first_stamp: int | None = None
-        self._replies: collections.OrderedDict[
-            tuple[str, int], gossip_messages.AllowanceReply
-        ] = collections.OrderedDict()
+        self._issued: collections.OrderedDict[tuple[str, int], _Issued] = (
+            collections.OrderedDict()
+        )
+        self._returns = allowance_returns.PendingReturns()
 
     @property
     def _first_stamp(self) -> int:
@@ -243,10 +251,9 @@
     @property
     def next_timer_at(self) -> float | None:
         """Monotonic time at which `run_timers` is due, if at all."""
-        return min(
-            (each.next_timer_at for each in self._pending.values()),
-            default=None,
-        )
+        times = [each.next_timer_at for each in self._pending.values()]
+        times.extend(self._returns.due_at.values())
+        return min(times, default=None)
 
     def set_view(self, view: FleetView) -> None:
         """Sets the daemons of the fleet."""
@@ -288,10 +295,6 @@
             # Denials of the earlier limit may not hold any more.
             state.denied_until.clear()
             state.allowance = allowance
-        asked_at = self._reuse_token(state, now)
-        if asked_at is not None:
-            self._grant(state, ticket, asked_at, "reused")
-            return
         if len(state.waiting) >= MAX_WAITING_COUNT:
             self._deny(
                 state, [ticket], now, allowance_results.DenialCause.EXHAUSTED
@@ -302,15 +305,21 @@
             self._run_batches(state, now)
 
     def release(self, granted: allowance_results.Granted, now: float) -> None:
-        """Returns the token of a request that reached no server.
+        """Returns the token of a request that no server ran to its owner.
 
-        Another request of the tenant may use it for a short time.
+        An owner does not take it back after some time.
         """
-        if granted.tenant is None or now >= granted.asked_at + REUSE_SECONDS:
+        max_age_seconds = allowance_returns.MAX_RETURN_AGE_SECONDS
+        if granted.owner is None or now >= granted.asked_at + max_age_seconds:
             return
-        state = self._tenants.get(granted.tenant)
-        if state is not None:
-            state.unused_tokens.append(granted.asked_at)
+        self.result_counts["returned"] += 1
+        if granted.owner == self._own_name:
+            key = (self._own_name, granted.request_number)
+            issued = self._issued.get(key)
+            if issued is not None:
+                self._take_back(issued, issued.returned_count + 1, now)
+            return
+        self._returns.add(granted.owner, granted.request_number, now)
 
     def handle(
         self, message: gossip_messages.AllowanceMessage, now: float
@@ -343,6 +352,20 @@
                     max(SKIP_SECONDS, 2.0 * previous.seconds),
                 )
             self._skip(number, seconds, now)
+        for owner, due_at in list(self._returns.due_at.items()):
+            if now >= due_at:
+                # No tokens are asked for, so that no reply is needed.
+                message = gossip_messages.AllowanceRequest(
+                    self._own_name,
+                    self._next_number(),
+                    "",
+                    0,
+                    0,
+                    0.0,
+                    0.0,
+                    self._returns.take(owner),
+                )
+                self._send(message, owner)
 
     def run_round(self, now: float) -> None:
         """Lends the own share, which is due every `ROUND_SECONDS`."""
@@ -473,7 +496,10 @@
                 self._ask(state, owner, count, now)
                 return
             issue = self._issuer.issue(state.allowance, count, now)
-            self._record_issue(state, batch, owner, issue, now)
+            number = self._next_number()
+            reply = self._make_reply(number, issue, now)
+            self._remember(owner, reply, state.allowance.tenant, now)
+            self._record_issue(state, batch, owner, reply, now)
         state.batch = None
         if not batch.tickets:
             return
@@ -493,7 +519,8 @@
         )
         if may_start:
             self._started_tenants.add(state.allowance.tenant)
-            self._grant(state, batch.tickets.pop(0), now, "started")
+            granted = allowance_results.Granted(state.allowance.tenant, now)
+            self._grant(batch.tickets.pop(0), granted, "started")
         cause = allowance_results.DenialCause.UNDETERMINED
         if batch.was_answered:
             cause = allowance_results.DenialCause.EXHAUSTED
@@ -521,49 +548,60 @@
         count: int,
         now: float,
     ) -> None:
-        if self._latest_number is None:
-            self._latest_number = self._random.getrandbits(NUMBER_BITS)
-        self._latest_number += 1
         message = gossip_messages.AllowanceRequest(
             self._own_name,
-            self._latest_number,
+            self._next_number(),
             state.allowance.tenant,
             count,
             state.allowance.version,
             state.allowance.requests_per_second,
             state.allowance.burst,
+            self._returns.take(owner),
         )
-        self._pending[self._latest_number] = _Pending(
+        self._pending[message.request_number] = _Pending(
             state.allowance.tenant, owner, message, now
         )
         self._send(message, owner)
 
+    def _next_number(self) -> int:
+        """Returns the number of the next request."""
+        if self._latest_number is None:
+            self._latest_number = self._random.getrandbits(NUMBER_BITS)
+        self._latest_number += 1
+        return self._latest_number
+
     def _record_issue(
         self,
         state: _TenantState,
         batch: _Batch,
         owner: ids.DaemonId,
-        issue: allowance_issuer.Issue,
+        reply: gossip_messages.AllowanceReply,
         now: float,
     ) -> None:
         """Records the answer of an owner to a batch."""
         batch.was_answered = True
         batch.has_peer_answered |= owner != self._own_name
-        granted_count = min(issue.granted_count, len(batch.tickets))
+        granted_count = min(max(0, reply.granted_count), len(batch.tickets))
+        granted = allowance_results.Granted(
+            state.allowance.tenant,
+            batch.asked_at,
+            owner,
+            reply.request_number,
+        )
         for ticket in batch.tickets[:granted_count]:
-            self._grant(state, ticket, batch.asked_at, "granted")
+            self._grant(ticket, granted, "granted")
         del batch.tickets[:granted_count]
         if batch.tickets:
             wait_seconds = min(
-                MAX_DENIAL_SECONDS, max(MIN_DENIAL_SECONDS, issue.wait_seconds)
+                MAX_DENIAL_SECONDS,
+                max(MIN_DENIAL_SECONDS, reply.wait_ms / 1000),
             )
             state.denied_until[owner] = now + wait_seconds
 
     def _grant(
-        self, state: _TenantState, ticket: Ticket, asked_at: float, label: str
+        self, ticket: Ticket, granted: allowance_results.Granted, label: str
     ) -> None:
         self.result_counts[label] += 1
-        granted = allowance_results.Granted(state.allowance.tenant, asked_at)
         self._resolve(ticket, granted)
 
     def _deny(
@@ -601,14 +639,6 @@
         ]
         return max(MIN_RETRY_AFTER_SECONDS, min(waits, default=0.0))
 
-    def _reuse_token(self, state: _TenantState, now: float) -> float | None:
-        """Takes a token that was returned; returns when it was asked for."""
-        while state.unused_tokens:
-            asked_at = state.unused_tokens.pop()
-            if now < asked_at + REUSE_SECONDS:
-                return asked_at
-        return None
-
     def _handle_reply(
         self,
         reply: gossip_messages.AllowanceReply,
@@ -636,10 +666,7 @@
         state = self._tenants[pending.tenant]
         batch = state.batch
         assert batch is not None
-        issue = allowance_issuer.Issue(
-            max(0, reply.granted_count), max(0, reply.wait_ms) / 1000
-        )
-        self._record_issue(state, batch, sender, issue, now)
+        self._record_issue(state, batch, sender, reply, now)
         self._continue_batch(state, batch, now)
         self._run_batches(state, now)
 
@@ -649,6 +676,12 @@
         sender: ids.DaemonId,
         now: float,
     ) -> None:
+        for number, total in request.returns[: allowance_returns.MAX_RETURNS]:
+            issued = self._issued.get((request.sender, number))
+            if issued is not None:
+                self._take_back(issued, total, now)
+        if request.returns and request.count <= 0:
+            return
         if not self._is_mature(now):
             age_seconds = now - self._started_at
             wait_ms = math.ceil((MIN_ISSUER_AGE_SECONDS - age_seconds) * 1000)
@@ -658,15 +691,41 @@
             self._send(refusal, sender)
             return
         key = (request.sender, request.request_number)
-        reply = self._replies.get(key)
-        if reply is None:
+        issued = self._issued.get(key)
+        if issued is None:
             self._owner(now)
             issue = self._issue_to_peer(request, now)
             reply = self._make_reply(request.request_number, issue, now)
-            self._replies[key] = reply
-            while len(self._replies) > MAX_REMEMBERED_REPLIES:
-                self._replies.popitem(last=False)
-        self._send(reply, sender)
+            tenant = ids.TenantId(request.tenant)
+            issued = self._remember(sender, reply, tenant, now)
+        self._send(issued.reply, sender)
+
+    def _remember(
+        self,
+        receiver: ids.DaemonId,
+        reply: gossip_messages.AllowanceReply,
+        tenant: ids.TenantId,
+        now: float,
+    ) -> _Issued:
+        """Remembers the tokens that a reply states."""
+        share_ratio = self._issuer.share_ratio(now)
+        issued = _Issued(reply, tenant, now, share_ratio)
+        self._issued[receiver, reply.request_number] = issued
+        while len(self._issued) > MAX_REMEMBERED_REPLIES:
+            self._issued.popitem(last=False)
+        return issued
+
+    def _take_back(self, issued: _Issued, total: int, now: float) -> None:
+        """Takes back tokens, of which `total` were returned until now."""
+        max_age_seconds = allowance_returns.MAX_RETURN_AGE_SECONDS
+        total = min(total, issued.reply.granted_count)
+        count = total - issued.returned_count
+        if count <= 0 or now >= issued.issued_at + max_age_seconds:
+            return
+        issued.returned_count = total
+        self._issuer.take_back(
+            issued.tenant, count, issued.issued_at, issued.share_ratio, now
+        )
 
     def _issue_to_peer(
         self, request: gossip_messages.AllowanceRequest, now: float
--- a/packages/core/src/hyssopwind/core/tenants/tests/allowance_fleet.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/allowance_fleet.py
@@ -73,6 +73,12 @@
         )
         self.set_timer()
 
+    def release(self, result):
+        """Returns a token of a request that no server has run."""
+        if self.is_alive:
+            self.node.release(result, self.clock())
+            self.set_timer()
+
     def receive(self, data):
         if self.is_alive:
             self.node.handle(gossip_messages.decode(data), self.clock())
@@ -128,6 +134,7 @@
         self.granted = {}
         self.denied = []
         self.waits = []
+        self.returned_count = 0
         self.message_count = 0
         self.byte_count = 0
         self.bytes_by_daemon = {}
@@ -242,6 +249,34 @@
             )
         return times
 
+    def demand_with_returns(
+        self, tenant, rate, names, start, end, return_ratio, longest_hold
+    ):
+        """Requests of which a part returns its token after some time.
+
+        Returned tokens are not counted as granted.
+        """
+
+        def on_result(daemon, result):
+            if not isinstance(result, allowance_results.Granted):
+                return
+            if self.random.random() >= return_ratio:
+                return
+            self.granted[tenant].pop()
+            self.returned_count += 1
+            self.call_at(
+                self.now + self.random.uniform(0.0, longest_hold),
+                lambda: daemon.release(result),
+            )
+
+        when = start
+        while (when := when + self.random.expovariate(rate)) < end:
+            name = self.random.choice(names)
+            self.call_at(
+                when,
+                lambda name=name: self.daemons[name].request(tenant, on_result),
+            )
+
     def granted_between(self, start, end, tenant="t"):
         times = self.granted.get(tenant, [])
         return bisect.bisect_left(times, end) - bisect.bisect_left(times, start)
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -3,6 +3,7 @@
 import unittest
 
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
 from hyssopwind.core import buckets
@@ -289,6 +290,37 @@
         self.check_bound(fleet, allowance)
         self.assertGreater(len(returned), 200)
 
+    # Requests that servers refused used up the allowance of the others.
+    def test_returned_tokens_are_used_by_other_daemons(self):
+        for hot_count in (1, 3, None):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+            names = fleet.names[:hot_count]
+            fleet.demand_with_returns("t", 250.0, names, 0.0, 12.0, 0.6, 0.1)
+            fleet.run_until(12.0)
+            with self.subTest(hot_count=hot_count):
+                self.check_bound(fleet, allowance)
+                used_count = fleet.granted_between(4.0, 12.0)
+                self.assertGreaterEqual(used_count, 0.9 * 40.0 * 8.0)
+
+    # Tokens that circulate while servers refuse would all be used at once when
+    # the servers serve again.
+    def test_tokens_returned_for_long_do_not_add_up(self):
+        for rate, burst in ((40.0, 20.0), (4.0, 4.0), (40.0, 200.0)):
+            for hold in (0.1, 0.9):
+                allowance = allowance_fleet.make_allowance(
+                    rate=rate, burst=burst
+                )
+                fleet = allowance_fleet.SimulatedFleet((5, 5, 5), [allowance])
+                fleet.demand_with_returns(
+                    "t", 20.0 * rate, fleet.names, 0.0, 10.0, 1.0, hold
+                )
+                fleet.demand("t", 20.0 * rate, fleet.names, 10.0, 16.0)
+                fleet.run_until(16.0)
+                with self.subTest(rate=rate, burst=burst, hold=hold):
+                    self.assertGreater(fleet.returned_count, 20)
+                    self.check_bound(fleet, allowance)
+
 
 class RandomEventsTest(unittest.TestCase):
     """Daemons die, start and are cut off while messages are lost."""
@@ -321,6 +353,8 @@
             max_size=12,
         ),
         seed=strategies.integers(0, 1_000),
+        return_ratio=strategies.sampled_from((0.0, 0.3, 0.9)),
+        longest_hold=strategies.sampled_from((0.05, 1.2)),
     )
     def test_sum_never_exceeds_the_bound(
         self,
@@ -334,6 +368,8 @@
         restarts,
         pauses,
         seed,
+        return_ratio,
+        longest_hold,
     ):
         cuts = {}
         cut_random = random.Random(seed)
@@ -376,7 +412,19 @@
         for seconds, factor in pauses:
             if factor:
                 demand = min(200.0, max(4.0, rate * factor))
-                fleet.demand("t", demand, fleet.names, when, when + seconds)
+                fleet.demand_with_returns(
+                    "t",
+                    demand,
+                    fleet.names,
+                    when,
+                    when + seconds,
+                    return_ratio,
+                    longest_hold,
+                )
+                # As retries of them, and requests that run.
+                fleet.demand(
+                    "t", demand, fleet.names, when + seconds / 2, when + seconds
+                )
             when += seconds
         fleet.run_until(when + 1.0)
         self.assertLessEqual(
@@ -575,6 +623,65 @@
         self.node.handle(message, 30.0)
         self.assertEqual(self.sent[-1], self.sent[-2])
 
+    def issue(self, number, now, returns=(), count=1):
+        """Returns the tokens that a peer gets of the bucket of one."""
+        message = gossip_messages.AllowanceRequest(
+            "b", number, "t", count, 1, 0.01, 20.0, list(returns)
+        )
+        self.sent.clear()
+        self.node.handle(message, now)
+        return sum(each.granted_count for each in self.sent)
+
+    # A duplicated return would add to the allowance, a lost one costs a token.
+    def test_return_counts_once(self):
+        self.node.handle(gossip_messages.AllowanceLoan("b", False, 2), 10.0)
+        self.node.share_ratio(20.0)
+        issued_count = self.issue(1, 2_000.0, count=64)
+        self.assertGreater(issued_count, 1)
+        self.assertEqual(self.issue(2, 2_000.1), 0)
+        self.assertEqual(self.issue(3, 2_000.2, [(1, 1)]), 1)
+        for number, returns in (
+            (4, [(1, 1)]),
+            (5, [(1, -3), (1, 1), (1, 1)]),
+            (6, [(2, 1), (99, 5)]),
+        ):
+            self.assertEqual(self.issue(number, 2_000.3, returns), 0)
+        # The second token of the first request, and not more than it got.
+        self.assertEqual(self.issue(7, 2_000.4, [(1, 2)]), 1)
+        self.assertEqual(self.issue(8, 2_001.5, [(1, 3)]), 0)
+        # A message that only returns tokens needs no reply.
+        self.node.handle(
+            gossip_messages.AllowanceRequest(
+                "b", 9, "", 0, 0, 0.0, 0.0, [(7, 1)]
+            ),
+            2_001.0,
+        )
+        self.assertEqual(self.sent[1:], [])
+
+    # Daemons of the previous release run beside this one.
+    def test_previous_release_reads_requests_with_returns(self):
+        class AllowanceRequest(
+            msgspec.Struct, array_like=True, tag="aq", frozen=True
+        ):
+            sender: str
+            request_number: int
+            tenant: str
+            count: int
+            version: int
+            requests_per_second: float
+            burst: float
+
+        message = gossip_messages.AllowanceRequest(
+            "b", 7, "t", 5, 1, 1.0, 2.0, [(3, 1)]
+        )
+        earlier = msgspec.msgpack.decode(
+            gossip_messages.encode(message), type=AllowanceRequest
+        )
+        self.assertEqual(earlier.burst, 2.0)
+        decoded = gossip_messages.decode(msgspec.msgpack.encode(earlier))
+        self.assertEqual(decoded.returns, [])
+        self.assertEqual(decoded.count, 5)
+
 
 class SilentOwnerTest(unittest.TestCase):
     """A daemon whose requests for tokens are not answered."""
--- a/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
@@ -118,7 +118,11 @@
 
     def release(self, granted: allowance_results.Granted) -> None:
         """Returns the token of a request that no server has run."""
-        self._node.release(granted, boot_clock.now())
+        if granted.owner is None:
+            return
+        now = boot_clock.now()
+        self._node.release(granted, now)
+        self._set_timer(now)
 
     def handle(self, message: gossip_messages.AllowanceMessage) -> None:
         """Handles a message of a peer; one from an unknown peer is ignored."""
