State the sum of a restart of the whole fleet

The note said that the bound may be exceeded when all daemons restart without fail_closed, but not by how much.

--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -290,6 +290,30 @@
         self.check_bound(fleet, allowance)
         self.assertGreater(len(returned), 200)
 
+    # Daemons that have just started know nothing of what others have served;
+    # the design note states the sum.
+    def test_sum_of_a_restart_is_that_of_the_note(self):
+        for is_closed, started_count in ((False, 114), (True, 0)):
+            allowance = allowance_fleet.make_allowance()
+            fleet = allowance_fleet.SimulatedFleet(
+                (38, 38, 38),
+                [allowance],
+                quota=allowance_issuer.QuotaSettings(fail_closed=is_closed),
+            )
+            fleet.demand("t", 456.0, fleet.names, 0.0, 16.0)
+            fleet.run_until(8.0)
+            for name in fleet.names:
+                fleet.kill(name)
+                fleet.start(name)
+            fleet.run_until(16.0)
+            self.assertEqual(fleet.granted_between(8.0, 11.0), started_count)
+            self.assertLessEqual(
+                fleet.granted_between(8.0, 13.0), started_count + 80
+            )
+            self.assertLessEqual(
+                fleet.most_in_a_window(), 200 + 20 + 16 + started_count
+            )
+
     # Requests that servers refused used up the allowance of the others.
     def test_returned_tokens_are_used_by_other_daemons(self):
         for hot_count in (1, 3, None):
