Verify that a server hangs before peers eject it

Change: a request counts only while the server has acknowledged all of it, as the kernel tells, and no byte of an answer has come, and not across an unanswered probe. A second probe after 0.25 s has to confirm a hang before HangNotice is sent. Meanwhile HangSuspicion lets peers prefer other servers without ejecting this one; the previous release ignores it.

--- a/packages/core/src/hyssopwind/core/dispatch/server_health.py
+++ b/packages/core/src/hyssopwind/core/dispatch/server_health.py
@@ -9,6 +9,7 @@
 import dataclasses
 import math
 from collections.abc import Collection
+from collections.abc import Iterable
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import probe_results
@@ -24,6 +25,13 @@
 # Duration of the ejection of a server that ignores requests and reports none.
 # Each further trial costs a request of a caller; servers restart in less.
 HANG_EJECTION_SECONDS = 4.0
+# Time after which a second probe has to find a server to ignore a request
+# before peers are told. It exceeds the least retransmission time of TCP (0.2 s)
+# and pauses of servers of 0.15 s, after which an answer arrives.
+HANG_CHECK_SECONDS = 0.25
+# Time in which a server that a peer suspects of hanging is used only if others
+# have longer waits: the check, its probe and the way of two messages.
+HANG_SUSPICION_SECONDS = 0.5
 # Ratio of the servers of a service that may be ejected for so long. If more of
 # them hang, no trial can be spared, and the others cannot do without them when
 # they are back.
@@ -61,6 +69,8 @@
     penalty_updated_at: float = 0.0
     sent_at: list[float] = dataclasses.field(default_factory=list)
     ignored_count: int = 0
+    unanswered_at: float = float("-inf")
+    suspected_until: float = float("-inf")
 
     @property
     def in_flight_count(self) -> int:
@@ -108,6 +118,8 @@
         state = self._servers.get(server)
         if state is None:
             return 1.0
+        if now < state.suspected_until:
+            return MAX_DURATION_RATIO
         return _decayed_penalty_ratio(state, now)
 
     def is_ejected(self, server: ids.ServerId, now: float) -> bool:
@@ -138,18 +150,22 @@
         self,
         server: ids.ServerId,
         load: probe_results.Load,
+        silent_since: Iterable[float],
         probed_at: float,
         now: float,
     ) -> bool:
         """Records the load that a probe has just reported.
 
-        A server that reports fewer requests than this daemon has sent to it
-        ignores some of them, or their answers are lost. Such a server is
-        ejected.
+        A server that reports fewer requests than it has received from this
+        daemon ignores some of them, or their answers are lost. Such a server
+        is ejected. Requests do not count that it received before a probe that
+        it did not answer: it may have restarted since.
 
         Args:
             server: the server.
             load: its load.
+            silent_since: monotonic times since which it has had whole requests
+                whose answers have not begun.
             probed_at: monotonic time at which the probe was sent.
             now: monotonic time in seconds.
 
@@ -157,9 +173,15 @@
             Whether more requests are ignored than before.
         """
         state = self._find_or_add(server)
-        latest_start = probed_at - MIN_IGNORED_SECONDS
-        sent_count = sum(sent_at <= latest_start for sent_at in state.sent_at)
-        ignored_count = sent_count - load.running - load.waiting
+        if load.running + load.waiting:
+            state.suspected_until = float("-inf")
+        # The probe may have overtaken a request by as long as it took itself.
+        latest_start = probed_at - max(MIN_IGNORED_SECONDS, now - probed_at)
+        received_count = sum(
+            state.unanswered_at < since <= latest_start
+            for since in silent_since
+        )
+        ignored_count = received_count - load.running - load.waiting
         if ignored_count <= state.ignored_count:
             return False
         state.ignored_count = ignored_count
@@ -167,6 +189,33 @@
         self.record_failure(server, now)
         return True
 
+    def confirms_hang(
+        self,
+        server: ids.ServerId,
+        load: probe_results.Load,
+        silent_since: Iterable[float],
+        probed_at: float,
+    ) -> bool:
+        """Returns whether a later probe confirms that a server hangs.
+
+        One that is full ignores single requests and serves others.
+
+        Args:
+            server: the server.
+            load: its load by the later probe.
+            silent_since: monotonic times since which it has had the whole
+                requests that it was found to ignore, without those whose
+                answers have begun.
+            probed_at: monotonic time at which the later probe was sent.
+        """
+        if load.running + load.waiting:
+            return False
+        unanswered_at = self._find_or_add(server).unanswered_at
+        latest_start = probed_at - HANG_CHECK_SECONDS
+        return any(
+            unanswered_at < since <= latest_start for since in silent_since
+        )
+
     def record_success(
         self,
         route: tables.Route,
@@ -192,6 +241,7 @@
         state = self._find_or_add(server)
         state.failure_count = 0
         state.ejected_until = float("-inf")
+        state.suspected_until = float("-inf")
         ratio = max(
             MIN_DURATION_RATIO,
             min(MAX_DURATION_RATIO, observed_seconds / expected_seconds),
@@ -233,10 +283,20 @@
         """Records a probe without an answer."""
         state = self._find_or_add(server)
         state.failed_at = now
+        state.unanswered_at = now
         state.ejected_until = max(
             state.ejected_until, now + UNANSWERED_PROBE_EJECTION_SECONDS
         )
 
+    def record_hang_suspicion(self, server: ids.ServerId, now: float) -> None:
+        """Records that a peer verifies whether a server hangs.
+
+        The server is not ejected. An answer to a request or a load that shows
+        one ends the suspicion.
+        """
+        state = self._find_or_add(server)
+        state.suspected_until = now + HANG_SUSPICION_SECONDS
+
     def record_hang(
         self,
         server: ids.ServerId,
--- a/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
+++ b/packages/core/src/hyssopwind/core/fleet/gossip_messages.py
@@ -254,6 +254,21 @@
     server: str
 
 
+class HangSuspicion(msgspec.Struct, array_like=True, tag="hs", frozen=True):
+    """A notice that a server may ignore requests, which is verified now.
+
+    It is a type of its own because daemons of the previous release eject a
+    server on any `HangNotice`.
+
+    Attributes:
+        sender: name of the daemon whose requests it may ignore.
+        server: the server.
+    """
+
+    sender: str
+    server: str
+
+
 class ReachabilityNotice(msgspec.Struct, array_like=True, tag="u", frozen=True):
     """A notice whether the sender has a way to the servers.
 
@@ -358,6 +373,7 @@
     | CrashNotice
     | LeavingNotice
     | HangNotice
+    | HangSuspicion
     | ReachabilityNotice
     | PermitMessage
     | AllowanceMessage
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -124,7 +124,9 @@
             self._random,
             self._live_settings,
             self._send_allowance_message,
-            lambda server: self._gossip.announce_hang(server),
+            lambda server, is_suspicion: self._gossip.announce_hang(
+                server, is_suspicion
+            ),
         )
         self._crash_detector = self._request_path.crash_detector
         self._dispatcher = self._request_path.dispatcher
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gossip.py
@@ -92,7 +92,9 @@
         on_allowance_message: Callable[
             [gossip_messages.AllowanceMessage], None
         ] = lambda _message: None,
-        on_hang_notice: Callable[[ids.ServerId], None] = lambda _server: None,
+        on_hang_notice: Callable[[ids.ServerId, bool], None] = (
+            lambda _server, _is_suspicion: None
+        ),
     ):
         self._on_hang_notice = on_hang_notice
         self._live_settings = live_settings
@@ -203,8 +205,20 @@
         """Announces to all peers that a server is about to stop."""
         self._send_repeatedly(self._make_leaving_notice(instance))
 
-    def announce_hang(self, server: ids.ServerId) -> None:
-        """Announces to all peers that a server ignores requests."""
+    def announce_hang(self, server: ids.ServerId, is_suspicion: bool) -> None:
+        """Announces to all peers that a server hangs or is suspected to.
+
+        A suspicion is sent once: a loss costs a few requests at most, and a
+        repetition would outlast the check.
+        """
+        if is_suspicion:
+            self._send_all(
+                gossip_messages.HangSuspicion(
+                    self._initial_settings.name, server
+                ),
+                self._member_list.peers(),
+            )
+            return
         self._send_repeatedly(
             gossip_messages.HangNotice(self._initial_settings.name, server)
         )
@@ -279,7 +293,9 @@
                 ids.DaemonId(message.sender), message.is_cut_off
             )
         elif isinstance(message, gossip_messages.HangNotice):
-            self._on_hang_notice(ids.ServerId(message.server))
+            self._on_hang_notice(ids.ServerId(message.server), False)
+        elif isinstance(message, gossip_messages.HangSuspicion):
+            self._on_hang_notice(ids.ServerId(message.server), True)
         elif isinstance(message, gossip_messages.AllowanceMessage):
             self._on_allowance_message(message)
         else:
--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Collection
 
 import logbook
 
@@ -19,6 +20,7 @@
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.daemon.gateway import health_client
 from hyssopwind.transport import boot_clock
+from hyssopwind.transport import connection
 
 DEFAULT_HEALTH_PATH = "/health"  # if the configuration names none
 # Wait for the other probe results after the first one.
@@ -38,6 +40,8 @@
 CONCURRENT_COUNT = 1
 # Age up to which a request may not be included in the load in an answer.
 ANSWER_DELAY_SECONDS = 0.005
+# Time for the answer to the probe that verifies that a server hangs.
+HANG_PROBE_SECONDS = 0.1
 # Time between two notices to peers that a server hangs.
 MIN_HANG_NOTICE_SECONDS = 1.0
 
@@ -84,8 +88,16 @@
         member_list: fleet_members.MemberList,
         probe_budget: probe_budgets.ProbeBudget,
         cut_off_count: Callable[[], int] = lambda: 0,
-        announce_hang: Callable[[ids.ServerId], None] = lambda _server: None,
+        announce_hang: Callable[[ids.ServerId, bool], None] = (
+            lambda _server, _is_suspicion: None
+        ),
+        busy_connections: Callable[
+            [ids.ServerId], Collection[connection.ClientConnection]
+        ] = lambda _server: (),
     ):
+        self._busy_connections = busy_connections
+        self._hang_checks: dict[ids.ServerId, asyncio.Task[None]] = {}
+        self._hang_checked_at = float("-inf")
         self._announce_hang = announce_hang
         self._announced_hang_at = float("-inf")
         self._catalogue = server_catalogue
@@ -309,6 +321,8 @@
     ) -> probe_results.ProbeResult | None:
         server = listed_server.entry.id
         sent_at = boot_clock.now()
+        # Requests that the server does not have yet are not ignored.
+        _find_silent(self._busy_connections(server))
         path = self.health_path(listed_server.entry.service)
         try:
             result = await self._probe_client.probe(listed_server.entry, path)
@@ -318,7 +332,11 @@
         if result is None:
             self._passive_health.record_unanswered_probe(server, now)
         elif result.load is not None and self._passive_health.record_load(
-            server, result.load, sent_at, now
+            server,
+            result.load,
+            (silent := _find_silent(self._busy_connections(server))).values(),
+            sent_at,
+            now,
         ):
             _log.info(
                 "server ignores requests",
@@ -331,7 +349,7 @@
             )
             # One that is full ignores single requests and serves others.
             if result.load.running + result.load.waiting == 0:
-                self._record_hang(listed_server, now)
+                self._start_hang_check(listed_server, silent, now - sent_at)
         # The result includes requests sent before the probe, not later ones.
         sent_later = [t for t in self._sent_at.pop(server, ()) if t >= sent_at]
         if sent_later:
@@ -339,11 +357,77 @@
         self._recent_results[server] = _TimedResult(now, result)
         return result
 
-    def handle_hang_notice(self, server: ids.ServerId) -> None:
+    def _start_hang_check(
+        self,
+        listed_server: catalogue.ListedServer,
+        silent: Collection[connection.ClientConnection],
+        answer_seconds: float,
+    ) -> None:
+        """Starts to verify that a server hangs, where the budget permits it.
+
+        One check a second needs no budget: a server that hangs would otherwise
+        get requests of all daemons while the budget is spent.
+        """
+        server = listed_server.entry.id
+        now = boot_clock.now()
+        if server in self._hang_checks or (
+            now < self._hang_checked_at + MIN_HANG_NOTICE_SECONDS
+            and not self._probe_budget.try_acquire(
+                1,
+                server_count=self._catalogue.server_count,
+                daemon_count=self._sharing_daemon_count(),
+                now=now,
+            )
+        ):
+            return
+        if now >= self._hang_checked_at + MIN_HANG_NOTICE_SECONDS:
+            self._announce_hang(server, True)
+        self._hang_checked_at = now
+        # An answer that the probe's overtook needs as long at most.
+        pause = server_health.HANG_CHECK_SECONDS + answer_seconds
+        for each in silent:
+            each.hold(pause + HANG_PROBE_SECONDS)
+        self._hang_checks[server] = asyncio.get_running_loop().create_task(
+            self._check_hang(listed_server, silent, pause)
+        )
+
+    async def _check_hang(
+        self,
+        listed_server: catalogue.ListedServer,
+        silent: Collection[connection.ClientConnection],
+        pause_seconds: float,
+    ) -> None:
+        """Probes a server again and records a hang if it is confirmed."""
+        server = listed_server.entry.id
+        instance = listed_server.entry.instance
+        try:
+            await asyncio.sleep(pause_seconds)
+            sent_at = boot_clock.now()
+            result = await self._probe(listed_server)
+        finally:
+            self._hang_checks.pop(server, None)
+        current = self._catalogue.find(server)
+        if (
+            result is not None
+            and result.load is not None
+            and current is not None
+            and current.entry.instance == instance
+            and self._passive_health.confirms_hang(
+                server, result.load, _find_silent(silent).values(), sent_at
+            )
+        ):
+            self._record_hang(listed_server, boot_clock.now())
+
+    def handle_hang_notice(
+        self, server: ids.ServerId, is_suspicion: bool
+    ) -> None:
         """Handles a notice of a peer whose requests a server ignores."""
         listed_server = self._catalogue.find(server)
         if listed_server is not None:
             now = boot_clock.now()
+            if is_suspicion:
+                self._passive_health.record_hang_suspicion(server, now)
+                return
             if not self._passive_health.is_ejected(server, now):
                 _log.info("server hangs", extra={"server": server})
             self._passive_health.record_hang(
@@ -373,7 +457,7 @@
         if now < self._announced_hang_at + MIN_HANG_NOTICE_SECONDS:
             return
         self._announced_hang_at = now
-        self._announce_hang(server)
+        self._announce_hang(server, False)
 
     def _add_probed_server(
         self,
@@ -410,3 +494,17 @@
     ) -> ProbedServer:
         in_flight = self._passive_health.in_flight_count(listed_server.entry.id)
         return ProbedServer(listed_server, None, in_flight)
+
+
+def _find_silent(
+    connections: Collection[connection.ClientConnection],
+) -> dict[connection.ClientConnection, float]:
+    """Returns the connections with a request that the server has, and since.
+
+    Those on which an answer has begun are left out.
+    """
+    return {
+        each: since
+        for each in connections
+        if (since := each.find_silent_since()) is not None
+    }
--- a/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/request_path.py
@@ -72,7 +72,9 @@
         send_allowance_message: allowances.SendMessage = (
             lambda _message, _ip: None
         ),
-        announce_hang: Callable[[ids.ServerId], None] = lambda _server: None,
+        announce_hang: Callable[[ids.ServerId, bool], None] = (
+            lambda _server, _is_suspicion: None
+        ),
     ):
         self._platform_state = platform_state
         self._passive_health = server_health.PassiveHealth()
@@ -127,6 +129,7 @@
             probe_budget,
             lambda: self.handover.cut_off_count,
             announce_hang,
+            lambda server: self._sender.busy_connections(server),
         )
         self.handle_hang_notice = self._prober.handle_hang_notice
         server_picker = picker.Picker(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/sending.py
@@ -91,12 +91,21 @@
         self._monitor = monitor
         # Connections with idempotent requests, which may be sent elsewhere.
         self._repeatable: set[connection.ClientConnection] = set()
+        self._busy: dict[
+            ids.ServerId, dict[connection.ClientConnection, None]
+        ] = {}
 
     def break_off_idempotent(self) -> None:
         """Ends the attempts that may be repeated, as no answer can come."""
         for server_connection in list(self._repeatable):
             server_connection.abort()
 
+    def busy_connections(
+        self, server: ids.ServerId
+    ) -> list[connection.ClientConnection]:
+        """Returns the connections on which a server has requests."""
+        return list(self._busy.get(server, ()))
+
     async def send(
         self, attempt_request: AttemptRequest
     ) -> attempt_results.AttemptResult:
@@ -160,6 +169,8 @@
 
         if attempt_request.route.is_idempotent:
             self._repeatable.add(server_connection)
+        busy = self._busy.setdefault(attempt_request.entry.id, {})
+        busy[server_connection] = None
         try:
             async with asyncio.timeout(
                 remaining_seconds + LATE_ANSWER_GRACE_SECONDS
@@ -182,6 +193,9 @@
             return attempt_results.Failed(attempt_results.FailureKind.TIMED_OUT)
         finally:
             self._repeatable.discard(server_connection)
+            del busy[server_connection]
+            if not busy:
+                self._busy.pop(attempt_request.entry.id, None)
         quiet_seconds = 0.0
         if not _is_from_server(answer):
             # What sent it may send more; see `_judge_answer`.
--- a/packages/standins/src/hyssopwind/standins/fuzzing/places.py
+++ b/packages/standins/src/hyssopwind/standins/fuzzing/places.py
@@ -318,6 +318,7 @@
                 ),
                 gossip_messages.LeavingNotice("a", ids.InstanceId("i-1@2")),
                 gossip_messages.HangNotice("a", "i-1"),
+                gossip_messages.HangSuspicion("a", "i-1"),
             )
         ),
         gossip_messages.encode_deflated(
--- a/packages/standins/src/hyssopwind/standins/partitions/servers.py
+++ b/packages/standins/src/hyssopwind/standins/partitions/servers.py
@@ -117,6 +117,10 @@
         """Whether the daemon can send no more."""
         return self._is_aborted
 
+    def get_write_buffer_size(self) -> int:
+        """Returns whether bytes of the daemon are held back, as 0 or 1."""
+        return int(self.was_held)
+
     def write(self, data: typing.Any) -> None:
         """Sends bytes to the endpoint."""
         self.was_held = self._link.cut is scenarios.CutKind.HANG
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_server_faults.py
@@ -201,3 +201,36 @@
         self.assertEqual(stand_in.disconnect_count, 6)
         pool.close()
         await stand_in.close()
+
+
+class DeliveryTest(unittest.IsolatedAsyncioTestCase):
+    """The kernel tells which bytes a server has not acknowledged."""
+
+    # What the kernel held for a slow link counted as received.
+    async def test_request_is_delivered_once_all_of_it_is_acknowledged(self):
+        may_read = asyncio.Event()
+
+        async def serve(reader, writer):
+            await may_read.wait()
+            while await reader.read(1_000_000):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        _, opened = await asyncio.get_running_loop().create_connection(
+            lambda: connection.ClientConnection("server"),
+            *server.sockets[0].getsockname(),
+        )
+        data = bytes(30_000_000)
+        attempt = asyncio.create_task(opened.exchange(data, "POST"))
+        await asyncio.sleep(0.1)
+        self.assertIsNone(opened.find_silent_since())
+        may_read.set()
+        async with asyncio.timeout(10.0):
+            while opened.find_silent_since() is None:
+                await asyncio.sleep(0.01)
+        attempt.cancel()
+        await asyncio.wait([attempt])
+        self.assertIsNone(opened.find_silent_since())
--- a/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/limited_fleet.py
@@ -239,6 +239,9 @@
         self._record_statements(answer)
         return answer
 
+    def find_silent_since(self) -> None:
+        """Returns `None`, since no server of the model ignores requests."""
+
     def abort(self) -> None:
         """Does nothing, since no connection breaks in the model."""
 
@@ -362,9 +365,11 @@
         """Handles a notice that a server is leaving."""
         self.request_path.handle_leaving_notice(instance)
 
-    def handle_hang_notice(self, server: ids.ServerId) -> None:
+    def handle_hang_notice(
+        self, server: ids.ServerId, is_suspicion: bool
+    ) -> None:
         """Handles a notice that a server hangs."""
-        self.request_path.handle_hang_notice(server)
+        self.request_path.handle_hang_notice(server, is_suspicion)
 
     def handle_reachability_notice(
         self, sender: ids.DaemonId, is_cut_off: bool
--- a/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/virtual/site_fleet.py
@@ -321,7 +321,9 @@
     def handle_leaving_notice(self, instance: ids.InstanceId) -> None:
         """Ignores that a server is leaving; this model sends no requests."""
 
-    def handle_hang_notice(self, server: ids.ServerId) -> None:
+    def handle_hang_notice(
+        self, server: ids.ServerId, is_suspicion: bool
+    ) -> None:
         """Ignores that a server hangs; this model sends no requests."""
 
     def handle_reachability_notice(
--- a/packages/transport/src/hyssopwind/transport/connection.py
+++ b/packages/transport/src/hyssopwind/transport/connection.py
@@ -6,13 +6,17 @@
 
 import asyncio
 import dataclasses
+import fcntl
 import re
+import sys
+import termios
 import typing
 from collections.abc import Callable
 from typing import TypeAlias
 
 from hyssopwind.core.attempts import attempt_results
 from hyssopwind.transport import answers
+from hyssopwind.transport import boot_clock
 from hyssopwind.transport import byte_budgets
 
 # Bytes of each answer that the budget does not count, so that small answers
@@ -72,12 +76,18 @@
         self._reader: answers.AnswerReader | None = None
         self._skipped_count = 0
         self._is_closed = False
+        self._is_abandoned = False
+        self._held_until = float("-inf")
+        self._is_silent = False
+        self._delivered_at: float | None = None
+        self._written_at: float | None = None
 
     @property
     def is_usable(self) -> bool:
         """Whether a request may be sent now."""
         return (
             not self._is_closed
+            and not self._is_abandoned
             and self._pending is None
             and self._transport is not None
             and not self._transport.is_closing()
@@ -119,19 +129,49 @@
             future, method, is_expected, on_progress
         )
         self._reader = answers.AnswerReader(method, self._check_head)
+        self._is_silent = True
+        self._delivered_at = None
+        self._written_at = boot_clock.now()
         self._transport.write(data)
         try:
             return await future
         except asyncio.CancelledError:
             # The answer may be complete, but nobody is left who could return
             # the connection to a pool.
-            self.abort()
+            self._abandon()
             raise
         finally:
             self._pending = None
             self._account_bytes(0)
             self._last_used_at = self._loop.time()
 
+    def find_silent_since(self) -> float | None:
+        """Returns since when the remote end has been silent with a request.
+
+        Acknowledgements are not reported, so the time is that of the first
+        call that finds the request delivered, unless the first call does.
+
+        Returns:
+            The time in seconds of the boot clock; `None` if bytes of the
+            request may be on their way, if an answer has begun, or if the
+            connection has ended.
+        """
+        if self._is_closed or not self._is_silent:
+            return None
+        if self._delivered_at is None:
+            if self._has_unacknowledged_bytes():
+                self._written_at = None
+                return None
+            self._delivered_at = self._written_at or boot_clock.now()
+        return self._delivered_at
+
+    def hold(self, seconds: float) -> None:
+        """Keeps the connection open for a time if its request is cancelled.
+
+        Whether an answer was on its way can be seen only on an open connection.
+        """
+        self._held_until = self._loop.time() + seconds
+
     def abort(self) -> None:
         """Closes the connection without sending buffered data."""
         self._is_closed = True
@@ -144,6 +184,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes from the server."""
+        self._is_silent = False
         if self._is_closed:
             return
         if self._pending is None or self._reader is None:
@@ -175,6 +216,28 @@
         """Fails the pending request, if there is one."""
         self._fail(attempt_results.FailureKind.BROKEN, repr(exc))
 
+    def _abandon(self) -> None:
+        """Closes the connection with a cancelled request, at once or later."""
+        self._is_abandoned = True
+        left_seconds = self._held_until - self._loop.time()
+        if left_seconds <= 0.0:
+            self.abort()
+            return
+        self._loop.call_later(left_seconds, self.abort)
+
+    def _has_unacknowledged_bytes(self) -> bool:
+        if self._transport is None or self._transport.get_write_buffer_size():
+            return True
+        transport_socket = self._transport.get_extra_info("socket")
+        if transport_socket is None:
+            return False
+        try:
+            # For TCP, Linux counts the bytes that are not acknowledged.
+            count = fcntl.ioctl(transport_socket, termios.TIOCOUTQ, bytes(4))
+        except (OSError, ValueError):
+            return True
+        return int.from_bytes(count, sys.byteorder) > 0
+
     def _account_bytes(self, held_bytes: int) -> None:
         """Acquires or releases the bytes that the answer takes up.
 
