Send late work only while no request waits that can be in target

Late requests bypassed the waiting line and were sent while it held requests that could still be in target, and those of patient callers waited for seconds until their deadline.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -10,6 +10,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core.discovery import catalogue
 from hyssopwind.core.discovery import entries
+from hyssopwind.core.dispatch import late_work
 from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import priority_classes
 from hyssopwind.core.dispatch import priority_decisions
@@ -39,6 +40,7 @@
 _log = logbook.Logger("selection")
 _UNREACHABLE = server_selection.Refuse("no server can be reached")
 _OVERFULL = server_selection.Refuse("too many requests wait for a server")
+_TOO_LATE = server_selection.Refuse("late work is not sent before its deadline")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,7 @@
         answered_server: a server that has just answered another request.
         is_held_back: whether the last round found free slots that are left to
             more urgent requests.
+        is_late: whether the request waits as late work.
     """
 
     includes_remote: bool = False
@@ -85,6 +88,7 @@
     probe_count: int = 0
     answered_server: ids.ServerId | None = None
     is_held_back: bool = False
+    is_late: bool = False
 
 
 class Picker:
@@ -130,6 +134,7 @@
         self.priority_decisions = priority_decisions.PriorityDecisions()
         # Of the services whose requests differ in priority.
         self._demands: dict[ids.ServiceId, slot_reserves.ServiceDemand] = {}
+        self._late_work: dict[ids.ServiceId, late_work.LateWork] = {}
 
     def handle_answer(
         self, entry: entries.ServerEntry, load: probe_results.Load | None
@@ -150,8 +155,9 @@
         request counts as sent to the server that is returned.
         """
         demand = self._find_demand(request)
+        search = _Search()
         if demand is None:
-            return await self._pick(request, waiting_order.UNRANKED)
+            return await self._pick(request, waiting_order.UNRANKED, search)
         priority = request.priority
         now = boot_clock.now()
         if not request.tried_servers:
@@ -167,20 +173,23 @@
         )
         is_sent = False
         try:
-            decision = await self._pick(request, rank)
+            decision = await self._pick(request, rank, search)
             is_sent = isinstance(decision, server_selection.Send)
             return decision
         finally:
-            demand.record_end(priority, boot_clock.now(), is_sent=is_sent)
+            now = boot_clock.now()
+            demand.record_end(priority, now, is_sent=is_sent)
+            if search.is_late:
+                self._find_late_work(request).remove(now, is_sent=is_sent)
 
     async def _pick(
-        self, request: SelectionRequest, rank: waiting_order.Rank
+        self,
+        request: SelectionRequest,
+        rank: waiting_order.Rank,
+        search: _Search,
     ) -> server_selection.Send | server_selection.Refuse:
         """Returns the server for a request of a rank in the waiting line."""
-        line = self._lines.setdefault(
-            request.service, waiting_lines.WaitingLine()
-        )
-        search = _Search()
+        line = self._find_line(request)
         place: waiting_lines.Place | None = None
         try:
             while True:
@@ -192,6 +201,12 @@
                     if selected is None:
                         continue
                     return selected
+                if self._is_late(request):
+                    if place is not None:
+                        line.leave(place)
+                        place = None
+                    if not self._can_send_late(request, search):
+                        return _TOO_LATE
                 useful_seconds = self._useful_wait_seconds(request)
                 wait_step = self._selection_settings.wait_step
                 is_behind = (
@@ -266,7 +281,11 @@
         """
         answered_server = search.answered_server
         search.answered_server = None
-        if answered_server is None:
+        must_yield = self._must_yield(request)
+        candidates: list[server_selection.Candidate] = []
+        if must_yield:
+            search.probe_count = 0
+        elif answered_server is None:
             candidates = await self._probe(
                 request,
                 include_remote=search.includes_remote,
@@ -285,7 +304,7 @@
             marked,
             self._request_timing(request, boot_clock.now()),
             self._selection_settings,
-            has_probed_remote=search.includes_remote,
+            has_probed_remote=search.includes_remote or must_yield,
             may_congest=self._may_congest(request),
         )
         if isinstance(decision, server_selection.ProbeRemote):
@@ -297,6 +316,9 @@
             return decision
         if isinstance(decision, server_selection.Refuse):
             return dataclasses.replace(decision, answered_count=len(candidates))
+        if self._must_yield(request):
+            # Another request has joined the line during the probes.
+            return None
         if not await self._try_reserve(decision.server, request):
             return None
         if decision.is_congested and self._may_congest(request):
@@ -321,6 +343,42 @@
             ]
         return []
 
+    def _find_line(
+        self, request: SelectionRequest
+    ) -> waiting_lines.WaitingLine:
+        return self._lines.setdefault(
+            request.service, waiting_lines.WaitingLine()
+        )
+
+    def _find_late_work(self, request: SelectionRequest) -> late_work.LateWork:
+        return self._late_work.setdefault(request.service, late_work.LateWork())
+
+    def _is_late(self, request: SelectionRequest) -> bool:
+        """Whether a request is late at a service with several priorities."""
+        if self._find_demand(request) is None:
+            return False
+        return slot_reserves.is_late(
+            self._request_timing(request, boot_clock.now())
+        )
+
+    def _must_yield(self, request: SelectionRequest) -> bool:
+        """Whether a request is late while others can still be in target.
+
+        Requests leave the line before they are late.
+        """
+        return self._find_line(request).has_waiting and self._is_late(request)
+
+    def _can_send_late(
+        self, request: SelectionRequest, search: _Search
+    ) -> bool:
+        """Whether a late request will be sent before its deadline."""
+        now = boot_clock.now()
+        of_service = self._find_late_work(request)
+        if not search.is_late:
+            search.is_late = True
+            of_service.add(now)
+        return of_service.can_be_sent(self._request_timing(request, now), now)
+
     def _find_demand(
         self, request: SelectionRequest
     ) -> slot_reserves.ServiceDemand | None:
@@ -443,6 +501,8 @@
             )
             if not isinstance(decision, server_selection.Send):
                 continue
+            if self._must_yield(request):
+                return None
             if await self._try_reserve(decision.server, request):
                 return decision
         return None
--- a/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
@@ -65,6 +65,11 @@
         )
         self._first: Place | None = None
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any requests wait."""
+        return len(self._order) > 0
+
     def has_before(
         self, rank: waiting_order.Rank = waiting_order.UNRANKED
     ) -> bool:
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
@@ -5,7 +5,10 @@
 import unittest
 
 from hyssopwind.core import ids
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import server_selection
+from hyssopwind.core.dispatch import slot_reserves
+from hyssopwind.core.dispatch import waiting_order
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import picker
@@ -34,29 +37,93 @@
         return server_selection.Wait(0.01)
 
 
+def make_picker(picker_class):
+    health = types.SimpleNamespace(expected_work_seconds=lambda _: 0.1)
+    return picker_class(
+        None,
+        None,
+        health,
+        None,
+        None,
+        None,
+        None,
+        tuning.SelectionSettings(),
+        random.Random(1),
+    )
+
+
+def make_request(waited_seconds, remaining_seconds):
+    now = boot_clock.now()
+    parts = (tables.WeightedService(SERVICE, 1.0),)
+    route = tables.Route("r", "h", "/", True, 9.0, 0.3, 0, 2, parts)
+    return picker.SelectionRequest(
+        route,
+        SERVICE,
+        now - waited_seconds,
+        now + remaining_seconds,
+        frozenset(),
+        True,
+    )
+
+
 class ReturnedRequestTest(unittest.IsolatedAsyncioTestCase):
     # A returned request waited until near its deadline for a full service.
     async def test_request_whose_target_is_lost_is_refused(self):
-        health = types.SimpleNamespace(expected_work_seconds=lambda _: 0.1)
-        full_picker = FullServersPicker(
-            None,
-            None,
-            health,
-            None,
-            None,
-            None,
-            None,
-            tuning.SelectionSettings(),
-            random.Random(1),
-        )
+        full_picker = make_picker(FullServersPicker)
         full_picker._lines[SERVICE] = FullLine()
-        now = boot_clock.now()
-        parts = (tables.WeightedService(SERVICE, 1.0),)
-        route = tables.Route("r", "h", "/", True, 9.0, 0.3, 0, 2, parts)
-        request = picker.SelectionRequest(
-            route, SERVICE, now - 0.5, now + 8.0, frozenset(), True
-        )
+        request = make_request(0.5, 8.0)
         persistent = dataclasses.replace(request, persists=True)
         async with asyncio.timeout(0.5):
             decision = await full_picker.pick(persistent)
         self.assertIsInstance(decision, server_selection.Refuse)
+
+
+class FreeServersPicker(picker.Picker):
+    """A picker of a service with several priorities and a free server."""
+
+    demand = slot_reserves.ServiceDemand()
+
+    def _refuse_at_once(self, request):
+        return None
+
+    def _needs_permit(self, request, now):
+        return False
+
+    def _find_demand(self, request):
+        return self.demand
+
+    def _leave_reserve(self, candidates, request):
+        return candidates
+
+    async def _probe(self, request, *, include_remote, is_first=False):
+        return [server_selection.Candidate(ids.ServerId("a"), True, None, 6)]
+
+    async def _try_reserve(self, server, request):
+        return True
+
+
+class LateRequestTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.picker = make_picker(FreeServersPicker)
+        self.line = waiting_lines.WaitingLine()
+        self.picker._lines[SERVICE] = self.line
+        rank = waiting_order.Rank(priorities.Priority(2))
+        self.place = self.line.join(rank)
+
+    # Late work took servers of requests in line that could still be in target.
+    async def test_late_request_is_sent_when_no_other_waits(self):
+        search = asyncio.create_task(self.picker.pick(make_request(0.5, 8.0)))
+        await asyncio.sleep(0.1)
+        self.assertFalse(search.done())
+        self.assertIsNone(
+            await self.picker.find_good_server(make_request(0.5, 8.0))
+        )
+        self.line.leave(self.place)
+        async with asyncio.timeout(0.5):
+            self.assertIsInstance(await search, server_selection.Send)
+
+    # It waited until its caller gave up.
+    async def test_late_request_is_refused_when_its_turn_comes_too_late(self):
+        late = asyncio.create_task(self.picker.pick(make_request(0.5, 2.0)))
+        async with asyncio.timeout(1.3):
+            self.assertIsInstance(await late, server_selection.Refuse)
