Test which class is left by the retries that it leaves to others

RetryReserves.is_most_urgent was removed with its last use; the test asks reserved_count of the less urgent class instead, which is 0 if the urgent class is gone.

--- a/packages/daemon/src/hyssopwind/daemon/tests/test_allowance_refusals.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_allowance_refusals.py
@@ -8,6 +8,7 @@
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.tenants import allowance_results
 from hyssopwind.core.tenants import tenant_table
 from hyssopwind.daemon.gateway import dispatcher
@@ -45,4 +46,7 @@
         self.assertIsNotNone(await tested._check_allowance(context))
         reserves = budget.reserves(SERVICE, 0.0)
         self.assertFalse(reserves.has_several_classes)
-        self.assertFalse(reserves.is_most_urgent(tolerant))
+        # The more urgent class is the one that is left.
+        self.assertGreater(
+            reserves.reserved_count(retry_reserves.RetryDemand(tolerant)), 0.0
+        )
