Give a starved class turns instead of the highest rank

A class whose requests found servers less than half as often as those of all classes got rank 0 for all its requests, which then went before all others, also after its share was restored, and changed the head times of the urgent class. It now gets one turn at a time, for a request that arrives or was sent while the class is below its share.

--- a/packages/core/src/hyssopwind/core/dispatch/priority_classes.py
+++ b/packages/core/src/hyssopwind/core/dispatch/priority_classes.py
@@ -16,9 +16,8 @@
 ) -> Mapping[ids.ServiceId, frozenset[priorities.Priority]]:
     """Returns the priorities of the requests that each service may get.
 
-    A part of a split counts with any weight, since weights change while
-    requests of the earlier ones are served. The priority of a tenant may occur
-    at any service.
+    A part of weight 0 gets no requests, so that it does not count. The priority
+    of a tenant may occur at any service.
 
     Args:
         routes: the routes in force.
@@ -43,6 +42,8 @@
     found: dict[ids.ServiceId, set[priorities.Priority]] = {}
     for route in routes:
         for part in route.parts:
+            if part.weight <= 0.0:
+                continue
             of_service = found.setdefault(part.service, set(of_tenants))
             of_service.add(priorities.effective_priority(route.priority))
     return {service: frozenset(each) for service, each in found.items()}
@@ -64,6 +65,19 @@
     ) -> bool:
         """Returns whether the requests of a service differ in priority.
 
+        Args:
+            service: the service.
+            configuration: the configuration in force; `None` before the first.
+        """
+        return len(self.of_service(service, configuration)) > 1
+
+    def of_service(
+        self,
+        service: ids.ServiceId,
+        configuration: tables.Configuration | None,
+    ) -> frozenset[priorities.Priority]:
+        """Returns the priorities of the requests that a service may get.
+
         Args:
             service: the service.
             configuration: the configuration in force; `None` before the first.
@@ -76,4 +90,4 @@
                 self._by_service = priorities_by_service(
                     configuration.routes, (each.priority for each in tenants)
                 )
-        return len(self._by_service.get(service, _NO_PRIORITIES)) > 1
+        return self._by_service.get(service, _NO_PRIORITIES)
--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import math
+from collections.abc import Container
 
 import xxhash
 
@@ -105,6 +106,17 @@
     def __init__(self) -> None:
         self._classes: dict[priorities.Priority, _ClassDemand] = {}
 
+    def drop_except(self, in_force: Container[priorities.Priority]) -> None:
+        """Drops the classes that the service does not get any more.
+
+        Args:
+            in_force: the priorities of the requests that it may get.
+        """
+        for priority in [
+            each for each in self._classes if each not in in_force
+        ]:
+            del self._classes[priority]
+
     def record_arrival(
         self, priority: priorities.Priority, work_seconds: float, now: float
     ) -> None:
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
@@ -128,6 +128,13 @@
             self.demand.record_end(BULK, 0.0, is_sent=False)
         self.assertFalse(self.demand.is_starved(BULK, 0.0))
 
+    # Requests of earlier weights made a service treat its only class as urgent.
+    def test_class_of_a_part_that_lost_its_weight_is_dropped(self):
+        self.record_arrivals(URGENT, 0.5, 0.1)
+        self.record_arrivals(BULK, 0.5, 0.1)
+        self.demand.drop_except({URGENT})
+        self.assertFalse(self.demand.has_less_urgent(URGENT))
+
     def test_overload_of_all_classes_starves_none(self):
         for number in range(40):
             for priority in (URGENT, BULK):
@@ -168,9 +175,9 @@
 
 
 class PriorityClassesTest(unittest.TestCase):
-    def has_several(self, *route_priorities, services=("s",)):
+    def has_several(self, *route_priorities, services=("s",), weight=1.0):
         parts = tuple(
-            tables.WeightedService(ids.ServiceId(each), 1.0)
+            tables.WeightedService(ids.ServiceId(each), weight)
             for each in services
         )
         routes = tuple(
@@ -194,6 +201,10 @@
     def test_part_of_a_split_counts(self):
         self.assertTrue(self.has_several(0, 1, services=("other", "s")))
 
+    # Urgent requests of a split left a service slots that none of them used.
+    def test_part_of_weight_zero_does_not_count(self):
+        self.assertFalse(self.has_several(0, 1, weight=0.0))
+
     def test_no_configuration_has_no_priorities(self):
         classes = priority_classes.PriorityClasses()
         self.assertFalse(classes.has_several(SERVICE, None))
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_waiting_order.py
@@ -85,6 +85,19 @@
             with self.subTest(seed=seed):
                 self.assertGreaterEqual(counts[0], 0.7 * turns)
 
+    # A class below its share went before all others until it was above it.
+    def test_granted_turn_lets_one_request_of_a_class_pass(self):
+        order = waiting_order.WaitingOrder()
+        for number in range(3):
+            order.add(f"bulk {number}", rank(2))
+            order.add(f"urgent {number}", rank(0))
+        order.grant_turn(priorities.Priority(2))
+        order.grant_turn(priorities.Priority(2))
+        self.assertEqual(
+            [take_first(order) for _ in range(3)],
+            ["bulk 0", "urgent 0", "urgent 1"],
+        )
+
     # A due class that the reserve held back blocked the line for urgent ones.
     def test_due_request_without_a_slot_lets_others_pass_and_keeps_its_turn(
         self,
--- a/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
+++ b/packages/core/src/hyssopwind/core/dispatch/waiting_order.py
@@ -4,8 +4,9 @@
 those that arrived earlier. A class that waits is not passed over for ever: each
 time a request leaves the head of the line, each class gains a part of a turn in
 proportion to its share of the line, and with a whole turn its first request is
-the next one. If that one may use no free slot, as they are left to more urgent
-requests, these go first until one of them has left the head of the line.
+the next one. A class whose requests find servers too rarely is given turns. If
+the request whose turn it is may use no free slot, as they are left to more
+urgent requests, these go first until one of them has left the head of the line.
 """
 
 import collections
@@ -87,6 +88,11 @@
             self._held_classes.clear()
         del self._ranks[key]
 
+    def grant_turn(self, priority: priorities.Priority) -> None:
+        """Gives a class one turn, unless it has one already."""
+        turns = self._turns.get(priority, 0.0)
+        self._turns[priority] = max(turns, WHOLE_TURN)
+
     def hold_back(self, key: Key) -> None:
         """Defers the turn of a class whose request may use no free slot.
 
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -165,10 +165,11 @@
                 request.route
             )
             demand.record_arrival(priority, work_seconds, now)
+        line = self._find_line(request)
+        if demand.is_starved(priority, now):
+            line.grant_turn(priority)
         rank = waiting_order.Rank(
-            priorities.Priority(0)
-            if demand.is_starved(priority, now)
-            else priority,
+            priority,
             is_new=not (request.tried_servers or request.is_caller_retry),
         )
         is_sent = False
@@ -181,6 +182,8 @@
             demand.record_end(priority, now, is_sent=is_sent)
             if search.is_late:
                 self._find_late_work(request).remove(now, is_sent=is_sent)
+            if is_sent and demand.is_starved(priority, now):
+                line.grant_turn(priority)
 
     async def _pick(
         self,
@@ -383,13 +386,16 @@
         self, request: SelectionRequest
     ) -> slot_reserves.ServiceDemand | None:
         """Returns the demand of a service whose requests differ in priority."""
-        if not self._priority_classes.has_several(
+        in_force = self._priority_classes.of_service(
             request.service, self._catalogue.configuration
-        ):
+        )
+        if len(in_force) < 2:
             return None
-        return self._demands.setdefault(
+        demand = self._demands.setdefault(
             request.service, slot_reserves.ServiceDemand()
         )
+        demand.drop_except(in_force)
+        return demand
 
     def _leave_reserve(
         self,
--- a/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/waiting_lines.py
@@ -10,6 +10,7 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import head_times
+from hyssopwind.core.dispatch import priorities
 from hyssopwind.core.dispatch import waiting_order
 from hyssopwind.transport import boot_clock
 
@@ -116,6 +117,11 @@
             self._first = None
             self._update_first()
 
+    def grant_turn(self, priority: priorities.Priority) -> None:
+        """Gives a class one turn, unless it has one already."""
+        self._order.grant_turn(priority)
+        self._update_first()
+
     def hold_back(self, place: Place) -> None:
         """Lets others go first if free slots are left to more urgent requests.
 
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
@@ -127,3 +127,33 @@
         late = asyncio.create_task(self.picker.pick(make_request(0.5, 2.0)))
         async with asyncio.timeout(1.3):
             self.assertIsInstance(await late, server_selection.Refuse)
+
+
+class StarvedClassTest(unittest.IsolatedAsyncioTestCase):
+    # All requests of a starved class went before the urgent ones.
+    async def test_starved_class_gets_one_turn_at_a_time(self):
+        starved_picker = make_picker(FullServersPicker)
+        demand = slot_reserves.ServiceDemand()
+        starved_picker._prober = types.SimpleNamespace(
+            pause_seconds=lambda _: 0.01
+        )
+        starved_picker._find_demand = lambda request: demand
+        now = boot_clock.now()
+        urgent, bulk = priorities.Priority(0), priorities.Priority(2)
+        for _ in range(10):
+            demand.record_end(urgent, now, is_sent=True)
+            demand.record_end(bulk, now, is_sent=False)
+        line = waiting_lines.WaitingLine()
+        starved_picker._lines[SERVICE] = line
+        urgent_place = line.join(waiting_order.Rank(urgent))
+        request = dataclasses.replace(make_request(0.0, 8.0), priority=bulk)
+        searches = [
+            asyncio.create_task(starved_picker.pick(request)) for _ in range(2)
+        ]
+        await asyncio.sleep(0.05)
+        self.assertTrue(urgent_place.is_overtaken)
+        searches[0].cancel()
+        await asyncio.sleep(0.05)
+        self.assertFalse(urgent_place.is_overtaken)
+        searches[1].cancel()
+        await asyncio.gather(*searches, return_exceptions=True)
