Reserve slots from the first requests after a start

The decaying sums of a class were divided as if they had run for ever, and a daemon took the fleet to be of size 1 until it knew its peers, so that less urgent requests left no slots after a start. The sum is now divided by the weight of the time since the first request of the service, and in its first 5 s a daemon assumes one daemon for each server at least.

--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -22,6 +22,13 @@
 # long enough for several requests of a kind that a daemon gets each second or
 # two, and short compared with the minutes for which loads last.
 HALF_LIFE_SECONDS = 10.0
+# Shorter times since the first request of a service count as this one. A daemon
+# gets a request of a kind each second or two, so that a single one would stand
+# for a high rate.
+MIN_OBSERVED_SECONDS = 1.0
+# Time after the start of a daemon in which it may not know all peers: leaders
+# of other data centres send their member lists every 5 s.
+UNKNOWN_FLEET_SECONDS = 5.0
 # Ratio of the slots of a server that may be reserved, so that less urgent
 # requests keep the others if the work of urgent ones is overestimated. Servers
 # of two slots reserve none: half of a service is more than urgent ones need.
@@ -87,6 +94,30 @@
     server_count: int
 
 
+def make_fleet_shape(
+    fleet_size: int, server_count: int, seconds_since_start: float
+) -> FleetShape:
+    """Returns the shape of the fleet of a daemon.
+
+    Until a daemon knows its peers, it takes the fleet to have a daemon for each
+    server at least; alone, it would reserve nothing.
+
+    Args:
+        fleet_size: number of daemons that it knows, itself included.
+        server_count: number of servers of the service that may be used.
+        seconds_since_start: seconds since the start of the daemon.
+
+    Examples:
+        >>> make_fleet_shape(1, 60, 0.5).daemon_count
+        60
+        >>> make_fleet_shape(1, 60, 9.0).daemon_count
+        1
+    """
+    if seconds_since_start < UNKNOWN_FLEET_SECONDS:
+        return FleetShape(max(fleet_size, server_count), server_count)
+    return FleetShape(fleet_size, server_count)
+
+
 class ServiceDemand:
     """The demand of each class of one service, as one daemon sees it.
 
@@ -98,13 +129,14 @@
         >>> shape = FleetShape(daemon_count=100, server_count=60)
         >>> load = demand.offered_load(other, shape, now=30.0)
         >>> round(load, 2)
-        0.14
+        0.16
         >>> demand.offered_load(urgent, shape, now=30.0)
         0.0
     """
 
     def __init__(self) -> None:
         self._classes: dict[priorities.Priority, _ClassDemand] = {}
+        self._first_arrival_at: float | None = None
 
     def drop_except(self, in_force: Container[priorities.Priority]) -> None:
         """Drops the classes that the service does not get any more.
@@ -127,6 +159,8 @@
             work_seconds: expected seconds of its work without slowdown.
             now: monotonic time in seconds.
         """
+        if self._first_arrival_at is None:
+            self._first_arrival_at = now
         demand = self._find_or_add(priority)
         demand.work_seconds.add(work_seconds, now)
 
@@ -156,11 +190,17 @@
         for other, demand in self._classes.items():
             if other < priority:
                 work_seconds += demand.work_seconds.read(now)
-        # The decaying sum of a constant rate is the rate times this time.
-        window_seconds = HALF_LIFE_SECONDS / math.log(2.0)
-        own_load = work_seconds / window_seconds
+        own_load = work_seconds / self._window_seconds(now)
         return own_load * shape.daemon_count / max(1, shape.server_count)
 
+    def _window_seconds(self, now: float) -> float:
+        """Returns the time that, times a constant rate, is its decaying sum."""
+        elapsed = MIN_OBSERVED_SECONDS
+        if self._first_arrival_at is not None:
+            elapsed = max(elapsed, now - self._first_arrival_at)
+        decay = math.pow(0.5, elapsed / HALF_LIFE_SECONDS)
+        return HALF_LIFE_SECONDS / math.log(2.0) * (1.0 - decay)
+
     def has_less_urgent(self, priority: priorities.Priority) -> bool:
         """Returns whether requests of a less urgent class were seen."""
         return any(other > priority for other in self._classes)
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
@@ -102,6 +102,26 @@
         load = self.demand.offered_load(BULK, SHAPE, now=30.0)
         self.assertAlmostEqual(load, 5.0 / 60, delta=0.02)
 
+    # For some half-lives after a start, daemons left urgent requests no slots.
+    def test_rate_is_known_two_seconds_after_the_first_request(self):
+        for number in range(5):
+            self.demand.record_arrival(URGENT, 0.1, 500.0 + 0.5 * number)
+        load = self.demand.offered_load(BULK, SHAPE, now=502.5)
+        # 200 requests a second of 0.1 s at 60 servers.
+        self.assertAlmostEqual(load, 20.0 / 60, delta=0.05)
+
+    def test_first_request_does_not_stand_for_a_high_rate(self):
+        self.demand.record_arrival(URGENT, 0.1, 500.0)
+        load = self.demand.offered_load(BULK, SHAPE, now=500.001)
+        self.assertLess(load, 12.0 / 60)
+
+    # A daemon that knew no peers yet took all urgent requests for its own.
+    def test_daemon_without_peers_reserves_slots_after_its_start(self):
+        self.record_arrivals(URGENT, 0.5, 0.1)
+        shape = slot_reserves.make_fleet_shape(1, 60, seconds_since_start=1.0)
+        load = self.demand.offered_load(BULK, shape, now=30.0)
+        self.assertAlmostEqual(load, 0.05, delta=0.01)
+
     def test_less_urgent_requests_need_no_reserve(self):
         self.record_arrivals(BULK, 10.0, 1.0)
         for priority in (URGENT, BULK):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -130,6 +130,7 @@
         self._random = random_source
         self._lines: dict[ids.ServiceId, waiting_lines.WaitingLine] = {}
         self._daemon_count = daemon_count
+        self._started_at = boot_clock.now()
         self._priority_classes = priority_classes.PriorityClasses()
         self.priority_decisions = priority_decisions.PriorityDecisions()
         # Of the services whose requests differ in priority.
@@ -413,8 +414,10 @@
             usable_servers = self._catalogue.usable_servers(
                 request.service, now
             )
-            shape = slot_reserves.FleetShape(
-                self._daemon_count(), sum(1 for _ in usable_servers)
+            shape = slot_reserves.make_fleet_shape(
+                self._daemon_count(),
+                sum(1 for _ in usable_servers),
+                now - self._started_at,
             )
             offered_load = demand.offered_load(priority, shape, now)
         timing = self._request_timing(request, now)
