Count refused searches by priority and bound their log lines

Each request for which no server was selected wrote the line "no server selected", and no metric told which class was refused and why. The line now comes at most once a second for each service, priority and reason, with its count, and hyssopwind_search_refusals_total counts by priority and reason. 50 refusals of one class wrote 50 lines before and write 1 now.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -19,6 +19,7 @@
 from hyssopwind.core.dispatch import retry_denials
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import retry_reserves
+from hyssopwind.core.dispatch import search_refusals
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
@@ -156,6 +157,9 @@
     """Serves the requests of callers.
 
     Retries and hedges share one budget over the whole fleet.
+
+    Attributes:
+        search_refusals: requests for which no server was selected.
     """
 
     def __init__(
@@ -201,6 +205,7 @@
         self._forecasts: dict[
             ids.ServiceId, refusal_policy.CapacityForecast
         ] = {}
+        self.search_refusals = search_refusals.SearchRefusals()
         self._splitter = splitting.Splitter(self._random)
         self._stop_plan: stop_plan.StopPlan | None = None
         self._has_expired = False
@@ -884,10 +889,32 @@
     def _handle_refusal(
         self, context: _RequestContext, refusal: server_selection.Refuse
     ) -> outcomes.Outcome:
+        self._record_refusal(context, refusal)
+        if context.last_result is not None:
+            return self._final_outcome(context)
+        return outcomes.NotRun(
+            outcomes.Reason.OVERLOADED,
+            refusal.reason,
+            self._retry_after(context)
+            if refusal.retry_after_seconds is None
+            else refusal.retry_after_seconds,
+        )
+
+    def _record_refusal(
+        self, context: _RequestContext, refusal: server_selection.Refuse
+    ) -> None:
+        """Counts a refusal; logs one line a second for each class."""
+        count = self.search_refusals.record(
+            context.service, context.priority, refusal.reason, boot_clock.now()
+        )
+        if not count:
+            return
         _log.info(
             "no server selected",
             extra={
                 **self._log_fields(context),
+                "priority": context.priority,
+                "count": count,
                 "reason": refusal.reason,
                 "answered": refusal.answered_count,
                 "best_ms": refusal.best_estimate_seconds
@@ -896,15 +923,6 @@
                 and round(refusal.retry_after_seconds * 1000),
             },
         )
-        if context.last_result is not None:
-            return self._final_outcome(context)
-        return outcomes.NotRun(
-            outcomes.Reason.OVERLOADED,
-            refusal.reason,
-            self._retry_after(context)
-            if refusal.retry_after_seconds is None
-            else refusal.retry_after_seconds,
-        )
 
     def _final_outcome(self, context: _RequestContext) -> outcomes.Outcome:
         result = context.last_result
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -579,6 +579,9 @@
             priority_counts=lambda: (
                 self._request_path.priority_decisions.counts
             ),
+            search_refusal_counts=lambda: (
+                self._request_path.dispatcher.search_refusals.counts
+            ),
             allowance_counts=lambda: (
                 self._request_path.allowances.result_counts
             ),
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway_metrics.py
@@ -50,6 +50,8 @@
         permit_counts: requests for permits by result.
         priority_counts: decisions of searches by the label of the priority and
             the decision.
+        search_refusal_counts: requests for which no server was selected, by
+            the label of the priority and the reason.
         allowance_counts: requests for tokens of allowances by result.
         transfer_counts: transfers of changes from and to peers by result.
         transfer_bytes: bytes of these transfers by direction.
@@ -80,6 +82,7 @@
     limited_servers: Callable[[], float]
     permit_counts: Callable[[], Mapping[str, int]]
     priority_counts: Callable[[], Mapping[tuple[str, str], int]]
+    search_refusal_counts: Callable[[], Mapping[tuple[str, str], int]]
     allowance_counts: Callable[[], Mapping[str, int]]
     transfer_counts: Callable[[], Mapping[str, int]]
     transfer_bytes: Callable[[], Mapping[str, int]]
@@ -256,6 +259,12 @@
             ["priority", "decision"],
             self._sources.priority_counts() if self._sources else {},
         )
+        yield _make_counter(
+            "hyssopwind_search_refusals",
+            "Requests for which no server was selected",
+            ["priority", "reason"],
+            self._sources.search_refusal_counts() if self._sources else {},
+        )
         yield _make_counter(
             "hyssopwind_handovers",
             "Requests handed between daemons",
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -3,9 +3,12 @@
 import types
 import unittest
 
+import logbook
+
 from hyssopwind.core import ids
 from hyssopwind.core.dispatch import fleet_retry_budgets
 from hyssopwind.core.dispatch import priorities
+from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
 from hyssopwind.daemon.gateway import dispatcher
@@ -89,3 +92,25 @@
             async with asyncio.timeout(0.02):
                 await one_class._select_server(context)
         self.assertGreater(forecast.free_after_seconds(boot_clock.now()), 0.1)
+
+
+class SearchRefusalTest(unittest.TestCase):
+    # Each refused request wrote a line, thousands a second in an overload.
+    def test_refusals_of_one_class_share_a_line(self):
+        route = make_route(2)
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        one_class = make_dispatcher(route, budget)
+        one_class._log_fields = lambda _context: {}
+        one_class._retry_after = lambda _context: 0.1
+        context = types.SimpleNamespace(
+            service=SERVICE, priority=priorities.Priority(2), last_result=None
+        )
+        refusal = server_selection.Refuse("all servers are full")
+        with logbook.TestHandler() as handler:
+            for _ in range(50):
+                one_class._handle_refusal(context, refusal)
+        self.assertEqual(len(handler.records), 1)
+        self.assertEqual(
+            one_class.search_refusals.counts,
+            {("2", "all-servers-are-full"): 50},
+        )
