hyssopwindd: one account of what callers make it hold

Cause: nothing bounded the sum of bodies, heads and connections at the listeners for callers and operators. 120 callers took up to 299 MB of 100 MB, and 1,100 silent connections 1,127 of 1,000 descriptors.

Change: both listeners use the account, resources and acceptor of the gateway. A new protocol between the event loop and aiohttp counts what is parsed and pauses reading; bodies are reserved, paced and refused early. The settings limits.memory and limits.descriptors bound them and are reloaded by SIGHUP.

--- a/packages/core/src/hyssopwind/core/callers/caller_account.py
+++ b/packages/core/src/hyssopwind/core/callers/caller_account.py
@@ -59,6 +59,7 @@
     READY = "ready"
     PEERS = "peers"
     METRICS = "metrics"
+    ADMIN = "admin"
 
 
 class Stage(enum.IntEnum):
--- a/packages/core/src/hyssopwind/core/settings/documents.py
+++ b/packages/core/src/hyssopwind/core/settings/documents.py
@@ -230,6 +230,19 @@
     grace: units.Duration = units.Duration(30.0)
 
 
+class LimitSettings(SettingsSection, frozen=True, kw_only=True):
+    """What the process may use.
+
+    Attributes:
+        memory: memory of the process; a part of it may be held for callers.
+        descriptors: descriptors that it may open; 0 for those that the system
+            allows.
+    """
+
+    memory: units.ByteSize = units.ByteSize(300_000_000)
+    descriptors: int = 0
+
+
 class DaemonSettings(SettingsSection, frozen=True, kw_only=True):
     """The settings of a daemon.
 
@@ -245,6 +258,7 @@
         traces: settings of the span export.
         logs: settings of the log output.
         stop: timing of a planned stop.
+        limits: what the process may use.
     """
 
     name: str
@@ -258,3 +272,4 @@
     traces: TraceSettings = TraceSettings()
     logs: LogSettings = LogSettings()
     stop: StopSettings = StopSettings()
+    limits: LimitSettings = LimitSettings()
--- a/packages/core/src/hyssopwind/core/settings/parsing.py
+++ b/packages/core/src/hyssopwind/core/settings/parsing.py
@@ -28,6 +28,8 @@
 Problem = tuple[key_locations.KeyPath, str]
 
 MAX_DOCUMENT_BYTES = 1_000_000
+# A daemon takes about 52 MB at rest, and a quarter is for callers.
+MIN_MEMORY_BYTES = 64_000_000
 MAX_FINDINGS = 200  # of one document
 MAX_NUMBER = 1_000_000  # of slots, attempts and the like
 
@@ -297,6 +299,17 @@
             ("traces", "sample"),
             f"expected a share from 0 to 1, got {daemon.traces.sample}",
         )
+    if daemon.limits.memory < MIN_MEMORY_BYTES:
+        yield (
+            ("limits", "memory"),
+            f"expected at least {MIN_MEMORY_BYTES}B, got "
+            f"{daemon.limits.memory}B",
+        )
+    if daemon.limits.descriptors < 0:
+        yield (
+            ("limits", "descriptors"),
+            f"expected 0 or more, got {daemon.limits.descriptors}",
+        )
 
 
 def _validate_tuning(gateway_tuning: tuning.GatewayTuning) -> Iterator[Problem]:
--- a/packages/daemon/src/hyssopwind/daemon/admin.py
+++ b/packages/daemon/src/hyssopwind/daemon/admin.py
@@ -1,7 +1,9 @@
 """The HTTP server for operators: readiness, metrics, status, explanations."""
 
+import collections
 import dataclasses
 import time
+import typing
 from collections.abc import Callable
 from typing import Any
 
@@ -11,10 +13,16 @@
 
 from hyssopwind.core import ids
 from hyssopwind.core import left_out
+from hyssopwind.core.callers import caller_account
 from hyssopwind.core.node import node
 from hyssopwind.core.settings import snapshot
+from hyssopwind.daemon import caller_protocol
 from hyssopwind.daemon import metrics
+from hyssopwind.daemon.gateway import accepting
+from hyssopwind.daemon.gateway import caller_resources
+from hyssopwind.daemon.gateway import listening
 
+CLOSE_TIMEOUT_SECONDS = 2.0  # for answers that are not written
 MAX_LISTED = 100  # parts that were left out
 
 
@@ -27,51 +35,83 @@
         counters: metrics.Metrics,
         left_out_parts: left_out.LeftOutParts,
         is_ready: Callable[[], bool],
+        resources: caller_resources.CallerResources,
     ):
         self._node = daemon_node
         self._counters = counters
         self._left_out_parts = left_out_parts
         self._is_ready = is_ready
-        self._runner: web.AppRunner | None = None
+        self._resources = resources
+        self._counted_refusals: collections.Counter[str] = collections.Counter()
+        self._handlers = {
+            "/live": self._live,
+            "/ready": self._ready,
+            "/metrics": self._metrics,
+            "/status": self._status,
+            "/explain": self._explain,
+        }
+        self._acceptor: accepting.Acceptor | None = None
+        self._server: caller_protocol.CallerServer | None = None
 
     async def start(self, address: str) -> None:
         """Listens for operators."""
-        app = web.Application()
-        app.router.add_get("/live", self._live)
-        app.router.add_get("/ready", self._ready)
-        app.router.add_get("/metrics", self._metrics)
-        app.router.add_get("/status", self._status)
-        app.router.add_get("/explain", self._explain)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._server = caller_protocol.CallerServer(
+            self._handle, self._resources
+        )
+        self._acceptor = accepting.Acceptor(
+            caller_account.Listener.ADMIN,
+            listening.listen(address),
+            self._resources,
+            self._server.make_receiver,
+        )
+        self._acceptor.start()
 
     async def close(self) -> None:
         """Closes all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _live(self, request: web.Request) -> web.Response:
+        if self._acceptor is not None:
+            self._acceptor.close()
+        if self._server is not None:
+            self._server.pre_shutdown()
+            await self._server.shutdown(CLOSE_TIMEOUT_SECONDS)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers a request at once, as none needs its body."""
+        connection = typing.cast(
+            caller_protocol.CallerProtocol, request.protocol
+        )
+        connection.start_request()
+        handler = self._handlers.get(request.path)
+        if handler is None:
+            response = _json({"error": "not found"}, 404)
+        elif request.method not in ("GET", "HEAD"):
+            response = _json({"error": "method not allowed"}, 405)
+            response.headers["Allow"] = "GET, HEAD"
+        else:
+            response = await handler(request)
+        if not request.content.is_eof():
+            response.force_close()
+        return response
+
+    async def _live(self, request: web.BaseRequest) -> web.Response:
         return web.json_response({"live": True})
 
-    async def _ready(self, request: web.Request) -> web.Response:
+    async def _ready(self, request: web.BaseRequest) -> web.Response:
         is_ready = self._is_ready()
         return web.json_response(
             {"ready": is_ready}, status=200 if is_ready else 503
         )
 
-    async def _metrics(self, request: web.Request) -> web.Response:
+    async def _metrics(self, request: web.BaseRequest) -> web.Response:
         self._update_gauges()
         text = prometheus_client.generate_latest(self._counters.registry)
         return web.Response(
             body=text, headers={"Content-Type": "text/plain; version=0.0.4"}
         )
 
-    async def _status(self, request: web.Request) -> web.Response:
+    async def _status(self, request: web.BaseRequest) -> web.Response:
         return _json(self._describe_daemon())
 
-    async def _explain(self, request: web.Request) -> web.Response:
+    async def _explain(self, request: web.BaseRequest) -> web.Response:
         name = ids.ServiceId(request.query.get("service", ""))
         settings = self._node.configuration.document_store.snapshot
         service = settings.services.get(name)
@@ -189,6 +229,15 @@
         counters.owned_pools.set(len(self._node.pools.pool_owners))
         counters.live_peers.set(len(self._node.membership.live_peers(now)))
         counters.ready.set(self._is_ready())
+        account = self._resources.account
+        counters.caller_bytes.set(account.held_bytes)
+        counters.caller_connections.set(account.connection_count)
+        counters.caller_requests.set(account.running_count)
+        for reason, count in self._resources.refusal_counts.items():
+            counters.caller_refusals.labels(reason).inc(
+                count - self._counted_refusals[reason]
+            )
+            self._counted_refusals[reason] = count
 
 
 def _describe_data_centres(settings: Any) -> dict[str, str]:
--- a/packages/daemon/src/hyssopwind/daemon/daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/daemon.py
@@ -18,6 +18,7 @@
 from hyssopwind.core import invariants
 from hyssopwind.core import left_out
 from hyssopwind.core import messages
+from hyssopwind.core.callers import caller_account
 from hyssopwind.core.configuration import configuration_store
 from hyssopwind.core.membership import vm_records
 from hyssopwind.core.node import events
@@ -32,16 +33,22 @@
 from hyssopwind.daemon import peer_links
 from hyssopwind.daemon import prefix_watcher
 from hyssopwind.daemon import serving
+from hyssopwind.daemon import settings_file
 from hyssopwind.daemon import streams
 from hyssopwind.daemon import supervision
 from hyssopwind.daemon import tracing
 from hyssopwind.daemon import upstream
+from hyssopwind.daemon.gateway import caller_resources
 
 TICK_INTERVAL_SECONDS = 0.02  # while requests are in flight
 IDLE_TICK_INTERVAL_SECONDS = 0.05
 SETTINGS_FILE = "settings.toml"
 POLL_INTERVAL_SECONDS = 0.05
 HANDOVER_TIMEOUT_SECONDS = 5.0
+# Memory that is not shared out. A process takes about 52 MB at rest, and
+# answers of servers are not counted while they are read. With a quarter of all
+# memory for callers, pipelined posts that are echoed took 99 of 100 MB.
+RESERVED_MEMORY_BYTES = 40_000_000
 
 T = TypeVar("T")
 
@@ -51,24 +58,29 @@
 class Daemon:
     """One daemon process."""
 
-    def __init__(self, settings: documents.DaemonSettings):
+    def __init__(
+        self,
+        settings: documents.DaemonSettings,
+        load_settings: Callable[[], documents.DaemonSettings],
+    ):
         self._settings = settings
+        self._load_settings = load_settings
         self._counters = metrics.Metrics()
         self._clock = clock.Clock()
         identity = messages.DaemonIdentity(
             ids.DaemonId(settings.name), ids.StartId(secrets.token_hex(8))
         )
         self._started_at = self._clock.now()
-        random_source = random.Random()
+        self._random = random.Random()
         self._node = node.Node(
             identity,
             settings,
-            random_source,
+            self._random,
             invariants.InvariantMonitor(self._report_breach),
             self._started_at,
         )
         self._tracer = tracing.Tracer(
-            settings.traces, settings.name, random_source
+            settings.traces, settings.name, self._random
         )
         self._is_ready = False
         self._has_vm_list = False
@@ -140,18 +152,25 @@
             self._tracer,
             self._counters,
         )
+        self._resources = caller_resources.CallerResources(
+            asyncio.get_running_loop(),
+            _derive_limits(settings.limits),
+            self._random,
+        )
         self._frontend = frontend.Frontend(
             self._node,
             self._clock,
             self._serving.pipeline,
             self._tracer,
             self._counters,
+            self._resources,
         )
         self._admin = admin.Admin(
             self._node,
             self._counters,
             self._left_out_parts,
             lambda: self._is_ready,
+            self._resources,
         )
 
     def _subscribe(self) -> None:
@@ -198,10 +217,23 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
         # Its default action would end the process.
-        loop.add_signal_handler(signal.SIGHUP, self._log_hangup)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_limits)
 
-    def _log_hangup(self) -> None:
-        _log.warn("SIGHUP ignored: changed settings need a restart")
+    def _reload_limits(self) -> None:
+        """Puts changed limits in force; other settings need a restart."""
+        try:
+            limits = self._load_settings().limits
+        except settings_file.SettingsError as error:
+            _log.error(
+                "settings file invalid; limits in force remain",
+                extra={"error": str(error)},
+            )
+            return
+        self._resources.apply_limits(_derive_limits(limits))
+        _log.info(
+            "limits reloaded; other settings need a restart",
+            extra={"memory": limits.memory, "descriptors": limits.descriptors},
+        )
 
     async def _become_ready(self) -> None:
         """Waits for settings, the list of VMs and the right to back leases.
@@ -406,6 +438,14 @@
         self._stop.set()
 
 
+def _derive_limits(
+    limits: documents.LimitSettings,
+) -> caller_account.AccountLimits:
+    return caller_resources.derive_limits(
+        limits.memory - RESERVED_MEMORY_BYTES, limits.descriptors
+    )
+
+
 def _read_document(
     change: prefix_watcher.Change,
 ) -> configuration_store.TeamDocument | None:
@@ -427,6 +467,15 @@
     return ids.TeamId(team)
 
 
-async def run(settings: documents.DaemonSettings) -> int:
-    """Runs a daemon until SIGTERM or SIGINT; returns the exit status."""
-    return await Daemon(settings).run()
+async def run(
+    settings: documents.DaemonSettings,
+    load_settings: Callable[[], documents.DaemonSettings],
+) -> int:
+    """Runs a daemon until SIGTERM or SIGINT; returns the exit status.
+
+    Args:
+        settings: the settings at the start.
+        load_settings: returns those at a reload; may raise
+            `settings_file.SettingsError`.
+    """
+    return await Daemon(settings, load_settings).run()
--- a/packages/daemon/src/hyssopwind/daemon/frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/frontend.py
@@ -1,177 +1,52 @@
-"""The HTTP server for callers.
-
-References:
-    RFC 9112, section 6.3: messages with ambiguous lengths are refused.
-"""
+"""The HTTP server for callers."""
 
 import asyncio
-import logging
-import time
-from typing import Any
+import dataclasses
+import socket
+import typing
 
-import logbook
 from aiohttp import http_exceptions
 from aiohttp import web
-from aiohttp import web_protocol
 
 from hyssopwind.core import messages
 from hyssopwind.core import outcomes
+from hyssopwind.core.callers import body_pace
+from hyssopwind.core.callers import caller_account
+from hyssopwind.core.callers import head_decisions
 from hyssopwind.core.node import node
 from hyssopwind.core.requests import classification
 from hyssopwind.core.requests import refusals
-from hyssopwind.core.stopping import lingering
 from hyssopwind.daemon import answer_rendering
+from hyssopwind.daemon import caller_protocol
 from hyssopwind.daemon import clock
 from hyssopwind.daemon import headers
 from hyssopwind.daemon import metrics
 from hyssopwind.daemon import pipeline
 from hyssopwind.daemon import request_context
 from hyssopwind.daemon import tracing
-from hyssopwind.transport import socket_queues
+from hyssopwind.daemon.gateway import accepting
+from hyssopwind.daemon.gateway import caller_resources
+from hyssopwind.daemon.gateway import listening
 
 TICKETS_PATH = "/.hyssopwind/tickets"
 BODY_READ_TIMEOUT_SECONDS = 10.0
-MAX_HEADER_BYTES = 16_384
+# Time that each body has before it must keep the pace that its deadline needs.
+BODY_GRACE_SECONDS = 2.0
+# Reserved for a body of unknown length, and doubled as it grows.
+CHUNKED_BODY_BYTES = 65_536
 MAX_TICKETS = 16
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
-KEEPALIVE_TIMEOUT_SECONDS = 75.0
-LINGERING_SECONDS = 1.0  # for reading the rest of a refused body
 POLL_INTERVAL_SECONDS = 0.02
 CLOSE_TIMEOUT_SECONDS = 0.2  # of requests that the end of the grace cuts
-
-_log = logbook.Logger("frontend")
-_NO_ACCESS_LOG = logging.getLogger("hyssopwind.no-access-log")
-_NO_ACCESS_LOG.disabled = True
-
-
-class _ProblemProtocol(web_protocol.RequestHandler):
-    """A caller's connection.
-
-    Answers parse errors and failed handlers with problem documents, and closes
-    only after its final answer was delivered.
-    """
-
-    __slots__ = ("_has_caller_closed", "_is_busy", "_is_lingering")
-
-    def __init__(self, *arguments: Any, **options: Any):
-        super().__init__(*arguments, **options)
-        self._is_busy = False
-        self._is_lingering = False
-        self._has_caller_closed = False
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request runs or its answer is not delivered yet."""
-        return self._is_busy or self._count_unacknowledged_bytes() > 0
-
-    def start_request(self) -> None:
-        """Marks the connection as busy until its answer is written."""
-        self._is_busy = True
-
-    def data_received(self, data: bytes) -> None:
-        """Parses what the caller sent; nothing after the final answer."""
-        if not self._is_lingering:
-            super().data_received(data)
-
-    def eof_received(self) -> bool | None:  # type: ignore[override]
-        """Keeps the connection until its final answer is delivered."""
-        self._has_caller_closed = True
-        return self._is_lingering
-
-    async def finish_response(
-        self,
-        request: web.BaseRequest,
-        resp: web.StreamResponse,
-        start_time: float | None,
-    ) -> tuple[web.StreamResponse, bool]:
-        """Writes an answer, and delivers it if it is the final one."""
-        self._is_busy = True
-        try:
-            result = await super().finish_response(request, resp, start_time)
-            if not result[0].keep_alive:
-                await self._linger()
-            return result
-        finally:
-            self._is_busy = False
-
-    async def _linger(self) -> None:
-        """Reads on until the caller has got the final answer and closes."""
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return
-        self._is_lingering = True
-        try:
-            transport.write_eof()
-        except OSError:
-            return  # The caller has reset the connection.
-        transport.resume_reading()
-        linger = lingering.Linger(
-            outstanding_bytes=self._count_unacknowledged_bytes(),
-            now=time.monotonic(),
-        )
-        while not transport.is_closing():
-            outstanding = self._count_unacknowledged_bytes()
-            if self._has_caller_closed and not outstanding:
-                return
-            if linger.may_drop(
-                outstanding_bytes=outstanding,
-                stall_seconds=KEEPALIVE_TIMEOUT_SECONDS,
-                now=time.monotonic(),
-            ):
-                return
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-
-    def _count_unacknowledged_bytes(self) -> int:
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return 0
-        raw_socket = transport.get_extra_info("socket")
-        queued_bytes = socket_queues.unacknowledged_bytes(raw_socket)
-        return transport.get_write_buffer_size() + queued_bytes
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Returns the answer to a malformed request or a failed handler."""
-        failure: outcomes.Failure
-        if isinstance(exc, http_exceptions.HttpProcessingError):
-            failure = outcomes.NotRun(
-                outcomes.Reason.MALFORMED, f"malformed request: {exc.message}"
-            )
-        else:
-            _log.error("request handler failed", exc_info=_exc_info(exc))
-            failure = outcomes.Unknown(
-                outcomes.Reason.INTERNAL, "the daemon failed to handle this"
-            )
-        answer = answer_rendering.render_failure(failure)
-        answer.force_close()
-        return answer
-
-
-def _exc_info(error: BaseException | None) -> Any:
-    if error is None:
-        return None
-    return type(error), error, error.__traceback__
-
-
-class _ProblemServer(web.Server):
-    """Creates the protocol handler of each connection."""
-
-    def __call__(self) -> web_protocol.RequestHandler:
-        return _ProblemProtocol(
-            self,
-            loop=asyncio.get_running_loop(),
-            access_log=_NO_ACCESS_LOG,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
-            lingering_time=LINGERING_SECONDS,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=False,
-        )
+# Refusals that are logged and counted with the connections closed for lack of
+# memory or descriptors.
+_RESOURCE_REASONS = frozenset(
+    {
+        outcomes.Reason.REQUEST_TOO_LARGE,
+        outcomes.Reason.REQUEST_TOO_SLOW,
+        outcomes.Reason.OVERLOADED,
+    }
+)
 
 
 class Frontend:
@@ -184,17 +59,26 @@
         request_pipeline: pipeline.Pipeline,
         tracer: tracing.Tracer,
         counters: metrics.Metrics,
+        resources: caller_resources.CallerResources,
     ):
         self._node = daemon_node
         self._clock = process_clock
         self._pipeline = request_pipeline
         self._tracer = tracer
         self._counters = counters
+        self._resources = resources
         self._is_ready = False
         self._is_stopping = False
-        self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
-        self._server: _ProblemServer | None = None
+        self._listener: socket.socket | None = None
+        self._acceptor: accepting.Acceptor | None = None
+        self._server: caller_protocol.CallerServer | None = None
+
+    @property
+    def port(self) -> int:
+        """The port on which callers are accepted; 0 if it does not listen."""
+        if self._listener is None:
+            return 0
+        return int(self._listener.getsockname()[1])
 
     @property
     def active_request_count(self) -> int:
@@ -211,20 +95,22 @@
 
     async def start(self, address: str) -> None:
         """Listens for callers."""
-        host, _, port = address.rpartition(":")
-        self._server = _ProblemServer(self._handle, handler_cancellation=True)
-        self._runner = web.ServerRunner(
-            self._server, shutdown_timeout=CLOSE_TIMEOUT_SECONDS
+        self._server = caller_protocol.CallerServer(
+            self._handle, self._resources, handler_cancellation=True
         )
-        await self._runner.setup()
-        self._site = web.TCPSite(self._runner, host, int(port), backlog=1024)
-        await self._site.start()
+        self._listener = listening.listen(address)
+        self._acceptor = accepting.Acceptor(
+            caller_account.Listener.CALLERS,
+            self._listener,
+            self._resources,
+            self._server.make_receiver,
+        )
+        self._acceptor.start()
 
     async def stop_listening(self) -> None:
         """Closes the listening socket; open connections stay."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        if self._acceptor is not None:
+            self._acceptor.close()
 
     async def close(self, deadline: float) -> None:
         """Closes all connections; busy ones once their answer is delivered.
@@ -233,37 +119,48 @@
             deadline: monotonic time in seconds after which the answers that
                 are not delivered are cut.
         """
-        if self._runner is None:
+        if self._server is None:
             return
+        await self.stop_listening()
         for connection in self._connections():
             connection.close()
             if not connection.is_busy:
                 connection.force_close()
         while self.active_request_count and self._clock.now() < deadline:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        await self._runner.cleanup()
+        self._server.pre_shutdown()
+        await self._server.shutdown(CLOSE_TIMEOUT_SECONDS)
 
-    def _connections(self) -> list[_ProblemProtocol]:
+    def _connections(self) -> list[caller_protocol.CallerProtocol]:
         if self._server is None:
             return []
-        return [
-            connection
-            for connection in self._server.connections
-            if isinstance(connection, _ProblemProtocol)
-        ]
+        return self._server.protocols
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if isinstance(request.protocol, _ProblemProtocol):
-            request.protocol.start_request()
-        response = await self._answer(request)
-        if self._is_stopping:
+        connection = typing.cast(
+            caller_protocol.CallerProtocol, request.protocol
+        )
+        connection.start_request()
+        response = await self._answer(request, connection)
+        if self._is_stopping or not request.content.is_eof():
             response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        connection: caller_protocol.CallerProtocol,
+    ) -> web.Response:
         started_at = self._clock.now()
         with self._tracer.request_span("request", request.headers) as span:
-            context = await self._read_request(request, span, started_at)
+            context = await self._read_request(
+                request, connection, span, started_at
+            )
+            is_run = isinstance(context, request_context.RequestContext)
+            if is_run and not await connection.acquire_start():
+                context = self._resources.overload_refusal(
+                    "too many requests run"
+                )
             if isinstance(context, web.Response):
                 return context
             if isinstance(context, outcomes.NotRun):
@@ -271,11 +168,12 @@
                     context, _request_without_body(request)
                 )
                 self._count_request("", failure, started_at)
-                response = answer_rendering.render_failure(failure)
-                if not request.content.is_eof():
-                    response.force_close()
-                return response
-            outcome = await self._pipeline.run(context)
+                if context.reason in _RESOURCE_REASONS:
+                    self._resources.record_refusal(
+                        context.reason.slug, connection.address, context.detail
+                    )
+                return answer_rendering.render_failure(failure)
+            outcome = await self._pipeline.run(context, connection.finish_run)
             service = context.classified.service.id
             self._count_request(service, outcome, started_at)
             span.set_attribute("service", service)
@@ -289,6 +187,7 @@
     async def _read_request(
         self,
         request: web.BaseRequest,
+        connection: caller_protocol.CallerProtocol,
         span: tracing.Span,
         started_at: float,
     ) -> request_context.RequestContext | outcomes.NotRun | web.Response:
@@ -310,21 +209,25 @@
         if refusal is not None:
             return refusal
         settings = self._node.configuration.document_store.snapshot
-        service = settings.find_service(path)
-        max_body_bytes = service.settings.max_request if service else 0
-        body = await _read_body(request, max_body_bytes)
-        if isinstance(body, outcomes.NotRun):
-            return body
         forwarded_fields = headers.end_to_end(request.headers)
         classified = classification.classify(
             classification.Request(
-                request.method, target, path, request.headers, body
+                request.method, target, path, request.headers, b""
             ),
             settings,
             started_at,
         )
         if isinstance(classified, outcomes.NotRun):
             return classified
+        body = await self._read_body(
+            request, connection, classified.service.settings.max_request
+        )
+        if isinstance(body, outcomes.NotRun):
+            return body
+        classified = dataclasses.replace(
+            classified,
+            request=dataclasses.replace(classified.request, body=body),
+        )
         return request_context.RequestContext(
             classified,
             forwarded_fields,
@@ -332,6 +235,102 @@
             expected_start_id=request.headers.get(headers.FORWARDED, ""),
         )
 
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        connection: caller_protocol.CallerProtocol,
+        max_body_bytes: int,
+    ) -> bytes | outcomes.NotRun:
+        """Returns the whole body, or why it is refused."""
+        declared_bytes = request.content_length
+        if declared_bytes is not None and declared_bytes > max_body_bytes:
+            return head_decisions.body_too_large(max_body_bytes)
+        reserved_bytes = declared_bytes
+        if reserved_bytes is None:
+            reserved_bytes = min(CHUNKED_BODY_BYTES, max_body_bytes)
+        if request.body_exists and not await connection.reserve_body(
+            reserved_bytes
+        ):
+            return self._refuse_body()
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            writer = request.writer
+            await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            writer.output_size = 0
+        if not request.body_exists:
+            return b""
+        connection.set_reading_body(is_reading=True)
+        try:
+            return await self._collect_body(
+                request, connection, reserved_bytes, max_body_bytes
+            )
+        except caller_protocol.BodyStoppedError:
+            return outcomes.NotRun(
+                outcomes.Reason.REQUEST_TOO_SLOW,
+                "the body stopped, and others needed the memory",
+            )
+        except (web.PayloadAccessError, http_exceptions.HttpProcessingError):
+            return outcomes.NotRun(
+                outcomes.Reason.MALFORMED, "the body cannot be read"
+            )
+        finally:
+            connection.set_reading_body(is_reading=False)
+
+    async def _collect_body(
+        self,
+        request: web.BaseRequest,
+        connection: caller_protocol.CallerProtocol,
+        reserved_bytes: int,
+        max_body_bytes: int,
+    ) -> bytes | outcomes.NotRun:
+        """Reads a body for which memory is reserved, and more as it grows."""
+        pace = self._make_pace(request)
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            now = self._clock.now()
+            if pace.is_too_slow(now):
+                return outcomes.NotRun(
+                    outcomes.Reason.REQUEST_TOO_SLOW, "the body came too slowly"
+                )
+            try:
+                async with asyncio.timeout(pace.next_check_seconds(now)):
+                    chunk = await request.content.readany()
+            except TimeoutError:
+                continue
+            if not chunk:
+                return b"".join(chunks)
+            size += len(chunk)
+            if size > max_body_bytes:
+                return head_decisions.body_too_large(max_body_bytes)
+            chunks.append(chunk)
+            pace.record(size, self._clock.now())
+            if size > reserved_bytes:
+                reserved_bytes = min(2 * size, max_body_bytes)
+                pace.suspend(self._clock.now())
+                if not await connection.reserve_body(reserved_bytes):
+                    return self._refuse_body()
+                pace.resume(self._clock.now())
+
+    def _make_pace(self, request: web.BaseRequest) -> body_pace.BodyPace:
+        stated_seconds = body_pace.stated_seconds(
+            request.headers.get(classification.TIMEOUT_HEADER, "")
+        )
+        return body_pace.BodyPace(
+            now=self._clock.now(),
+            declared_bytes=request.content_length,
+            deadline_seconds=min(
+                BODY_READ_TIMEOUT_SECONDS,
+                stated_seconds or BODY_READ_TIMEOUT_SECONDS,
+            ),
+            stall_seconds=BODY_READ_TIMEOUT_SECONDS,
+            grace_seconds=min(BODY_GRACE_SECONDS, BODY_READ_TIMEOUT_SECONDS),
+        )
+
+    def _refuse_body(self) -> outcomes.NotRun:
+        return self._resources.overload_refusal(
+            "the memory for requests is in use"
+        )
+
     def _issue_tickets(self, request: web.BaseRequest) -> web.Response:
         count = _read_ticket_count(request)
         now = self._clock.now()
@@ -401,37 +400,3 @@
             outcomes.Reason.MALFORMED, "the path has dot segments"
         )
     return None
-
-
-async def _read_body(
-    request: web.BaseRequest, max_body_bytes: int
-) -> bytes | outcomes.NotRun:
-    """Returns the whole body, or why it is refused."""
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        writer = request.writer
-        await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        writer.output_size = 0
-    if not request.body_exists:
-        return b""
-    chunks = []
-    size = 0
-    try:
-        async with asyncio.timeout(BODY_READ_TIMEOUT_SECONDS):
-            async for chunk in request.content.iter_any():
-                size += len(chunk)
-                if size > max_body_bytes:
-                    return outcomes.NotRun(
-                        outcomes.Reason.REQUEST_TOO_LARGE,
-                        f"the body is over the limit of {max_body_bytes} bytes",
-                    )
-                chunks.append(chunk)
-    except TimeoutError:
-        return outcomes.NotRun(
-            outcomes.Reason.REQUEST_TOO_SLOW,
-            f"the body took more than {BODY_READ_TIMEOUT_SECONDS:.0f} seconds",
-        )
-    except (web.PayloadAccessError, http_exceptions.HttpProcessingError):
-        return outcomes.NotRun(
-            outcomes.Reason.MALFORMED, "the body cannot be read"
-        )
-    return b"".join(chunks)
--- a/packages/daemon/src/hyssopwind/daemon/gateway/caller_resources.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/caller_resources.py
@@ -12,7 +12,6 @@
 from hyssopwind.core.callers import caller_account
 from hyssopwind.core.callers import head_decisions
 from hyssopwind.core.callers import refusal_log
-from hyssopwind.core.dispatch import settings
 from hyssopwind.transport import boot_clock
 
 RECEIVE_BYTES = 65_536  # read at a time of a body
@@ -52,12 +51,19 @@
         """Closes the connection if it is silent; returns whether it was."""
 
 
-def max_descriptors(gateway_settings: settings.GatewaySettings) -> int:
-    """Returns the descriptors that the process may open."""
+def derive_limits(
+    memory_bytes: int, max_descriptors: int
+) -> caller_account.AccountLimits:
+    """Returns the bounds of the account for this process.
+
+    Args:
+        memory_bytes: memory above which the process is killed.
+        max_descriptors: descriptors that it may open; 0 for those that the
+            system allows.
+    """
     process_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if not gateway_settings.max_descriptors:
-        return process_limit
-    return min(gateway_settings.max_descriptors, process_limit)
+    descriptors = min(max_descriptors or process_limit, process_limit)
+    return caller_account.derive_limits(memory_bytes, descriptors)
 
 
 class CallerResources:
@@ -70,14 +76,12 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        gateway_settings: settings.GatewaySettings,
+        limits: caller_account.AccountLimits,
         random_source: random.Random,
     ):
         self._loop = loop
         self._random = random_source
-        self._account = caller_account.CallerAccount(
-            self._derive_limits(gateway_settings)
-        )
+        self._account = caller_account.CallerAccount(limits)
         self._refusal_log = refusal_log.RefusalLog()
         self._counts: collections.Counter[str] = collections.Counter()
         self._connections: dict[caller_account.Holding, ManagedConnection] = {}
@@ -103,13 +107,11 @@
         """Refused requests and closed connections by reason."""
         return self._counts
 
-    def apply_settings(
-        self, gateway_settings: settings.GatewaySettings
-    ) -> None:
+    def apply_limits(self, limits: caller_account.AccountLimits) -> None:
         """Puts changed limits of the machine in force."""
-        limits = self._derive_limits(gateway_settings)
         if limits != self._account.limits:
             self._account.apply_limits(limits)
+            self._schedule_reclaim()
 
     def register(
         self, holding: caller_account.Holding, connection: ManagedConnection
@@ -232,13 +234,6 @@
             },
         )
 
-    def _derive_limits(
-        self, gateway_settings: settings.GatewaySettings
-    ) -> caller_account.AccountLimits:
-        return caller_account.derive_limits(
-            gateway_settings.memory_bytes, max_descriptors(gateway_settings)
-        )
-
     def _run_turns(self) -> None:
         """Lets connections parse in turn; the rest goes on in the next turn."""
         waiting, self._turns = self._turns, {}
--- a/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/gateway.py
@@ -87,7 +87,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._metrics = gateway_metrics.GatewayMetrics()
         self._resources = caller_resources.CallerResources(
-            self._loop, initial_settings, self._random
+            self._loop, _account_limits(initial_settings), self._random
         )
         self._platform_state = replicated_state.PlatformState()
         self._pool = connection_pools.ConnectionPool(
@@ -472,7 +472,9 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self._platform_state.expire()
-            self._resources.apply_settings(self._live_settings.current)
+            self._resources.apply_limits(
+                _account_limits(self._live_settings.current)
+            )
             server_catalogue = self._platform_state.catalogue
             self._pool.retain(server_catalogue.addresses())
             self._pool.limit_idle(
@@ -615,3 +617,11 @@
         )
         self._has_task_ended = True
         self._request_stop()
+
+
+def _account_limits(
+    gateway_settings: settings.GatewaySettings,
+) -> caller_account.AccountLimits:
+    return caller_resources.derive_limits(
+        gateway_settings.memory_bytes, gateway_settings.max_descriptors
+    )
--- a/packages/daemon/src/hyssopwind/daemon/main.py
+++ b/packages/daemon/src/hyssopwind/daemon/main.py
@@ -4,6 +4,7 @@
 no requests until its imports are done, and each command needs only some.
 """
 
+import functools
 import pathlib
 import sys
 
@@ -35,18 +36,21 @@
         from hyssopwind.daemon import log_output
         from hyssopwind.daemon import settings_file
 
-        path = self.option("settings")
-        if not path:
+        option = self.option("settings")
+        if not option:
             self.line_error("missing option --settings FILE")
             return EXIT_USAGE
+        load = functools.partial(
+            settings_file.load_settings, pathlib.Path(option)
+        )
         try:
-            settings = settings_file.load_settings(pathlib.Path(path))
+            settings = load()
         except settings_file.SettingsError as error:
             self.line_error(str(error))
             return EXIT_FINDINGS
         log_output.install_handler(settings.logs)
         garbage_collection.configure()
-        return uvloop.run(daemon.run(settings))
+        return uvloop.run(daemon.run(settings, load))
 
 
 def main() -> None:
--- a/packages/daemon/src/hyssopwind/daemon/metrics.py
+++ b/packages/daemon/src/hyssopwind/daemon/metrics.py
@@ -139,6 +139,28 @@
             registry=self.registry,
         )
 
+        self.caller_refusals = prometheus_client.Counter(
+            "hyssopwind_caller_refusals",
+            "Refused requests and closed connections of callers",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.caller_bytes = prometheus_client.Gauge(
+            "hyssopwind_caller_bytes",
+            "Memory that callers make the daemon hold",
+            registry=self.registry,
+        )
+        self.caller_connections = prometheus_client.Gauge(
+            "hyssopwind_caller_connections",
+            "Open connections of all HTTP listeners",
+            registry=self.registry,
+        )
+        self.caller_requests = prometheus_client.Gauge(
+            "hyssopwind_caller_requests",
+            "Requests of callers that run",
+            registry=self.registry,
+        )
+
     def count_request(
         self, service: str, outcome: str, reason: str, seconds: float
     ) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/pipeline.py
+++ b/packages/daemon/src/hyssopwind/daemon/pipeline.py
@@ -31,19 +31,30 @@
         self._running_tasks: set[asyncio.Task[outcomes.Outcome]] = set()
 
     async def run(
-        self, context: request_context.RequestContext
+        self,
+        context: request_context.RequestContext,
+        handle_end: Callable[[], None] = lambda: None,
     ) -> outcomes.Outcome:
         """Returns the outcome of a request.
 
         An idempotent request is cancelled when its caller disconnects. A
         request that runs at most once continues to its end, so that a resend
         gets its outcome.
+
+        Args:
+            context: the request.
+            handle_end: called when no server runs it any more, which may be
+                after its caller has disconnected.
         """
         if context.classified.is_idempotent:
-            return await self._run_stages(context)
+            try:
+                return await self._run_stages(context)
+            finally:
+                handle_end()
         task = asyncio.create_task(self._run_to_end(context))
         self._running_tasks.add(task)
         task.add_done_callback(self._running_tasks.discard)
+        task.add_done_callback(lambda _: handle_end())
         return await asyncio.shield(task)
 
     async def drain(self) -> None:
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_daemon.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_daemon.py
@@ -41,7 +41,8 @@
 class TaskEndTest(unittest.IsolatedAsyncioTestCase):
     def make_daemon(self):
         text = SETTINGS.format(*find_free_ports(4))
-        return daemon.Daemon(parsing.parse_daemon(text, "d.toml").value)
+        settings = parsing.parse_daemon(text, "d.toml").value
+        return daemon.Daemon(settings, lambda: settings)
 
     # The status was 0, so that a supervisor left the daemon down.
     async def test_daemon_whose_task_ends_stops_with_a_status(self):
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 import random
+import re
 import unittest
 from unittest import mock
 
@@ -18,6 +19,7 @@
 from hyssopwind.daemon import metrics
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import tracing
+from hyssopwind.daemon.gateway import caller_resources
 
 RUNS_ALONE = True  # real sockets and times
 
@@ -115,15 +117,35 @@
         )
         self.serving.set_phase(messages.Phase.SERVING)
         self.serving.tick()
+        self.resources = caller_resources.CallerResources(
+            asyncio.get_running_loop(),
+            caller_resources.derive_limits(300_000_000, 0),
+            random.Random(1),
+        )
+        self.addAsyncCleanup(self.check_account_is_empty)
         self.frontend = frontend.Frontend(
-            self.node, offset_clock, self.serving.pipeline, tracer, counters
+            self.node,
+            offset_clock,
+            self.serving.pipeline,
+            tracer,
+            counters,
+            self.resources,
         )
         self.frontend.set_ready(True)
         await self.frontend.start("127.0.0.1:0")
-        site = self.frontend._site
-        self.port = site._server.sockets[0].getsockname()[1]
+        self.port = self.frontend.port
         self.addAsyncCleanup(self.frontend.close, 0.0)
 
+    # What stays counted after the end of its connection is never free again.
+    async def check_account_is_empty(self):
+        account = self.resources.account
+        for _ in range(100):
+            if not account.connection_count:
+                break
+            await asyncio.sleep(0.01)
+        counts = account.connection_count, account.running_count
+        self.assertEqual((*counts, account.held_bytes), (0, 0, 0))
+
     async def send(self, text):
         """Sends raw text; returns the status line, fields and body."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -196,6 +218,55 @@
         self.assert_problem(answer, 408, "request-too-slow", "not-run")
         self.assertEqual(self.servers.attempt_requests, [])
 
+    # A body of which one byte comes now and then held its memory for 10 s.
+    async def test_body_slower_than_its_deadline_needs_is_refused(self):
+        with mock.patch.object(frontend, "BODY_GRACE_SECONDS", 0.2):
+            text = self.request(
+                "PUT", Content_Length="100", X_Request_Timeout_Ms="600"
+            )
+            answer = await self.send(text + "part")
+        self.assert_problem(answer, 408, "request-too-slow", "not-run")
+
+    async def test_body_without_a_route_is_refused_before_it_is_read(self):
+        text = self.request("PUT", "/team/none", Content_Length="1000000")
+        answer = await self.send(text)
+        self.assert_problem(answer, 404, "no-route", "not-run")
+
+    async def test_body_without_memory_is_refused(self):
+        limits = caller_resources.derive_limits(1_000, 0)
+        self.resources.apply_limits(limits)
+        answer = await self.send(self.request("PUT", body="x" * 900))
+        self.assert_problem(answer, 503, "overloaded", "not-run")
+        self.assertIn("retry-after", answer[1])
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        texts = [
+            self.request("PUT", body=f"{number:0900}").replace("close", "x")
+            for number in range(40)
+        ]
+        texts.append(self.request())
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write("".join(texts).encode())
+        data = await asyncio.wait_for(reader.read(), 10.0)
+        writer.close()
+        found = re.findall(rb"got (\d+)", data)
+        self.assertEqual([int(each) for each in found], list(range(40)))
+
+    async def test_running_request_counts_until_no_server_runs_it(self):
+        ticket = await self.fetch_ticket()
+        self.servers.release = asyncio.Event()
+        text = self.request("POST", body="pay", Hyssopwind_Ticket=ticket)
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        while not self.servers.attempt_requests:
+            await asyncio.sleep(0.001)
+        writer.transport.abort()
+        while self.frontend.active_request_count:
+            await asyncio.sleep(0.001)
+        self.assertEqual(self.resources.account.running_count, 1)
+        self.assertGreater(self.resources.account.held_bytes, 0)
+        self.servers.release.set()
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
--- a/packages/standins/src/hyssopwind/standins/process_fleet.py
+++ b/packages/standins/src/hyssopwind/standins/process_fleet.py
@@ -57,6 +57,7 @@
         stop_grace_ms: time that running requests may take after that.
         trace_sample_ratio: fraction of the requests that are traced.
         server_module: module that is started as a server.
+        extra_daemon_settings: further lines of the settings of each daemon.
     """
 
     data_centres: tuple[str, ...]
@@ -67,6 +68,7 @@
     stop_grace_ms: int = 30_000
     trace_sample_ratio: float = 0.0
     server_module: str = "hyssopwind.standins.server"
+    extra_daemon_settings: str = ""
 
 
 DEMO_FLEET_PLAN = FleetPlan(
@@ -386,6 +388,7 @@
                 "[traces]",
                 f"sample = {self._plan.trace_sample_ratio}",
                 f'file = "{trace_path}"',
+                self._plan.extra_daemon_settings,
             ]
         )
 
--- a/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
@@ -11,9 +11,6 @@
 
 RUNS_ALONE = True  # real processes, sockets and times
 
-BODY_BYTES = 990_000
-MISSING_BYTES = 3
-PIECE_BYTES = 1_000
 DECLARED_BYTES = 80_000_000
 SENT_BYTES = 3_000_000
 PIPELINED_GETS = 3_000
@@ -26,27 +23,7 @@
 SILENT_CONNECTIONS = 1_100
 
 make_head = caller_crowd_case.make_head
-
-
-def split(body):
-    """Returns a body in pieces."""
-    return [
-        body[start : start + PIECE_BYTES]
-        for start in range(0, len(body), PIECE_BYTES)
-    ]
-
-
-def make_body_pieces(way, target):
-    """Returns the pieces of a request whose body stops short of its end."""
-    body = b"x" * BODY_BYTES
-    if way == "chunks":
-        head = make_head(target, "POST", Transfer_Encoding="chunked")
-        chunks = [b"%x\r\n%b\r\n" % (len(each), each) for each in split(body)]
-        return [head, b"".join(chunks)[:-MISSING_BYTES]]
-    head = make_head(target, "POST", Content_Length=str(BODY_BYTES))
-    if way == "one piece":
-        return [head + body[:-MISSING_BYTES]]
-    return [head, *split(body[:-MISSING_BYTES])]
+make_body_pieces = caller_crowd_case.make_body_pieces
 
 
 class ShortBodyTest(caller_crowd_case.CallerCrowdTestCase):
