--- a/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_site_caller_crowds.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
+import functools
 
+from hyssopwind.daemon import headers
 from hyssopwind.standins.tests import caller_crowd_case
 
 RUNS_ALONE = True  # real processes, sockets and times
 
-BODY_BYTES = 990_000
-MISSING_BYTES = 3
-PIECE_BYTES = 1_000
 DECLARED_BYTES = 80_000_000
 SENT_BYTES = 3_000_000
 PIPELINED_GETS = 3_000
@@ -25,28 +24,11 @@
 ANSWER_BYTES = 1_000
 SILENT_CONNECTIONS = 1_100
 
-make_head = caller_crowd_case.make_head
-
-
-def split(body):
-    """Returns a body in pieces."""
-    return [
-        body[start : start + PIECE_BYTES]
-        for start in range(0, len(body), PIECE_BYTES)
-    ]
-
+BODY_BYTES = caller_crowd_case.BODY_BYTES
+MISSING_BYTES = caller_crowd_case.MISSING_BYTES
 
-def make_body_pieces(way, target):
-    """Returns the pieces of a request whose body stops short of its end."""
-    body = b"x" * BODY_BYTES
-    if way == "chunks":
-        head = make_head(target, "POST", Transfer_Encoding="chunked")
-        chunks = [b"%x\r\n%b\r\n" % (len(each), each) for each in split(body)]
-        return [head, b"".join(chunks)[:-MISSING_BYTES]]
-    head = make_head(target, "POST", Content_Length=str(BODY_BYTES))
-    if way == "one piece":
-        return [head + body[:-MISSING_BYTES]]
-    return [head, *split(body[:-MISSING_BYTES])]
+make_head = caller_crowd_case.make_head
+make_body_pieces = caller_crowd_case.make_body_pieces
 
 
 class ShortBodyTest(caller_crowd_case.CallerCrowdTestCase):
@@ -148,6 +130,31 @@
         await self.check_served()
 
 
+class InternalListenerTest(caller_crowd_case.CallerCrowdTestCase):
+    """Crowds at the listeners for peers and for scrapes of metrics."""
+
+    load_seconds = 1.5
+
+    async def check(self, pieces, count=caller_crowd_case.CALLER_COUNT):
+        for port in (self.ports[2], self.ports[4]):
+            send = functools.partial(self.send_unread, port, pieces)
+            await self.run_crowd(send, count)
+            await self.check_served()
+
+    # A body is read only if the request is handed over by a peer.
+    async def test_short_bodies(self):
+        fields = {headers.HANDOVER: "1", "Content_Length": str(BODY_BYTES)}
+        head = make_head("/", "POST", **fields)
+        await self.check([head + b"x" * (BODY_BYTES - MISSING_BYTES)])
+
+    async def test_bodies_far_over_the_limit(self):
+        fields = {headers.HANDOVER: "1", "Content_Length": str(DECLARED_BYTES)}
+        await self.check([make_head("/", "POST", **fields), b"x" * SENT_BYTES])
+
+    async def test_silent_connections(self):
+        await self.check([], SILENT_CONNECTIONS)
+
+
 class ChangeTest(caller_crowd_case.CallerCrowdTestCase):
     """The daemon stops, starts again or gets lower limits during a crowd."""
 
