Retry reserves: late requests leave what all others need

A retry or a hedge of an urgent request past its target used the retries that requests still in target were likely to need. RetryDemand.is_late (by slot_reserves.is_late) now makes it leave what the retries of all classes need at the observed share of failures; its retry counts as none that its class needed.

--- a/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
@@ -47,12 +47,14 @@
         work_seconds: expected seconds of its work.
         kind: why it is sent again.
         is_caller_retry: whether its caller came back after a refusal.
+        is_late: whether its answer cannot be in target any more.
     """
 
     priority: priorities.Priority
     work_seconds: float = 0.0
     kind: RetryKind = RetryKind.RETRY
     is_caller_retry: bool = False
+    is_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,8 +176,11 @@
             return
 
     def record_retry(self, demand: RetryDemand, now: float) -> None:
-        """Records a retry that was allowed; hedges meet no need of a class."""
-        if demand.kind is RetryKind.HEDGE:
+        """Records a retry that was allowed.
+
+        Hedges and retries of late requests meet no need of a class.
+        """
+        if demand.kind is RetryKind.HEDGE or demand.is_late:
             return
         one_class = self._classes.get(demand.priority)
         if one_class is None:
@@ -201,19 +206,27 @@
         """Returns the number of retries that a request leaves to others.
 
         It is 0 if the window has requests of one class only. If it has several,
-        a hedge leaves what the retries of all of them need: it is speculative,
-        while a retry follows a failure. Without recent failures that is 0.
+        a hedge and a late request leave what the retries of all of them need:
+        a hedge is speculative, while a retry follows a failure, and a late
+        answer is worth a fraction of one in target. Without recent failures
+        that is 0.
         """
-        if demand.kind is RetryKind.HEDGE:
-            if not self.has_several_classes:
-                return 0.0
-            failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
-            return sum(
+        reserved = 0.0
+        if demand.kind is RetryKind.RETRY:
+            reserved = self._reserved_for_more_urgent(demand)
+            if not demand.is_late:
+                ratio = RETURNED_RATIO if demand.is_caller_retry else 1.0
+                return ratio * reserved
+        if not self.has_several_classes:
+            return reserved
+        failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
+        return max(
+            reserved,
+            sum(
                 one_class.needed_count(failure_ratio)
                 for one_class in self._classes.values()
-            )
-        reserved = self._reserved_for_more_urgent(demand)
-        return RETURNED_RATIO * reserved if demand.is_caller_retry else reserved
+            ),
+        )
 
     def _reserved_for_more_urgent(self, demand: RetryDemand) -> float:
         failure_ratio = min(
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -20,6 +20,7 @@
 from hyssopwind.core.dispatch import retry_policy
 from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import server_selection
+from hyssopwind.core.dispatch import slot_reserves
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
 from hyssopwind.core.routing import splitting
@@ -696,11 +697,20 @@
     def _retry_demand(
         self, context: _RequestContext, kind: retry_reserves.RetryKind
     ) -> retry_reserves.RetryDemand:
+        now = boot_clock.now()
+        work_seconds = self._picker.expected_work_seconds(context.route)
+        timing = server_selection.RequestTiming(
+            work_seconds,
+            now - context.request.arrived_at + context.spent_seconds,
+            context.route.latency_target_seconds,
+            context.deadline - now,
+        )
         return retry_reserves.RetryDemand(
             context.priority,
-            self._picker.expected_work_seconds(context.route),
+            work_seconds,
             kind,
             is_caller_retry=context.is_caller_retry,
+            is_late=slot_reserves.is_late(timing),
         )
 
     def _try_acquire_retry(
@@ -708,16 +718,16 @@
         context: _RequestContext,
         kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
     ) -> bool:
-        demand = self._retry_demand(context, kind)
-        has_several_classes = self._has_several_classes(context.service)
+        # Requests of an earlier priority may be in the window.
+        demand = (
+            self._retry_demand(context, kind)
+            if self._has_several_classes(context.service)
+            else None
+        )
         is_allowed = self._retry_budget.try_acquire(
-            context.service,
-            boot_clock.now(),
-            self._daemon_count(),
-            # Requests of an earlier priority may be in the window.
-            demand if has_several_classes else None,
+            context.service, boot_clock.now(), self._daemon_count(), demand
         )
-        if not has_several_classes:
+        if demand is None:
             return is_allowed
         if is_allowed:
             label = priorities.label(demand.priority)
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -24,8 +24,9 @@
     await asyncio.sleep(60.0)
 
 
-def make_dispatcher(route, budget):
-    configuration = tables.Configuration(1, (route,), {}, tables.CallerLimits())
+def make_dispatcher(route, budget, *other_routes):
+    routes = (route, *other_routes)
+    configuration = tables.Configuration(1, routes, {}, tables.CallerLimits())
     return dispatcher.Dispatcher(
         platform_state=types.SimpleNamespace(
             catalogue=types.SimpleNamespace(configuration=configuration)
@@ -66,6 +67,33 @@
         self.assertEqual(allowed, [True] * 9 + [False])
 
 
+class LateRetryTest(unittest.TestCase):
+    # Load: servers reject half of the arrivals of two classes. Requests that
+    # had spent their target used the retries of those that had not.
+    def test_retry_past_the_target_leaves_the_reserve(self):
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        now = boot_clock.now()
+        for number in range(20):
+            priority = priorities.Priority(2 * (number % 2))
+            budget.record_request(SERVICE, now, priority, 0.1, 1)
+            budget.record_attempt(SERVICE, has_failed=number % 2 == 0)
+        route = make_route(0)
+        several_classes = make_dispatcher(route, budget, make_route(2))
+        context = types.SimpleNamespace(
+            service=SERVICE,
+            request=types.SimpleNamespace(arrived_at=now),
+            priority=priorities.Priority(0),
+            route=route,
+            deadline=now + 0.5,
+            spent_seconds=0.45,
+            is_caller_retry=False,
+        )
+        self.assertFalse(several_classes._try_acquire_retry(context))
+        self.assertTrue(several_classes._is_retry_denied(context))
+        context.spent_seconds = 0.1
+        self.assertTrue(several_classes._try_acquire_retry(context))
+
+
 class TimedOutSearchTest(unittest.IsolatedAsyncioTestCase):
     # A search that lasted until the deadline was not counted as failed.
     async def test_search_until_the_deadline_counts_as_failed(self):
