Retry reserves: classes of the configuration, rates that decay

A daemon that had seen no request of an urgent class for a window of 10 s reserved nothing for it, and its hedges took all retries. The classes of a service now come from PriorityClasses, and a class without a request in the window counts by its rate before, which decays by half in 20 s. A priority that the configuration does not have any more leaves no reserve.

--- a/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
+++ b/packages/core/src/hyssopwind/core/dispatch/fleet_retry_budgets.py
@@ -152,7 +152,7 @@
         if reserves is None:
             reserves = retry_reserves.RetryReserves()
             self._reserves[service] = reserves
-        reserves.expire(now - self._settings.window_seconds)
+        reserves.expire(now, self._settings.window_seconds)
         return reserves
 
     def try_acquire(
@@ -194,7 +194,7 @@
             return available_count >= 1.0
         reserves = self.reserves(service, now)
         available_count -= reserves.reserved_count(demand)
-        if not reserves.has_several_classes:
+        if not reserves.has_several(demand):
             return available_count >= 1.0
         # The share of a daemon with little traffic is a small number with a
         # fraction, which would be lost in each window. It is rounded up at as
--- a/packages/core/src/hyssopwind/core/dispatch/priority_classes.py
+++ b/packages/core/src/hyssopwind/core/dispatch/priority_classes.py
@@ -57,12 +57,12 @@
             ids.ServiceId, frozenset[priorities.Priority]
         ] = {}
 
-    def has_several(
+    def find(
         self,
         service: ids.ServiceId,
         configuration: tables.Configuration | None,
-    ) -> bool:
-        """Returns whether the requests of a service differ in priority.
+    ) -> frozenset[priorities.Priority]:
+        """Returns the priorities that the requests of a service may have.
 
         Args:
             service: the service.
@@ -76,4 +76,12 @@
                 self._by_service = priorities_by_service(
                     configuration.routes, (each.priority for each in tenants)
                 )
-        return len(self._by_service.get(service, _NO_PRIORITIES)) > 1
+        return self._by_service.get(service, _NO_PRIORITIES)
+
+    def has_several(
+        self,
+        service: ids.ServiceId,
+        configuration: tables.Configuration | None,
+    ) -> bool:
+        """Returns whether the requests of a service differ in priority."""
+        return len(self.find(service, configuration)) > 1
--- a/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
@@ -14,6 +14,9 @@
 import collections
 import dataclasses
 import enum
+import math
+from collections.abc import Iterator
+from collections.abc import Mapping
 
 from hyssopwind.core.dispatch import priorities
 
@@ -30,6 +33,13 @@
 # refusal, as a further refusal costs its caller more than a first one.
 RETURNED_RATIO = 0.5
 
+# Time in which the weight of a request in the rate of its class decays by half.
+# It is two windows of 10 s, as a daemon of a large fleet gets a rare kind less
+# than once in a window.
+RATE_HALF_LIFE_SECONDS = 20.0
+# Decayed count of requests below which a class is forgotten.
+MIN_RECENT_COUNT = 0.05
+
 
 class RetryKind(enum.Enum):
     """Why a request is sent to another server."""
@@ -48,6 +58,8 @@
         kind: why it is sent again.
         is_caller_retry: whether its caller came back after a refusal.
         is_late: whether its answer cannot be in target any more.
+        classes: the priorities of its service in the configuration in force;
+            if empty, those seen lately count.
     """
 
     priority: priorities.Priority
@@ -55,6 +67,7 @@
     kind: RetryKind = RetryKind.RETRY
     is_caller_retry: bool = False
     is_late: bool = False
+    classes: frozenset[priorities.Priority] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,28 +78,110 @@
     max_retries: int
 
 
-@dataclasses.dataclass(slots=True)
 class _Class:
-    """The requests of one class in the window.
+    """The requests of one class in the window, and their rate before.
 
     Attributes:
         request_counts: number of requests by the retries that they may make.
         work_seconds: sum of their expected work.
-        retry_count: number of retries that they have made, without hedges.
+        retry_count: number of retries that they have made, without hedges and
+            those of late requests.
+        recent_counts: as `request_counts`, with weights that decay.
+        recent_work_seconds: as `work_seconds`, with weights that decay.
     """
 
-    request_counts: collections.Counter[int]
-    work_seconds: float = 0.0
-    retry_count: int = 0
-
-    def needed_count(self, failure_ratio: float) -> float:
-        """Returns the number of retries that it is likely to need still."""
-        count = 0.0
-        for max_retries, request_count in self.request_counts.items():
-            count += request_count * expected_retries(
-                failure_ratio, max_retries
-            )
-        return max(0.0, count - self.retry_count)
+    def __init__(self) -> None:
+        self.request_counts: collections.Counter[int] = collections.Counter()
+        self.work_seconds = 0.0
+        self.retry_count = 0
+        self.recent_counts: dict[int, float] = {}
+        self.recent_work_seconds = 0.0
+        self._decayed_at = 0.0
+
+    @property
+    def is_forgotten(self) -> bool:
+        """Whether it had no request for long."""
+        return (
+            self.request_counts.total() == 0
+            and sum(self.recent_counts.values()) < MIN_RECENT_COUNT
+        )
+
+    def decay(self, now: float) -> None:
+        """Lowers the weights of recent requests by their age."""
+        half_lives = max(0.0, now - self._decayed_at) / RATE_HALF_LIFE_SECONDS
+        factor = math.pow(0.5, half_lives)
+        for max_retries in self.recent_counts:
+            self.recent_counts[max_retries] *= factor
+        self.recent_work_seconds *= factor
+        self._decayed_at = max(now, self._decayed_at)
+
+    def add(self, request: _Request) -> None:
+        """Adds a request."""
+        self.decay(request.at)
+        self.request_counts[request.max_retries] += 1
+        self.work_seconds += request.work_seconds
+        self._add_recent(request, 1.0)
+
+    def expire(self, request: _Request) -> None:
+        """Removes a request that has left the window."""
+        self.request_counts[request.max_retries] -= 1
+        self.work_seconds -= request.work_seconds
+
+    def withdraw(self, request: _Request) -> None:
+        """Removes a request as if it had not been made."""
+        self.expire(request)
+        half_lives = (self._decayed_at - request.at) / RATE_HALF_LIFE_SECONDS
+        self._add_recent(request, -math.pow(0.5, half_lives))
+
+    def expected_load(
+        self, window_seconds: float, failure_ratio: float
+    ) -> "_ExpectedLoad":
+        """Returns what the class is likely to do in a window.
+
+        The rate before counts only if the window has no request: while the load
+        oscillates, the higher of the two would hold back too many hedges.
+        """
+        counts: Mapping[int, float] = self.request_counts
+        request_count: float = self.request_counts.total()
+        work_seconds = self.work_seconds
+        if request_count == 0:
+            # The decaying sum of a constant rate is the rate times this time.
+            rate_seconds = RATE_HALF_LIFE_SECONDS / math.log(2.0)
+            scale = window_seconds / rate_seconds
+            counts = {
+                max_retries: scale * count
+                for max_retries, count in self.recent_counts.items()
+            }
+            request_count = sum(counts.values())
+            work_seconds = scale * self.recent_work_seconds
+        needed_count = -float(self.retry_count)
+        for max_retries, count in counts.items():
+            needed_count += count * expected_retries(failure_ratio, max_retries)
+        return _ExpectedLoad(
+            request_count, work_seconds, max(0.0, needed_count)
+        )
+
+    def _add_recent(self, request: _Request, weight: float) -> None:
+        count = self.recent_counts.get(request.max_retries, 0.0)
+        self.recent_counts[request.max_retries] = max(0.0, count + weight)
+        self.recent_work_seconds = max(
+            0.0, self.recent_work_seconds + weight * request.work_seconds
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ExpectedLoad:
+    """What a class is likely to do in a window.
+
+    Attributes:
+        request_count: number of its requests.
+        work_seconds: sum of their expected work.
+        needed_count: number of retries that it still needs.
+    """
+
+    request_count: float
+    work_seconds: float
+    needed_count: float
 
 
 def expected_retries(failure_ratio: float, max_retries: int) -> float:
@@ -131,6 +226,7 @@
         )
         self._classes: dict[priorities.Priority, _Class] = {}
         self._failure_ratio = 0.0
+        self._window_seconds = 0.0
 
     @property
     def failure_ratio(self) -> float:
@@ -139,7 +235,7 @@
 
     @property
     def has_several_classes(self) -> bool:
-        """Whether requests of several classes are in the window."""
+        """Whether requests of several classes were seen lately."""
         return len(self._classes) > 1
 
     def record_request(
@@ -157,14 +253,9 @@
             max_retries: number of retries that its route allows.
             now: monotonic time in seconds.
         """
-        self._requests.append(
-            _Request(now, priority, work_seconds, max(0, max_retries))
-        )
-        one_class = self._classes.setdefault(
-            priority, _Class(collections.Counter())
-        )
-        one_class.request_counts[max(0, max_retries)] += 1
-        one_class.work_seconds += work_seconds
+        request = _Request(now, priority, work_seconds, max(0, max_retries))
+        self._requests.append(request)
+        self._classes.setdefault(priority, _Class()).add(request)
 
     def withdraw_request(self, priority: priorities.Priority) -> None:
         """Takes back the latest request of a class."""
@@ -172,7 +263,8 @@
             if request.priority != priority:
                 continue
             self._requests.remove(request)
-            self._remove(request)
+            self._classes[priority].withdraw(request)
+            self._forget_classes()
             return
 
     def record_retry(self, demand: RetryDemand, now: float) -> None:
@@ -193,23 +285,34 @@
         sample = 1.0 if has_failed else 0.0
         self._failure_ratio += FAILURE_WEIGHT * (sample - self._failure_ratio)
 
-    def expire(self, window_start: float) -> None:
-        """Drops what was recorded at or before the start of the window."""
+    def expire(self, now: float, window_seconds: float) -> None:
+        """Drops what was recorded before the window that ends now."""
+        self._window_seconds = window_seconds
+        window_start = now - window_seconds
         while self._retries and self._retries[0][0] <= window_start:
             _, priority = self._retries.popleft()
             if priority in self._classes:
                 self._classes[priority].retry_count -= 1
         while self._requests and self._requests[0].at <= window_start:
-            self._remove(self._requests.popleft())
+            request = self._requests.popleft()
+            self._classes[request.priority].expire(request)
+        for one_class in self._classes.values():
+            one_class.decay(now)
+        self._forget_classes()
+
+    def has_several(self, demand: RetryDemand) -> bool:
+        """Whether the service of a request has several classes."""
+        if demand.classes:
+            return len(demand.classes) > 1
+        return self.has_several_classes
 
     def reserved_count(self, demand: RetryDemand) -> float:
         """Returns the number of retries that a request leaves to others.
 
-        It is 0 if the window has requests of one class only. If it has several,
-        a hedge and a late request leave what the retries of all of them need:
-        a hedge is speculative, while a retry follows a failure, and a late
-        answer is worth a fraction of one in target. Without recent failures
-        that is 0.
+        It is 0 if the service has one class only. If it has several, a hedge
+        and a late request leave what the retries of all of them need: a hedge
+        is speculative, while a retry follows a failure, and a late answer is
+        worth a fraction of one in target. Without recent failures that is 0.
         """
         reserved = 0.0
         if demand.kind is RetryKind.RETRY:
@@ -217,41 +320,57 @@
             if not demand.is_late:
                 ratio = RETURNED_RATIO if demand.is_caller_retry else 1.0
                 return ratio * reserved
-        if not self.has_several_classes:
+        if not self.has_several(demand):
             return reserved
         failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
         return max(
             reserved,
             sum(
-                one_class.needed_count(failure_ratio)
-                for one_class in self._classes.values()
+                load.needed_count
+                for _, load in self._loads(demand, failure_ratio)
             ),
         )
 
+    def _loads(
+        self, demand: RetryDemand, failure_ratio: float
+    ) -> Iterator[tuple[priorities.Priority, _ExpectedLoad]]:
+        """Returns the loads of the classes that a request considers."""
+        for priority, one_class in self._classes.items():
+            # Requests of an earlier priority may have been seen lately.
+            if demand.classes and priority not in demand.classes:
+                continue
+            yield (
+                priority,
+                one_class.expected_load(self._window_seconds, failure_ratio),
+            )
+
     def _reserved_for_more_urgent(self, demand: RetryDemand) -> float:
         failure_ratio = min(
             MAX_FAILURE_RATIO, max(MIN_FAILURE_RATIO, self._failure_ratio)
         )
         needed_count = 0.0
-        request_count = 0
+        request_count = 0.0
         work_seconds = 0.0
-        for priority, one_class in self._classes.items():
+        for priority, load in self._loads(demand, failure_ratio):
             if priority >= demand.priority:
                 continue
-            needed_count += one_class.needed_count(failure_ratio)
-            request_count += one_class.request_counts.total()
-            work_seconds += one_class.work_seconds
+            needed_count += load.needed_count
+            request_count += load.request_count
+            work_seconds += load.work_seconds
         if demand.work_seconds * request_count >= work_seconds:
             return needed_count
         return needed_count * demand.work_seconds * request_count / work_seconds
 
-    def _remove(self, request: _Request) -> None:
-        one_class = self._classes[request.priority]
-        one_class.request_counts[request.max_retries] -= 1
-        one_class.work_seconds -= request.work_seconds
-        if one_class.request_counts.total() > 0:
+    def _forget_classes(self) -> None:
+        forgotten = [
+            priority
+            for priority, one_class in self._classes.items()
+            if one_class.is_forgotten
+        ]
+        if not forgotten:
             return
-        del self._classes[request.priority]
+        for priority in forgotten:
+            del self._classes[priority]
         self._retries = collections.deque(
-            each for each in self._retries if each[1] != request.priority
+            each for each in self._retries if each[1] in self._classes
         )
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_rejecting_servers.py
@@ -388,6 +388,52 @@
         )
 
 
+class RareUrgentRequestsTest(unittest.TestCase):
+    CLASSES = frozenset((URGENT, TOLERANT))
+
+    def make_budget(self):
+        """Load: no urgent request for 12 s after some, at rejecting servers."""
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        for second in range(22):
+            if second < 10:
+                budget.record_request(SERVICE, second, URGENT, 0.1, 2)
+            budget.record_request(SERVICE, second, TOLERANT, 0.1, 2)
+            budget.record_attempt(SERVICE, has_failed=second % 2 == 0)
+        return budget
+
+    # The reserve vanished as soon as the window had no urgent request.
+    def test_class_that_was_not_seen_for_a_window_keeps_a_reserve(self):
+        demand = retry_reserves.RetryDemand(TOLERANT, 0.1, classes=self.CLASSES)
+        reserves = self.make_budget().reserves(SERVICE, 21.5)
+        self.assertGreater(reserves.reserved_count(demand), 1.0)
+        reserves = self.make_budget().reserves(SERVICE, 200.0)
+        self.assertLess(reserves.reserved_count(demand), 0.1)
+
+    # Requests of an earlier priority went on counting as a class.
+    def test_class_that_is_not_configured_any_more_has_no_reserve(self):
+        demand = retry_reserves.RetryDemand(
+            TOLERANT,
+            0.1,
+            classes=frozenset((TOLERANT, priorities.Priority(3))),
+        )
+        reserves = retry_reserves.RetryReserves()
+        for _ in range(8):
+            reserves.record_request(URGENT, 0.1, 1, now=0.0)
+        self.assertEqual(reserves.reserved_count(demand), 0.0)
+
+    # Hedges took all retries while no urgent request was in the window.
+    def test_hedges_leave_the_retries_of_a_configured_class(self):
+        hedge = retry_reserves.RetryDemand(
+            TOLERANT,
+            0.1,
+            retry_reserves.RetryKind.HEDGE,
+            classes=self.CLASSES,
+        )
+        self.assertFalse(
+            self.make_budget().may_acquire(SERVICE, 21.5, 98, hedge)
+        )
+
+
 class WithdrawalTest(unittest.TestCase):
     # A request served by a peer went on counting for the reserve.
     def test_withdrawn_request_leaves_no_class_behind(self):
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -711,6 +711,9 @@
             kind,
             is_caller_retry=context.is_caller_retry,
             is_late=slot_reserves.is_late(timing),
+            classes=self._priority_classes.find(
+                context.service, self._platform_state.catalogue.configuration
+            ),
         )
 
     def _try_acquire_retry(
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -94,6 +94,31 @@
         self.assertTrue(several_classes._try_acquire_retry(context))
 
 
+class ConfiguredClassesTest(unittest.TestCase):
+    # Load: eight requests of a priority that no route has any more. The others
+    # left a reserve for it.
+    def test_earlier_priority_keeps_no_reserve(self):
+        budget = fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        now = boot_clock.now()
+        for _ in range(8):
+            budget.record_request(SERVICE, now, priorities.Priority(0), 0.1, 1)
+        route = make_route(2)
+        context = types.SimpleNamespace(
+            service=SERVICE,
+            request=types.SimpleNamespace(arrived_at=now),
+            priority=priorities.Priority(2),
+            route=route,
+            deadline=now + 0.5,
+            spent_seconds=0.0,
+            is_caller_retry=False,
+        )
+        several_classes = make_dispatcher(route, budget, make_route(3))
+        allowed = [
+            several_classes._try_acquire_retry(context) for _ in range(7)
+        ]
+        self.assertEqual(allowed, [True] * 6 + [False])
+
+
 class TimedOutSearchTest(unittest.IsolatedAsyncioTestCase):
     # A search that lasted until the deadline was not counted as failed.
     async def test_search_until_the_deadline_counts_as_failed(self):
