Do not count work longer than its target as late on arrival

A class whose learnt work had come to exceed its target was late on arrival and was sent only while no other request waited, so that it could starve. Such a request now is late once it has waited for as long as its target. Result: the new test failed before and passes.

--- a/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/slot_reserves.py
@@ -274,8 +274,15 @@
 
 
 def is_late(timing: server_selection.RequestTiming) -> bool:
-    """Returns whether the answer of a request cannot be in target any more."""
+    """Returns whether the answer of a request cannot be in target any more.
+
+    A request whose work takes longer than its target allows is late once it has
+    waited for as long as its target. Its class would starve if all of its
+    requests were late on arrival.
+    """
     left_seconds = timing.latency_target_seconds - timing.waited_seconds
+    if timing.work_seconds > timing.latency_target_seconds:
+        return left_seconds < 0.0
     return left_seconds < timing.work_seconds
 
 
--- a/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/tests/test_slot_reserves.py
@@ -40,6 +40,18 @@
     ).is_reserved
 
 
+class LateTest(unittest.TestCase):
+    # All requests of a class whose work had come to exceed its target were late
+    # on arrival, so that they were sent only while no other request waited.
+    def test_class_with_work_longer_than_its_target_is_not_late_on_arrival(
+        self,
+    ):
+        timing = server_selection.RequestTiming(0.5, 0.0, 0.3, 2.0)
+        self.assertFalse(slot_reserves.is_late(timing))
+        waited = server_selection.RequestTiming(0.5, 0.31, 0.3, 2.0)
+        self.assertTrue(slot_reserves.is_late(waited))
+
+
 class ReserveTest(unittest.TestCase):
     def test_last_slot_is_left_to_urgent_requests(self):
         self.assertFalse(is_reserved(make_candidate(SLOTS - 2)))
