hyssopwindd: count the fields that the parser keeps

Cause: aiohttp's parser keeps the fields of the last head, up to 2 MB as received and as much decoded, until the next one. An idle connection was counted with 8 KB.

Change: the cost of the last head counts until the next one or the end of the connection.

Result: test_fields_that_the_parser_keeps_are_counted failed before (8,192 bytes after a head of 300 KB) and passes. FrontendTest: 31 passed.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -82,6 +82,7 @@
         "_is_lost",
         "_is_parsing",
         "_is_reading_body",
+        "_kept_bytes",
         "_memory_timer",
         "_partial_bytes",
         "_request_costs",
@@ -113,6 +114,8 @@
         self._block: _Block | None = None
         # Memory of each unanswered request, the one being answered first.
         self._request_costs: collections.deque[int] = collections.deque()
+        # Memory of the last head, which the parser keeps until the next one.
+        self._kept_bytes = 0
         # Bytes of a head that is not complete.
         self._partial_bytes = 0
         # Body of the last request, and what of it was received.
@@ -164,6 +167,7 @@
         if self._holding.running_count:
             self._request_costs.clear()
             self._partial_bytes = 0
+            self._kept_bytes = 0
             self._set_block(None)
             self._update_held()
             return
@@ -463,7 +467,8 @@
             cost += caller_account.field_cost(length)
             byte_count += length + len(b": \r\n")
         path = getattr(message, "path", "")
-        self._request_costs.append(cost + 2 * len(path))
+        self._kept_bytes = cost + 2 * len(path)
+        self._request_costs.append(self._kept_bytes)
         self._body = payload
         self._counted_body_bytes = 0
         self._declared_bytes = 0
@@ -513,7 +518,7 @@
             caller_account.CONNECTION_BYTES
             + len(self._unparsed)
             + 2 * self._partial_bytes  # also held as decoded fields
-            + sum(self._request_costs)
+            + max(self._kept_bytes, sum(self._request_costs))
             + max(self._answer_bytes, buffered_bytes)
         )
 
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -289,6 +289,19 @@
                 data += await reader.read(65_536)
         writer.close()
 
+    # The parser keeps the fields of the last request, up to 2 MB, which a
+    # silent connection held without being counted.
+    async def test_fields_that_the_parser_keeps_are_counted(self):
+        fields = {f"X_{number}": "t" * 10_000 for number in range(30)}
+        text = self.request(**fields).replace("close", "x")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await reader.read(1_000)
+        await asyncio.sleep(0.05)
+        held_bytes = self.resources.account.held_bytes
+        writer.close()
+        self.assertGreater(held_bytes, 600_000)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
