hyssopwindd: count and bound trailers

Cause: aiohttp's parser stores trailers, 128 fields of 16 KB, which the account did not count while the body was not complete.

Change: bytes of a body in chunks that bring no data count like a partial head. More than 64 KB of them are answered 400, and no more are parsed.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -39,6 +39,9 @@
 # Parsed at a time outside of bodies, then counted. Fields of 5 bytes take about
 # 100 KB of memory once they are parsed.
 SLICE_BYTES = 2_048
+# Longest part of a body in chunks without data: trailers, which the parser
+# stores up to 2 MB, and extensions of chunks.
+MAX_TRAILER_BYTES = 65_536
 # Work for one connection before others have their turn, in lines of heads and
 # chunks.
 MAX_TURN_EVENTS = 100
@@ -148,6 +151,10 @@
     def _is_in_body(self) -> bool:
         return self._body is not None and not self._body.is_eof()
 
+    @property
+    def _is_body_refused(self) -> bool:
+        return self._body is not None and self._body.exception() is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the new connection with the account."""
         super().connection_made(transport)
@@ -197,16 +204,19 @@
         was_in_body = self._is_in_body
         super().data_received(data)
         new_count = self._request_count - earlier_count
-        head_bytes = self._count_body_bytes() if was_in_body else 0
+        body_bytes = self._count_body_bytes() if was_in_body else 0
+        head_bytes = body_bytes
         if new_count:
             for message, payload in list(self._messages)[-new_count:]:
                 head_bytes += self._add_request(message, payload)
-        if new_count or was_in_body:
+        if self._is_in_body and (new_count or body_bytes):
+            self._partial_bytes = 0
+        elif self._is_in_body:
+            self._add_trailers(len(data))
+        elif new_count or was_in_body:
             self._partial_bytes = max(0, len(data) - head_bytes)
         else:
             self._partial_bytes += len(data)
-        if self._is_in_body:
-            self._partial_bytes = 0
         if not self._is_parsing:
             self._update_held()
 
@@ -419,6 +429,8 @@
             return _Block.TURN
         if self._reading_paused or self._buffer_paused:
             return _Block.PIPELINE
+        if self._is_in_body and self._is_body_refused:
+            return _Block.PIPELINE
         if not self._request_costs or self._is_in_body:
             return None
         if self._resources.account.may_take_request(self._holding):
@@ -492,6 +504,14 @@
         ) - min(buffer_bytes, earlier_bytes)
         return self._counted_body_bytes - earlier_bytes
 
+    def _add_trailers(self, byte_count: int) -> None:
+        """Counts bytes of a body without data; refuses too many of them."""
+        self._partial_bytes += byte_count
+        if self._partial_bytes > MAX_TRAILER_BYTES and self._body is not None:
+            self._body.set_exception(
+                http_exceptions.BadHttpMessage("trailers too long")
+            )
+
     def _end_request(self) -> None:
         """Releases what an answered request took, and parses on."""
         self._end_reservation()
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -289,6 +289,32 @@
                 data += await reader.read(65_536)
         writer.close()
 
+    # The parser stores trailers, up to 2 MB, which nothing counted.
+    async def test_trailers_are_counted_and_bounded(self):
+        text = self.request("PUT", Transfer_Encoding="chunked")
+        text += "1\r\na\r\n0\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await asyncio.sleep(0.05)
+        earlier_bytes = self.resources.account.held_bytes
+        trailer = f"X-T: {'t' * 10_000}\r\n".encode()
+        writer.write(trailer * 5)
+        await asyncio.sleep(0.1)
+        held_bytes = self.resources.account.held_bytes - earlier_bytes
+        self.assertGreater(held_bytes, 90_000)
+        writer.write(trailer * 5)
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 400", data)
+        self.assertIn(b"not-run", data)
+
+    async def test_short_trailers_are_accepted(self):
+        text = self.request("PUT", Transfer_Encoding="chunked")
+        text += "1;ext=1\r\na\r\n0\r\nX-T: t\r\n\r\n"
+        answer = await self.send(text)
+        self.assertIn(" 200 ", answer[0])
+        self.assertEqual(answer[2], b"got a")
+
     # The parser keeps the fields of the last request, up to 2 MB, which a
     # silent connection held without being counted.
     async def test_fields_that_the_parser_keeps_are_counted(self):
