--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -267,6 +267,67 @@
         self.assertGreater(self.resources.account.held_bytes, 0)
         self.servers.release.set()
 
+    # The parser stopped one request before the queue was full, and nothing
+    # made it go on: the last requests had no answer.
+    async def test_requests_behind_a_body_in_pieces_are_all_answered(self):
+        self.servers.release = asyncio.Event()
+        head, body = self.request("PUT", body="b").split("\r\n\r\n")
+        head = head.replace("close", "x")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(f"{head}\r\n\r\n".encode())
+        await asyncio.sleep(0.05)
+        writer.write(body.encode())
+        while not self.servers.attempt_requests:
+            await asyncio.sleep(0.001)
+        text = "GET /team/ledger/x HTTP/1.1\r\nHost: a\r\n\r\n"
+        writer.write((text * 33).encode())
+        await asyncio.sleep(0.05)
+        self.servers.release.set()
+        data = b""
+        async with asyncio.timeout(5.0):
+            while data.count(b"HTTP/1.1 200") < 34:
+                data += await reader.read(65_536)
+        writer.close()
+
+    # The parser stores trailers, up to 2 MB, which nothing counted.
+    async def test_trailers_are_counted_and_bounded(self):
+        text = self.request("PUT", Transfer_Encoding="chunked")
+        text += "1\r\na\r\n0\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await asyncio.sleep(0.05)
+        earlier_bytes = self.resources.account.held_bytes
+        trailer = f"X-T: {'t' * 10_000}\r\n".encode()
+        writer.write(trailer * 5)
+        await asyncio.sleep(0.1)
+        held_bytes = self.resources.account.held_bytes - earlier_bytes
+        self.assertGreater(held_bytes, 90_000)
+        writer.write(trailer * 5)
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 400", data)
+        self.assertIn(b"not-run", data)
+
+    async def test_short_trailers_are_accepted(self):
+        text = self.request("PUT", Transfer_Encoding="chunked")
+        text += "1;ext=1\r\na\r\n0\r\nX-T: t\r\n\r\n"
+        answer = await self.send(text)
+        self.assertIn(" 200 ", answer[0])
+        self.assertEqual(answer[2], b"got a")
+
+    # The parser keeps the fields of the last request, up to 2 MB, which a
+    # silent connection held without being counted.
+    async def test_fields_that_the_parser_keeps_are_counted(self):
+        fields = {f"X_{number}": "t" * 10_000 for number in range(30)}
+        text = self.request(**fields).replace("close", "x")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await reader.read(1_000)
+        await asyncio.sleep(0.05)
+        held_bytes = self.resources.account.held_bytes
+        writer.close()
+        self.assertGreater(held_bytes, 600_000)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
