Return a token that is granted as its caller leaves

Cause: if a reply granted a token and the request was cancelled before its task resumed, the task raised CancelledError although the future had the token, which was then neither used nor returned. The same holds for the deadline of a request, and for a hedge whose first attempt ends meanwhile.

Change: a cancelled wait returns the token of a future that is resolved.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/allowances.py
@@ -110,7 +110,13 @@
         self._update_view(now)
         self._node.request(allowance, future, now)
         self._set_timer(now)
-        result = await future
+        try:
+            result = await future
+        except asyncio.CancelledError:
+            # The result may have come just before the cancellation.
+            if future.done() and not future.cancelled():
+                self._release_unclaimed(future.result())
+            raise
         if isinstance(result, allowance_results.Denied):
             self._refusals.record(tenant.id)
             self.log_refusals()
@@ -219,10 +225,14 @@
         self, ticket: allowances.Ticket, result: allowance_results.Result
     ) -> None:
         assert isinstance(ticket, asyncio.Future)
-        if not ticket.done():
+        if ticket.done():
+            self._release_unclaimed(result)
+        else:
             ticket.set_result(result)
-        elif isinstance(result, allowance_results.Granted):
-            # The caller has left.
+
+    def _release_unclaimed(self, result: allowance_results.Result) -> None:
+        """Returns the token of a request whose caller has left."""
+        if isinstance(result, allowance_results.Granted):
             self.release(result)
 
     def _set_timer(self, now: float) -> None:
