End the count of late work for requests from before a second priority

Cause: a request that waited while a configuration with a second priority came into force could become late work, but only requests that arrived with several priorities were removed from the count. One that was left over made the expected wait grow without end, so that all later late requests were refused.

Change: each search that counts as late work ends its count.

Result: the new test failed before (60 s expected after the cancellation) and passes.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -158,7 +158,16 @@
         demand = self._find_demand(request)
         search = _Search()
         if demand is None:
-            return await self._pick(request, waiting_order.UNRANKED, search)
+            is_sent = False
+            try:
+                decision = await self._pick(
+                    request, waiting_order.UNRANKED, search
+                )
+                is_sent = isinstance(decision, server_selection.Send)
+                return decision
+            finally:
+                # A new configuration may have made it late work.
+                self._end_late_work(request, search, is_sent=is_sent)
         priority = request.priority
         now = boot_clock.now()
         if not request.tried_servers:
@@ -181,8 +190,7 @@
         finally:
             now = boot_clock.now()
             demand.record_end(priority, now, is_sent=is_sent)
-            if search.is_late:
-                self._find_late_work(request).remove(now, is_sent=is_sent)
+            self._end_late_work(request, search, is_sent=is_sent)
             if is_sent and demand.is_starved(priority, now):
                 line.grant_turn(priority)
 
@@ -383,6 +391,14 @@
             of_service.add(now)
         return of_service.can_be_sent(self._request_timing(request, now), now)
 
+    def _end_late_work(
+        self, request: SelectionRequest, search: _Search, *, is_sent: bool
+    ) -> None:
+        if search.is_late:
+            self._find_late_work(request).remove(
+                boot_clock.now(), is_sent=is_sent
+            )
+
     def _find_demand(
         self, request: SelectionRequest
     ) -> slot_reserves.ServiceDemand | None:
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
@@ -122,6 +122,22 @@
         async with asyncio.timeout(0.5):
             self.assertIsInstance(await search, server_selection.Send)
 
+    # A request that arrived before the second priority counted for ever, so
+    # that all later late requests were refused.
+    async def test_count_of_late_work_ends_after_a_change_of_priorities(self):
+        demands = [None]
+        self.picker._find_demand = lambda request: (
+            demands.pop() if demands else FreeServersPicker.demand
+        )
+        search = asyncio.create_task(self.picker.pick(make_request(0.5, 8.0)))
+        await asyncio.sleep(0)
+        late_work = self.picker._late_work[SERVICE]
+        later = boot_clock.now() + 60.0
+        self.assertGreater(late_work.expected_wait_seconds(later), 50.0)
+        search.cancel()
+        await asyncio.wait([search])
+        self.assertEqual(late_work.expected_wait_seconds(later), 0.0)
+
     # It waited until its caller gave up.
     async def test_late_request_is_refused_when_its_turn_comes_too_late(self):
         late = asyncio.create_task(self.picker.pick(make_request(0.5, 2.0)))
