Send late work to a free server whatever earlier late work waited

Cause: late work was refused without a look at any server if the mean interval between late requests exceeded its spare time. For seconds after an overload, late requests were refused although no request waited and servers were free.

Change: the expected wait decides only if the request has to wait, either since others are in the line or since a round of probes found no server for it.

Result: the new test failed before and passes; the seven tests in virtual time of test_kind* pass. The patterns were not measured again.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -213,11 +213,13 @@
                     if selected is None:
                         continue
                     return selected
+                may_wait = True
                 if self._is_late(request):
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if not self._can_send_late(request, search):
+                    may_wait = self._can_send_late(request, search)
+                    if not may_wait and line.has_waiting:
                         return _TOO_LATE
                 useful_seconds = self._useful_wait_seconds(request)
                 wait_step = self._selection_settings.wait_step
@@ -235,6 +237,8 @@
                     continue
                 if not isinstance(decision, server_selection.Wait):
                     return decision
+                if not may_wait:
+                    return _TOO_LATE
                 useful_seconds = self._useful_wait_seconds(request)
                 if useful_seconds <= decision.seconds:
                     # Its answer would be late; requests in the line come first.
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_picker.py
@@ -122,6 +122,18 @@
         async with asyncio.timeout(0.5):
             self.assertIsInstance(await search, server_selection.Send)
 
+    # Long waits of earlier late work had it refused although a server was free.
+    async def test_late_request_is_sent_to_a_free_server_at_once(self):
+        self.line.leave(self.place)
+        request = make_request(0.5, 1.0)
+        late_work = self.picker._find_late_work(request)
+        now = boot_clock.now()
+        late_work.add(now - 4.0)
+        late_work.remove(now, is_sent=True)
+        self.assertIsInstance(
+            await self.picker.pick(request), server_selection.Send
+        )
+
     # A request that arrived before the second priority counted for ever, so
     # that all later late requests were refused.
     async def test_count_of_late_work_ends_after_a_change_of_priorities(self):
