Check the key of a request again before its search for a server

Cause: a version that revoked the key while the request waited for a token ended no search, as none had begun. The request then waited until its turn came.

Change: a search of a tenant's request does not begin without its key in force. Requests without a tenant are not affected.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -148,6 +148,7 @@
     )
 
 
+_REVOKED = server_selection.Refuse("the key was revoked")
 _WITHHELD = attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
 
 
@@ -580,6 +581,11 @@
         """Searches a server until the key of the request is revoked."""
         if context.admission.tenant is None:
             return await self._select_server(context)
+        if not self._authenticator.may_send(
+            context.admission, context.request, context.route
+        ):
+            # While it waited for its part of the allowance.
+            return _REVOKED
         try:
             async with asyncio.timeout(None) as search:
                 self._searches[search] = context
@@ -588,7 +594,7 @@
                 finally:
                     del self._searches[search]
         except TimeoutError:
-            return server_selection.Refuse("the key was revoked")
+            return _REVOKED
 
     async def _select_server(
         self, context: _RequestContext
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_dispatcher.py
@@ -13,6 +13,7 @@
 from hyssopwind.core.dispatch import server_selection
 from hyssopwind.core.routing import tables
 from hyssopwind.core.settings import tuning
+from hyssopwind.core.tenants import allowance_results
 from hyssopwind.daemon.gateway import dispatcher
 from hyssopwind.daemon.gateway import replicated_state
 from hyssopwind.transport import boot_clock
@@ -122,6 +123,44 @@
         await asyncio.wait(calls)
         self.assertFalse(tested._searches)
 
+    # A version that came while a retry waited for a token was not noticed.
+    async def test_key_revoked_before_the_search_begins(self):
+        route = make_route(2)
+        tested = make_dispatcher(
+            route, fleet_retry_budgets.FleetRetryBudget(SETTINGS)
+        )
+        refusal = outcomes.NotRun(outcomes.Reason.UNAUTHENTICATED, "")
+        revoked = set()
+        tested._authenticator = types.SimpleNamespace(
+            may_send=lambda *_: not revoked,
+            refuse_revoked=lambda *_: refusal if revoked else None,
+        )
+        tested._monitor = types.SimpleNamespace(is_cut_off=False)
+
+        async def acquire(_tenant):
+            revoked.add("one")
+            tested.refuse_revoked()
+            return allowance_results.Granted()
+
+        tested._acquire_allowance = acquire
+        context = dispatcher._RequestContext(
+            types.SimpleNamespace(arrived_at=boot_clock.now()),
+            types.SimpleNamespace(tenant="one", priority=lambda _route: 2),
+            route,
+            SERVICE,
+            boot_clock.now() + 60.0,
+            set(),
+            2,
+        )
+        call = asyncio.ensure_future(tested._run_attempts(context))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        is_done = call.done()
+        call.cancel()
+        await asyncio.wait([call])
+        self.assertTrue(is_done)
+        self.assertIs(call.result(), refusal)
+
     def test_listeners_learn_of_each_version_in_force(self):
         state = replicated_state.PlatformState()
         versions = []
