Return more tokens than one message holds in several

Cause: a message had all returns that were due, but an owner reads the first 64 only, so that tokens were lost if more requests ended within 50 ms.

Change: a message has at most 64 returns, and the others stay due.

Result: the new test failed before (100 returns in one message) and passes.

--- a/packages/core/src/hyssopwind/core/tenants/allowance_returns.py
+++ b/packages/core/src/hyssopwind/core/tenants/allowance_returns.py
@@ -95,10 +95,17 @@
             self._due_at[owner] = now
 
     def take(self, owner: ids.DaemonId) -> list[tuple[int, int]]:
-        """Removes what is to be returned to an owner, for one message.
+        """Removes what is to be returned to an owner in one message.
+
+        What exceeds the length of a message stays due.
 
         Returns:
             Numbers of requests with the tokens returned so far.
         """
-        self._due_at.pop(owner, None)
-        return list(self._by_owner.pop(owner, {}).items())
+        totals = list(self._by_owner.pop(owner, {}).items())
+        left = totals[MAX_RETURNS:]
+        if left:
+            self._by_owner[owner] = dict(left)
+        else:
+            self._due_at.pop(owner, None)
+        return totals[:MAX_RETURNS]
--- a/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
+++ b/packages/core/src/hyssopwind/core/tenants/tests/test_allowances.py
@@ -11,6 +11,7 @@
 from hyssopwind.core.fleet import gossip_messages
 from hyssopwind.core.tenants import allowance_issuer
 from hyssopwind.core.tenants import allowance_results
+from hyssopwind.core.tenants import allowance_returns
 from hyssopwind.core.tenants import allowances
 from hyssopwind.core.tenants.tests import allowance_fleet
 
@@ -682,6 +683,19 @@
         )
         self.assertEqual(self.sent[1:], [])
 
+    def test_more_returns_than_one_message_has(self) -> None:
+        """Guards against returns that the owner ignores beyond the limit."""
+        returns = allowance_returns.PendingReturns()
+        owner = ids.DaemonId("b")
+        for number in range(100):
+            returns.add(owner, number, 1.0)
+        first = returns.take(owner)
+        self.assertLessEqual(len(first), allowance_returns.MAX_RETURNS)
+        self.assertIn(owner, returns.due_at)
+        numbers = [number for number, _ in first + returns.take(owner)]
+        self.assertEqual(numbers, list(range(100)))
+        self.assertNotIn(owner, returns.due_at)
+
     # Daemons of the previous release run beside this one.
     def test_previous_release_reads_requests_with_returns(self):
         class AllowanceRequest(
