Return the token of an attempt cancelled before it was written

Cause: an attempt that was cancelled while it waited for its connection, since its caller left or a hedge was answered, lost its token although no server had any byte of it.

Change: an attempt that is cancelled before its last check, after which it is written at once, returns its token.

Result: the new test failed before (no token returned) and passes. The scripted sender of the tests calls the last check now, as the real one does.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -985,7 +985,22 @@
         attempt_request: sending.AttemptRequest,
         granted: allowance_results.Granted | None,
     ) -> attempt_results.AttemptResult:
-        result = await self._sender.send(attempt_request)
+        may_have_begun = False
+
+        def may_send() -> bool:
+            nonlocal may_have_begun
+            may_have_begun = attempt_request.may_send()
+            return may_have_begun
+
+        try:
+            result = await self._sender.send(
+                dataclasses.replace(attempt_request, may_send=may_send)
+            )
+        except asyncio.CancelledError:
+            if not may_have_begun:
+                # It has waited for a connection, so that no server has it.
+                self._return_part(context, granted)
+            raise
         self._retry_budget.record_attempt(
             context.service, has_failed=retry_policy.is_failure(result)
         )
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_attempt_charges.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_attempt_charges.py
@@ -68,9 +68,11 @@
             server = ids.ServerId(f"i-{len(request.tried_servers)}")
             return server_selection.Send(server, 0.01)
 
-        async def send(_attempt_request):
+        async def send(attempt_request):
             self.sent_count += 1
             seconds, result = results[self.sent_count - 1]
+            # Called by the sender just before it writes the request.
+            self.assertTrue(attempt_request.may_send())
             await asyncio.sleep(seconds)
             return result
 
@@ -172,6 +174,24 @@
         self.assertIsInstance(outcome, outcomes.Unknown)
         self.assertEqual(self.sent_count, 1)
 
+    # A token was lost for each caller that left before its request was written.
+    async def test_attempt_cancelled_before_its_connection_is_returned(self):
+        tested = self.make_dispatcher(1)
+        connecting = asyncio.Event()
+
+        async def send(_attempt_request):
+            connecting.set()
+            await asyncio.sleep(60.0)
+
+        tested._sender = types.SimpleNamespace(send=send)
+        task = asyncio.ensure_future(tested.serve(self.make_request()))
+        await connecting.wait()
+        task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        self.assertEqual(self.released, self.acquired)
+        self.assertEqual(len(self.acquired), 1)
+
     # The caller closes its connection while it waits for a server.
     async def test_cancelled_request_returns_its_token(self):
         tested = self.make_dispatcher(1)
