--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -148,6 +148,7 @@
     )
 
 
+_REVOKED = server_selection.Refuse("the key was revoked")
 _WITHHELD = attempt_results.Failed(attempt_results.FailureKind.WITHHELD)
 
 
@@ -580,6 +581,11 @@
         """Searches a server until the key of the request is revoked."""
         if context.admission.tenant is None:
             return await self._select_server(context)
+        if not self._authenticator.may_send(
+            context.admission, context.request, context.route
+        ):
+            # While it waited for its part of the allowance.
+            return _REVOKED
         try:
             async with asyncio.timeout(None) as search:
                 self._searches[search] = context
@@ -588,7 +594,7 @@
                 finally:
                     del self._searches[search]
         except TimeoutError:
-            return server_selection.Refuse("the key was revoked")
+            return _REVOKED
 
     async def _select_server(
         self, context: _RequestContext
@@ -979,7 +985,22 @@
         attempt_request: sending.AttemptRequest,
         granted: allowance_results.Granted | None,
     ) -> attempt_results.AttemptResult:
-        result = await self._sender.send(attempt_request)
+        may_have_begun = False
+
+        def may_send() -> bool:
+            nonlocal may_have_begun
+            may_have_begun = attempt_request.may_send()
+            return may_have_begun
+
+        try:
+            result = await self._sender.send(
+                dataclasses.replace(attempt_request, may_send=may_send)
+            )
+        except asyncio.CancelledError:
+            if not may_have_begun:
+                # It has waited for a connection, so that no server has it.
+                self._return_part(context, granted)
+            raise
         self._retry_budget.record_attempt(
             context.service, has_failed=retry_policy.is_failure(result)
         )
--- a/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/picker.py
@@ -158,7 +158,16 @@
         demand = self._find_demand(request)
         search = _Search()
         if demand is None:
-            return await self._pick(request, waiting_order.UNRANKED, search)
+            is_sent = False
+            try:
+                decision = await self._pick(
+                    request, waiting_order.UNRANKED, search
+                )
+                is_sent = isinstance(decision, server_selection.Send)
+                return decision
+            finally:
+                # A new configuration may have made it late work.
+                self._end_late_work(request, search, is_sent=is_sent)
         priority = request.priority
         now = boot_clock.now()
         if not request.tried_servers:
@@ -181,8 +190,7 @@
         finally:
             now = boot_clock.now()
             demand.record_end(priority, now, is_sent=is_sent)
-            if search.is_late:
-                self._find_late_work(request).remove(now, is_sent=is_sent)
+            self._end_late_work(request, search, is_sent=is_sent)
             if is_sent and demand.is_starved(priority, now):
                 line.grant_turn(priority)
 
@@ -205,11 +213,13 @@
                     if selected is None:
                         continue
                     return selected
+                may_wait = True
                 if self._is_late(request):
                     if place is not None:
                         line.leave(place)
                         place = None
-                    if not self._can_send_late(request, search):
+                    may_wait = self._can_send_late(request, search)
+                    if not may_wait and line.has_waiting:
                         return _TOO_LATE
                 useful_seconds = self._useful_wait_seconds(request)
                 wait_step = self._selection_settings.wait_step
@@ -227,6 +237,8 @@
                     continue
                 if not isinstance(decision, server_selection.Wait):
                     return decision
+                if not may_wait:
+                    return _TOO_LATE
                 useful_seconds = self._useful_wait_seconds(request)
                 if useful_seconds <= decision.seconds:
                     # Its answer would be late; requests in the line come first.
@@ -383,6 +395,14 @@
             of_service.add(now)
         return of_service.can_be_sent(self._request_timing(request, now), now)
 
+    def _end_late_work(
+        self, request: SelectionRequest, search: _Search, *, is_sent: bool
+    ) -> None:
+        if search.is_late:
+            self._find_late_work(request).remove(
+                boot_clock.now(), is_sent=is_sent
+            )
+
     def _find_demand(
         self, request: SelectionRequest
     ) -> slot_reserves.ServiceDemand | None:
