Soak: crowds of misbehaving callers as a fault

Cause: the soak had no callers that hold memory or descriptors beside other faults.

Change: 1 to 3 crowds a plan, drawn apart so that a seed keeps its other faults: 40 callers at any listener stop 3 bytes short, pipeline without reading or stay silent for 0.5 to 4 s.

--- a/packages/standins/src/hyssopwind/standins/stops/plans.py
+++ b/packages/standins/src/hyssopwind/standins/stops/plans.py
@@ -155,6 +155,50 @@
     waits_for_listener: bool = False
 
 
+class Listener(enum.Enum):
+    """The listeners of a gateway; the values are its settings' names."""
+
+    CALLERS = "front"
+    READY = "ready"
+    PEERS = "control"
+    METRICS = "metrics"
+
+
+class CrowdKind(enum.Enum):
+    """What the callers of a crowd do, without reading or closing.
+
+    Attributes:
+        SHORT_BODIES: send bodies that stop 3 bytes short.
+        UNREAD_PIPELINES: send many requests at once.
+        SILENT: send nothing.
+    """
+
+    SHORT_BODIES = "short-bodies"
+    UNREAD_PIPELINES = "unread-pipelines"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crowd:
+    """Misbehaving callers that connect to one listener at the same time.
+
+    Attributes:
+        at: when they connect.
+        seconds: time for which they stay connected.
+        gateway: index of the gateway.
+        listener: the listener.
+        kind: what they do.
+        caller_count: number of connections.
+    """
+
+    at: float
+    seconds: float
+    gateway: int
+    listener: Listener
+    kind: CrowdKind
+    caller_count: int = 40
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerPlan:
     """One caller.
@@ -214,6 +258,7 @@
         world_actions: what is done to the store, the operator and the servers,
             in the order of time.
         service_count: number of services, which share the servers.
+        crowds: misbehaving callers, beside the others.
     """
 
     scenario: str
@@ -227,6 +272,7 @@
     grace_seconds: float = 6.0
     world_actions: tuple[WorldAction, ...] = ()
     service_count: int = 1
+    crowds: tuple[Crowd, ...] = ()
 
     def describe(self) -> str:
         """Returns the plan as text, one line for each action and caller."""
@@ -246,6 +292,7 @@
             lines.append(
                 f"  {change.at:7.3f} {change.kind.value} {change.target}"
             )
+        lines += [f"  {crowd}" for crowd in self.crowds]
         lines += [
             f"  caller {number}: {caller}"
             for number, caller in enumerate(self.callers)
--- a/packages/standins/src/hyssopwind/standins/stops/rig.py
+++ b/packages/standins/src/hyssopwind/standins/stops/rig.py
@@ -20,6 +20,7 @@
 from hyssopwind.standins.site import ports
 from hyssopwind.standins.site import store
 from hyssopwind.standins.stops import callers
+from hyssopwind.standins.stops import crowds
 from hyssopwind.standins.stops import judging
 from hyssopwind.standins.stops import plans
 from hyssopwind.standins.stops import records
@@ -140,6 +141,7 @@
         self._cores = cores
         self._settings = tomllib.loads(settings_path.read_text())
         self._process: asyncio.subprocess.Process | None = None
+        self._metrics_port = 0
         self._is_stopping = False
         self._start: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -147,7 +149,14 @@
     @property
     def callers_address(self) -> tuple[str, int]:
         """IP address and port for callers."""
-        host, _, port = self._settings["listen"]["front"].rpartition(":")
+        return self.find_address(plans.Listener.CALLERS)
+
+    def find_address(self, listener: plans.Listener) -> tuple[str, int]:
+        """Returns the IP address and port of a listener."""
+        if listener is plans.Listener.METRICS:
+            return self._settings["ip"], self._metrics_port
+        address = self._settings["listen"][listener.value]
+        host, _, port = address.rpartition(":")
         return host, int(port)
 
     async def start(self) -> None:
@@ -164,12 +173,12 @@
             int(address.rpartition(":")[2])
             for address in self._settings["listen"].values()
         }
-        (metrics_port,) = ports.find_free_ports(1, listen_ports)
+        (self._metrics_port,) = ports.find_free_ports(1, listen_ports)
         environment |= {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(self._root / "target/deps"),
             "HYSSOPWIND_BOOT": str(self._settings_path),
-            "HYSSOPWIND_METRICS_PORT": str(metrics_port),
+            "HYSSOPWIND_METRICS_PORT": str(self._metrics_port),
         }
         environment |= self._extra_environment()
         with self.log_path.open("ab") as stream:
@@ -343,6 +352,12 @@
             self._world.run(self._plan.world_actions, traffic_start)
         )
         self._stack.callback(world_ended.cancel)
+        for crowd in self._plan.crowds:
+            find_address = self._gateways[crowd.gateway].find_address
+            crowd_ended = asyncio.ensure_future(
+                crowds.run(crowd, find_address, traffic_start)
+            )
+            self._stack.callback(crowd_ended.cancel)
         for action in self._plan.actions:
             delay_seconds = traffic_start + action.at - time.monotonic()
             await asyncio.sleep(max(0.0, delay_seconds))
--- a/packages/standins/src/hyssopwind/standins/stops/soak.py
+++ b/packages/standins/src/hyssopwind/standins/stops/soak.py
@@ -32,6 +32,7 @@
 GATEWAY_COUNTS = (2, 3, 4)
 CALLER_COUNTS = (8, 14)
 FAULT_COUNTS = (6, 14)
+CROWD_COUNTS = (1, 3)
 MAX_SHRINK_RUNS = 12
 
 _Act = plans.ActionKind
@@ -68,9 +69,26 @@
         busy_processes=source.choice((0, 0, 2)),
         world_actions=tuple(sorted(changes, key=lambda change: change.at)),
         service_count=2,
+        crowds=_draw_crowds(seed, gateway_count),
     )
 
 
+def _draw_crowds(seed: int, gateway_count: int) -> tuple[plans.Crowd, ...]:
+    """Returns crowds, drawn apart so that a seed keeps its other faults."""
+    source = random.Random(f"{SCENARIO}-crowds-{seed}")
+    crowds = [
+        plans.Crowd(
+            source.uniform(1.0, FAULTS_END_SECONDS - 4.0),
+            source.uniform(0.5, 4.0),
+            source.randrange(gateway_count),
+            source.choice(list(plans.Listener)),
+            source.choice(list(plans.CrowdKind)),
+        )
+        for _ in range(source.randint(*CROWD_COUNTS))
+    ]
+    return tuple(sorted(crowds, key=lambda crowd: crowd.at))
+
+
 def _draw_gateway_fault(
     source: random.Random, gateway_count: int
 ) -> list[plans.Action]:
@@ -284,7 +302,7 @@
     async def shrink(self, plan: plans.Plan, rule: str) -> plans.Plan:
         """Returns a plan of fewer faults that still breaks a rule."""
         count = MAX_SHRINK_RUNS
-        for field in ("actions", "world_actions"):
+        for field in ("actions", "world_actions", "crowds"):
             for part in _parts_to_remove(len(getattr(plan, field))):
                 if not count:
                     return plan
@@ -354,6 +372,7 @@
             request_count += summary.request_count
             fault_counts.update(each.kind.value for each in plan.actions)
             fault_counts.update(each.kind.value for each in plan.world_actions)
+            fault_counts.update(each.kind.value for each in plan.crowds)
             _report(plan, summary, arguments.report)
             if not summary.breaches:
                 return
@@ -398,6 +417,7 @@
         "requests": summary.request_count,
         "held_up_seconds": round(summary.held_up_seconds, 3),
         "actions": len(plan.actions) + len(plan.world_actions),
+        "crowds": len(plan.crowds),
         "breaches": summary.breaches,
     }
     with path.open("a", encoding="utf-8") as stream:
--- a/packages/standins/src/hyssopwind/standins/tests/test_soak.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_soak.py
@@ -1,10 +1,12 @@
 """Oracles of the soak, its plans, and a short seeded soak."""
 
 import asyncio
+import itertools
 import pathlib
 import tempfile
 import unittest
 
+from hyssopwind.standins.stops import crowds
 from hyssopwind.standins.stops import judging
 from hyssopwind.standins.stops import oracles
 from hyssopwind.standins.stops import plans
@@ -130,6 +132,29 @@
         plan = soak.draw(7)
         self.assertEqual(soak.decode_plan(soak.encode_plan(plan)), plan)
 
+    # A kind or a listener that is never drawn is never tested.
+    def test_each_crowd_is_drawn_at_each_listener(self):
+        drawn = {
+            (crowd.kind, crowd.listener)
+            for seed in range(1, 60)
+            for crowd in soak.draw(seed).crowds
+        }
+        self.assertEqual(
+            drawn,
+            set(itertools.product(plans.CrowdKind, plans.Listener)),
+        )
+
+    def test_crowd_stops_short_or_pipelines_or_sends_nothing(self):
+        data = {kind: crowds.make_data(kind) for kind in plans.CrowdKind}
+        head, _, body = data[plans.CrowdKind.SHORT_BODIES].partition(
+            b"\r\n\r\n"
+        )
+        declared = int(head.rpartition(b" ")[2])
+        self.assertEqual(len(body), declared - crowds.MISSING_BYTES)
+        pipeline = data[plans.CrowdKind.UNREAD_PIPELINES]
+        self.assertEqual(pipeline.count(b"GET "), crowds.PIPELINED_REQUESTS)
+        self.assertEqual(data[plans.CrowdKind.SILENT], b"")
+
     def test_shrinking_keeps_the_fault_that_breaks_the_rule(self):
         plan = soak.draw(7)
         needed = plan.world_actions[0]
