Test that a granted reservation of a body counts at once

A draft of the protocol of hyssopwindd did not count a reservation between its grant and the next turn of its handler, so that the account reached 109 MB of 15 MB.

--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import json
 import random
 import re
@@ -9,6 +10,7 @@
 from hyssopwind.core import messages
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.callers import caller_account
 from hyssopwind.core.configuration import configuration_store
 from hyssopwind.core.membership import vm_records
 from hyssopwind.core.node import node
@@ -239,6 +241,38 @@
         self.assert_problem(answer, 503, "overloaded", "not-run")
         self.assertIn("retry-after", answer[1])
 
+    # A granted reservation that was not counted at once was granted twice.
+    async def test_waiting_bodies_are_granted_no_more_than_the_total(self):
+        with mock.patch.object(caller_account, "BODY_COPIES", 100):
+            limits = caller_resources.derive_limits(4_000_000, 0)
+            self.resources.apply_limits(
+                dataclasses.replace(
+                    limits,
+                    max_connections=dict.fromkeys(caller_account.Listener, 99),
+                )
+            )
+            sent = [
+                asyncio.create_task(self.send_short(1 + number // 2))
+                for number in range(20)
+            ]
+            held = []
+            while not all(task.done() for task in sent):
+                held.append(self.resources.account.held_bytes)
+                await asyncio.sleep(0.002)
+        bodies_ratio = caller_account.LARGE_REQUESTS_RATIO
+        highest = bodies_ratio * limits.total_bytes + 20 * 8_192
+        self.assertLessEqual(max(held), highest)
+        self.assertGreater(max(held), 300_000)
+
+    async def send_short(self, piece_count):
+        """Sends pieces of a body and disconnects before its end."""
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(self.request("PUT", Content_Length="1000").encode())
+        for _ in range(piece_count):
+            await asyncio.sleep(0.05)
+            writer.write(b"x" * 100)
+        writer.transport.abort()
+
     async def test_pipelined_requests_are_answered_in_order(self):
         texts = [
             self.request("PUT", body=f"{number:0900}").replace("close", "x")
