Make up for a hang check that the probe budget denied

Cause: a finding that a server ignores a request counts once. If another server had been checked in the last second and the probe budget was spent, the check was dropped, and peers were not told of the server.

Change: such a check is made when the next one needs no budget, a second after the last. At most one waits; the connections are held until it.

Result: the new test failed before and passes, as do the other tests of test_hang*.

--- a/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/load_probes.py
@@ -363,28 +363,31 @@
         silent: Collection[connection.ClientConnection],
         answer_seconds: float,
     ) -> None:
-        """Starts to verify that a server hangs, where the budget permits it.
+        """Starts to verify that a server hangs, at once if the budget permits.
 
         One check a second needs no budget: a server that hangs would otherwise
-        get requests of all daemons while the budget is spent.
+        get requests of all daemons while the budget is spent. A check that the
+        budget denies is that of the next second, if no other one is.
         """
         server = listed_server.entry.id
+        if server in self._hang_checks:
+            return
         now = boot_clock.now()
-        if server in self._hang_checks or (
-            now < self._hang_checked_at + MIN_HANG_NOTICE_SECONDS
-            and not self._probe_budget.try_acquire(
-                1,
-                server_count=self._catalogue.server_count,
-                daemon_count=self._sharing_daemon_count(),
-                now=now,
-            )
+        delay = max(0.0, self._hang_checked_at + MIN_HANG_NOTICE_SECONDS - now)
+        if delay <= 0.0:
+            self._announce_hang(server, True)
+        elif self._probe_budget.try_acquire(
+            1,
+            server_count=self._catalogue.server_count,
+            daemon_count=self._sharing_daemon_count(),
+            now=now,
         ):
+            delay = 0.0
+        elif delay > MIN_HANG_NOTICE_SECONDS:
             return
-        if now >= self._hang_checked_at + MIN_HANG_NOTICE_SECONDS:
-            self._announce_hang(server, True)
-        self._hang_checked_at = now
+        self._hang_checked_at = max(self._hang_checked_at, now + delay)
         # An answer that the probe's overtook needs as long at most.
-        pause = server_health.HANG_CHECK_SECONDS + answer_seconds
+        pause = delay + server_health.HANG_CHECK_SECONDS + answer_seconds
         for each in silent:
             each.hold(pause + HANG_PROBE_SECONDS)
         self._hang_checks[server] = asyncio.get_running_loop().create_task(
--- a/packages/standins/src/hyssopwind/standins/tests/test_hang_notices.py
+++ b/packages/standins/src/hyssopwind/standins/tests/test_hang_notices.py
@@ -208,6 +208,20 @@
 
         self.assertTrue(self.run_scene(play))
 
+    # A check for which the budget had no probe left was never made up for.
+    def test_server_that_hangs_is_ejected_though_a_check_was_denied(self):
+        async def play(scene):
+            scene.own._probe_budget = types.SimpleNamespace(
+                try_acquire=lambda *_, **__: False
+            )
+            scene.own.check_server = scene.own._start_probe
+            await scene.send()
+            # Another server was checked, so that this check needs the budget.
+            scene.own._hang_checked_at = boot_clock.now()
+            await scene.probe_for(1.5)
+
+        self.assertTrue(self.run_scene(play))
+
     # The answer of a hedge cancelled the request before it could be verified.
     def test_server_that_hangs_is_ejected_though_the_request_is_cancelled(self):
         async def play(scene):
