hyssopwindd: a reclamation spares a run that has just ended

Cause: between the end of a run and the writing of its answer a connection has no running request, no unacknowledged bytes and no recent progress. A reclamation in that turn of the event loop closed it, and the caller of a request that had run got no answer.

Change: the end of a run counts as progress.

Result: test_reclamation_spares_a_run_that_has_just_ended failed before (no answer) and passes.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -307,6 +307,8 @@
 
     def finish_run(self) -> None:
         """Ends the count of a request that no server runs any more."""
+        # Its answer is not written yet, and must not be reclaimed before.
+        self._holding.progress_at = boot_clock.now()
         self._resources.finish(self._holding)
         if self._is_lost and not self._holding.running_count:
             self._resources.release(self._holding, self)
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -9,6 +9,7 @@
 from hyssopwind.core import messages
 from hyssopwind.core import outcomes
 from hyssopwind.core.attempts import attempt_results
+from hyssopwind.core.callers import caller_account
 from hyssopwind.core.configuration import configuration_store
 from hyssopwind.core.membership import vm_records
 from hyssopwind.core.node import node
@@ -20,6 +21,7 @@
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import tracing
 from hyssopwind.daemon.gateway import caller_resources
+from hyssopwind.transport import boot_clock
 
 RUNS_ALONE = True  # real sockets and times
 
@@ -328,6 +330,31 @@
         writer.close()
         self.assertGreater(held_bytes, 600_000)
 
+    # Between the end of a run and its answer, a reclamation closed the
+    # connection, as its caller had sent nothing while it waited.
+    async def test_reclamation_spares_a_run_that_has_just_ended(self):
+        ticket = await self.fetch_ticket()
+        self.servers.release = asyncio.Event()
+        text = self.request("POST", body="pay", Hyssopwind_Ticket=ticket)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        while not self.servers.attempt_requests:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(caller_account.RECLAIM_SILENCE_SECONDS)
+        account = self.resources.account
+        finish = account.finish
+
+        def finish_and_reclaim(holding):
+            finish(holding)
+            for each in account.find_reclaimable(boot_clock.now(), 1):
+                self.resources._connections[each].reclaim()
+
+        with mock.patch.object(account, "finish", finish_and_reclaim):
+            self.servers.release.set()
+            data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 200", data)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
