hyssopwindd: answer a malformed body at once

Cause: aiohttp reports a parse error in a body whose handler has started only as another request. The handler waited until the body was too slow (10 s) and answered 408.

Change: such an error ends the body, and its request is answered 400.

Result: test_malformed_chunk_in_a_later_piece_is_refused failed before (no answer in 5 s) and passes. FrontendTest: 35 passed.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -204,6 +204,9 @@
         was_in_body = self._is_in_body
         super().data_received(data)
         new_count = self._request_count - earlier_count
+        if new_count and self._is_in_body:
+            # aiohttp reports a malformed body only as another request.
+            self._refuse_body("malformed body")
         body_bytes = self._count_body_bytes() if was_in_body else 0
         head_bytes = body_bytes
         if new_count:
@@ -509,10 +512,13 @@
     def _add_trailers(self, byte_count: int) -> None:
         """Counts bytes of a body without data; refuses too many of them."""
         self._partial_bytes += byte_count
-        if self._partial_bytes > MAX_TRAILER_BYTES and self._body is not None:
-            self._body.set_exception(
-                http_exceptions.BadHttpMessage("trailers too long")
-            )
+        if self._partial_bytes > MAX_TRAILER_BYTES:
+            self._refuse_body("trailers too long")
+
+    def _refuse_body(self, reason: str) -> None:
+        """Lets the handler of the last request answer that it is malformed."""
+        if self._body is not None:
+            self._body.set_exception(http_exceptions.BadHttpMessage(reason))
 
     def _end_request(self) -> None:
         """Releases what an answered request took, and parses on."""
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -355,6 +355,19 @@
         writer.close()
         self.assertIn(b"HTTP/1.1 200", data)
 
+    # The parser told only of another request, and the handler waited for 10 s.
+    async def test_malformed_chunk_in_a_later_piece_is_refused(self):
+        text = self.request("POST", Transfer_Encoding="chunked")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await asyncio.sleep(0.05)
+        writer.write(b"zz\r\nabcd\r\n0\r\n\r\n")
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 400", data)
+        self.assertIn(b"not-run", data)
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
