hyssopwindd: a trailer is no field of the next request

Cause: aiohttp's parser processes the last trailer of a body in chunks only with the first field of the next request, and adds it to that request's fields; a Hyssopwind-Ticket or X-Request-Timeout-Ms among them is obeyed.

Change: no more than the end of one head or body is parsed at a time, and the parser is replaced after a body in chunks.

Result: test_trailer_is_no_field_of_the_next_request failed before (X-Trail in the fields of the second request) and passes.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -18,6 +18,7 @@
 
 import logbook
 from aiohttp import http_exceptions
+from aiohttp import http_parser
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
@@ -45,6 +46,7 @@
 # Work for one connection before others have their turn, in lines of heads and
 # chunks.
 MAX_TURN_EVENTS = 100
+_HEAD_END = b"\r\n\r\n"  # also of trailers
 
 _log = logbook.Logger("frontend")
 _NO_ACCESS_LOG = logging.getLogger("hyssopwind.no-access-log")
@@ -81,12 +83,14 @@
         "_holding",
         "_granted_bytes",
         "_is_busy",
+        "_is_chunked",
         "_is_lingering",
         "_is_lost",
         "_is_parsing",
         "_is_reading_body",
         "_kept_bytes",
         "_memory_timer",
+        "_parsed_end",
         "_partial_bytes",
         "_request_costs",
         "_resources",
@@ -114,6 +118,7 @@
         # Bytes that were received and not parsed, as the connection is blocked.
         self._unparsed = b""
         self._is_parsing = False
+        self._parsed_end = b""  # last bytes that were parsed
         self._block: _Block | None = None
         # Memory of each unanswered request, the one being answered first.
         self._request_costs: collections.deque[int] = collections.deque()
@@ -124,6 +129,7 @@
         # Body of the last request, and what of it was received.
         self._body: streams.StreamReader | None = None
         self._declared_bytes = 0
+        self._is_chunked = False
         self._counted_body_bytes = 0
         self._is_reading_body = False
         # Reservation for a body, and what of it the account has granted.
@@ -220,6 +226,9 @@
             self._partial_bytes = max(0, len(data) - head_bytes)
         else:
             self._partial_bytes += len(data)
+        if self._is_chunked and not self._is_in_body:
+            self._is_chunked = False
+            self._replace_parser()
         if not self._is_parsing:
             self._update_held()
 
@@ -406,9 +415,9 @@
             block = self._find_block(event_count)
             if block is not None:
                 break
-            end = position + self._slice_bytes()
-            piece = data[position:end]
-            position = end
+            piece = self._next_piece(data, position)
+            position += len(piece)
+            self._parsed_end = (self._parsed_end + piece)[1 - len(_HEAD_END) :]
             # Each line is a field, a request or the size of a chunk.
             is_declared = self._is_in_body and self._declared_bytes > 0
             event_count += 1 if is_declared else 1 + piece.count(b"\n")
@@ -422,11 +431,40 @@
         self._set_block(block)
         self._update_held()
 
-    def _slice_bytes(self) -> int:
-        """Returns how many bytes are parsed before they are counted."""
-        if not self._is_in_body:
-            return SLICE_BYTES
-        return max(SLICE_BYTES, self._declared_bytes - self._counted_body_bytes)
+    def _next_piece(self, data: bytes, position: int) -> bytes:
+        """Returns the bytes that are parsed next and then counted.
+
+        A piece contains the end of at most one head or body, as its last bytes.
+        """
+        if self._is_in_body and self._declared_bytes:
+            missing_bytes = self._declared_bytes - self._counted_body_bytes
+            return data[position : position + max(1, missing_bytes)]
+        piece = data[position : position + SLICE_BYTES]
+        earlier = self._parsed_end
+        index = (earlier + piece).find(_HEAD_END)
+        if index < 0:
+            return piece
+        return piece[: index + len(_HEAD_END) - len(earlier)]
+
+    def _replace_parser(self) -> None:
+        """Ends a body in chunks.
+
+        The parser of aiohttp would add its last trailer to the fields of the
+        next request.
+        """
+        if self._parser is None:
+            return
+        self._parser = http_parser.HttpRequestParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web_protocol.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=web_protocol.MAX_MSG_QUEUE_SIZE,
+        )
 
     def _find_block(self, event_count: int) -> _Block | None:
         """Returns why no further bytes may be parsed, if so."""
@@ -489,7 +527,9 @@
         self._body = payload
         self._counted_body_bytes = 0
         self._declared_bytes = 0
-        if not payload.is_eof() and not message.chunked:
+        # Bytes that are no valid request have no encoding.
+        self._is_chunked = getattr(message, "chunked", False)
+        if not payload.is_eof() and not self._is_chunked:
             self._declared_bytes = int(
                 message.headers.get("Content-Length", "0")
             )
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -368,6 +368,26 @@
         self.assertIn(b"not-run", data)
         self.assertEqual(data.count(b"HTTP/1.1"), 1)
 
+    # aiohttp's parser added the last trailer to the fields of the next request.
+    async def test_trailer_is_no_field_of_the_next_request(self):
+        first = self.request("PUT", Transfer_Encoding="chunked")
+        first = first.replace("close", "x")
+        for trailers in ("X-Trail: t\r\n", "X-A: a\r\nX-Trail: t\r\n"):
+            for pause_seconds in (0.0, 0.05):
+                self.servers.attempt_requests.clear()
+                body = f"1\r\na\r\n0\r\n{trailers}\r\n"
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.port
+                )
+                writer.write((first + body).encode())
+                await asyncio.sleep(pause_seconds)
+                writer.write(self.request("PUT", body="b").encode())
+                data = await asyncio.wait_for(reader.read(), 5.0)
+                writer.close()
+                self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+                for each in self.servers.attempt_requests:
+                    self.assertNotIn("X-Trail", dict(each.fields))
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
