hyssopwindd: a reserved body is read to its end

Cause: each part of a body asked again for the memory that was reserved for it. When others had taken the rest, the body was not read, kept its reservation, and was answered 408 as too slow after 10 s.

Change: a body whose reservation is granted is read without a further check.

Result: test_reserved_body_is_read_while_others_hold_the_rest failed before (no answer in 5 s) and passes. FrontendTest: 37 passed.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -593,6 +593,11 @@
     def _try_hold(self) -> bool:
         """Counts what is held; returns whether more may be read."""
         base = self._base_bytes()
+        if self._is_reading_body and self._granted_bytes == self._wanted_bytes:
+            # A body in progress must not wait, or it would keep its
+            # reservation from others that wait as well.
+            self._update_held()
+            return True
         is_held = self._resources.account.try_hold(
             self._holding, base + self._granted_bytes, base + self._wanted_bytes
         )
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -388,6 +388,25 @@
                 for each in self.servers.attempt_requests:
                     self.assertNotIn("X-Trail", dict(each.fields))
 
+    # A body whose memory was reserved stopped when others came, kept its
+    # reservation, and was answered 408 after 10 s.
+    async def test_reserved_body_is_read_while_others_hold_the_rest(self):
+        account = self.resources.account
+        others = account.open(caller_account.Listener.CALLERS, boot_clock.now())
+        others.is_waiting = True  # so that it is not reclaimed
+        self.addCleanup(account.close, others)
+        text = self.request("PUT", body="x" * 900)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text[:-100].encode())
+        await asyncio.sleep(0.05)
+        account.set_held(others, account.limits.total_bytes)
+        writer.write(text[-100:-50].encode())
+        await asyncio.sleep(0.05)
+        writer.write(text[-50:].encode())
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 200", data)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
