hyssopwindd: count requests behind a declined upgrade

Cause: aiohttp parses what came behind a declined upgrade itself. Such a request was not counted, and its body was taken for a partial head and stayed counted until the next request (130 KB after a body of 60 KB).

Change: the end of the upgrade request counts them.

--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -77,6 +77,7 @@
         "_block",
         "_body",
         "_counted_body_bytes",
+        "_counted_requests",
         "_declared_bytes",
         "_has_caller_closed",
         "_hold_waiter",
@@ -122,6 +123,7 @@
         self._block: _Block | None = None
         # Memory of each unanswered request, the one being answered first.
         self._request_costs: collections.deque[int] = collections.deque()
+        self._counted_requests = 0
         # Memory of the last head, which the parser keeps until the next one.
         self._kept_bytes = 0
         # Bytes of a head that is not complete.
@@ -206,18 +208,14 @@
         """Lets aiohttp parse, which also calls it to resume, and counts."""
         if self._is_lingering or self._parser is None:
             return
-        earlier_count = self._request_count
         was_in_body = self._is_in_body
         super().data_received(data)
-        new_count = self._request_count - earlier_count
+        new_count = self._request_count - self._counted_requests
         if new_count and self._is_in_body:
             # aiohttp reports a malformed body only as another request.
             self._refuse_body("malformed body")
         body_bytes = self._count_body_bytes() if was_in_body else 0
-        head_bytes = body_bytes
-        if new_count:
-            for message, payload in list(self._messages)[-new_count:]:
-                head_bytes += self._add_request(message, payload)
+        head_bytes = body_bytes + self._count_requests()
         if self._is_in_body and (new_count or body_bytes):
             self._partial_bytes = 0
         elif self._is_in_body:
@@ -512,6 +510,16 @@
         if self._block is _Block.PIPELINE and self.transport is not None:
             self._parse()
 
+    def _count_requests(self) -> int:
+        """Counts newly parsed requests; returns their length as received."""
+        new_count = self._request_count - self._counted_requests
+        self._counted_requests = self._request_count
+        byte_count = 0
+        if new_count:
+            for message, payload in list(self._messages)[-new_count:]:
+                byte_count += self._add_request(message, payload)
+        return byte_count
+
     def _add_request(self, message: Any, payload: streams.StreamReader) -> int:
         """Counts a parsed request; returns its length as received."""
         cost = caller_account.REQUEST_OVERHEAD_BYTES
@@ -565,6 +573,10 @@
         self._end_reservation()
         if self._request_costs:
             self._request_costs.popleft()
+        if self._request_count > self._counted_requests:
+            # aiohttp itself parses what came behind a declined upgrade.
+            self._count_requests()
+            self._partial_bytes = 0
         if not (self._messages or self._reading_paused or self._buffer_paused):
             # Its parser counts a request whose body came after its handler had
             # started once too often, and may stop before the queue is full.
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -407,6 +407,27 @@
         writer.close()
         self.assertIn(b"HTTP/1.1 200", data)
 
+    # A body behind a declined upgrade stayed counted after its answer.
+    async def test_request_behind_a_declined_upgrade_is_counted(self):
+        first = self.request(Upgrade="websocket").replace("close", "Upgrade")
+        second = self.request("PUT", body="x" * 900).replace("close", "x")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write((first + second[:-800]).encode())
+        data = b""
+        async with asyncio.timeout(5.0):
+            while data.count(b"HTTP/1.1 200") < 1:
+                data += await reader.read(65_536)
+            for position in range(800, 0, -100):
+                end = 100 - position or None
+                writer.write(second[-position:end].encode())
+                await asyncio.sleep(0.01)
+            while data.count(b"HTTP/1.1 200") < 2:
+                data += await reader.read(65_536)
+        await asyncio.sleep(0.05)
+        held_bytes = self.resources.account.held_bytes
+        writer.close()
+        self.assertLess(held_bytes, caller_account.CONNECTION_BYTES + 2_500)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
