--- a/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
+++ b/packages/daemon/src/hyssopwind/daemon/caller_protocol.py
@@ -18,6 +18,7 @@
 
 import logbook
 from aiohttp import http_exceptions
+from aiohttp import http_parser
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
@@ -45,6 +46,7 @@
 # Work for one connection before others have their turn, in lines of heads and
 # chunks.
 MAX_TURN_EVENTS = 100
+_HEAD_END = b"\r\n\r\n"  # also of trailers
 
 _log = logbook.Logger("frontend")
 _NO_ACCESS_LOG = logging.getLogger("hyssopwind.no-access-log")
@@ -75,18 +77,21 @@
         "_block",
         "_body",
         "_counted_body_bytes",
+        "_counted_requests",
         "_declared_bytes",
         "_has_caller_closed",
         "_hold_waiter",
         "_holding",
         "_granted_bytes",
         "_is_busy",
+        "_is_chunked",
         "_is_lingering",
         "_is_lost",
         "_is_parsing",
         "_is_reading_body",
         "_kept_bytes",
         "_memory_timer",
+        "_parsed_end",
         "_partial_bytes",
         "_request_costs",
         "_resources",
@@ -114,9 +119,11 @@
         # Bytes that were received and not parsed, as the connection is blocked.
         self._unparsed = b""
         self._is_parsing = False
+        self._parsed_end = b""  # last bytes that were parsed
         self._block: _Block | None = None
         # Memory of each unanswered request, the one being answered first.
         self._request_costs: collections.deque[int] = collections.deque()
+        self._counted_requests = 0
         # Memory of the last head, which the parser keeps until the next one.
         self._kept_bytes = 0
         # Bytes of a head that is not complete.
@@ -124,6 +131,7 @@
         # Body of the last request, and what of it was received.
         self._body: streams.StreamReader | None = None
         self._declared_bytes = 0
+        self._is_chunked = False
         self._counted_body_bytes = 0
         self._is_reading_body = False
         # Reservation for a body, and what of it the account has granted.
@@ -200,15 +208,14 @@
         """Lets aiohttp parse, which also calls it to resume, and counts."""
         if self._is_lingering or self._parser is None:
             return
-        earlier_count = self._request_count
         was_in_body = self._is_in_body
         super().data_received(data)
-        new_count = self._request_count - earlier_count
+        new_count = self._request_count - self._counted_requests
+        if new_count and self._is_in_body:
+            # aiohttp reports a malformed body only as another request.
+            self._refuse_body("malformed body")
         body_bytes = self._count_body_bytes() if was_in_body else 0
-        head_bytes = body_bytes
-        if new_count:
-            for message, payload in list(self._messages)[-new_count:]:
-                head_bytes += self._add_request(message, payload)
+        head_bytes = body_bytes + self._count_requests()
         if self._is_in_body and (new_count or body_bytes):
             self._partial_bytes = 0
         elif self._is_in_body:
@@ -217,6 +224,9 @@
             self._partial_bytes = max(0, len(data) - head_bytes)
         else:
             self._partial_bytes += len(data)
+        if self._is_chunked and not self._is_in_body:
+            self._is_chunked = False
+            self._replace_parser()
         if not self._is_parsing:
             self._update_held()
 
@@ -307,6 +317,8 @@
 
     def finish_run(self) -> None:
         """Ends the count of a request that no server runs any more."""
+        # Its answer is not written yet, and must not be reclaimed before.
+        self._holding.progress_at = boot_clock.now()
         self._resources.finish(self._holding)
         if self._is_lost and not self._holding.running_count:
             self._resources.release(self._holding, self)
@@ -401,9 +413,9 @@
             block = self._find_block(event_count)
             if block is not None:
                 break
-            end = position + self._slice_bytes()
-            piece = data[position:end]
-            position = end
+            piece = self._next_piece(data, position)
+            position += len(piece)
+            self._parsed_end = (self._parsed_end + piece)[1 - len(_HEAD_END) :]
             # Each line is a field, a request or the size of a chunk.
             is_declared = self._is_in_body and self._declared_bytes > 0
             event_count += 1 if is_declared else 1 + piece.count(b"\n")
@@ -417,11 +429,40 @@
         self._set_block(block)
         self._update_held()
 
-    def _slice_bytes(self) -> int:
-        """Returns how many bytes are parsed before they are counted."""
-        if not self._is_in_body:
-            return SLICE_BYTES
-        return max(SLICE_BYTES, self._declared_bytes - self._counted_body_bytes)
+    def _next_piece(self, data: bytes, position: int) -> bytes:
+        """Returns the bytes that are parsed next and then counted.
+
+        A piece contains the end of at most one head or body, as its last bytes.
+        """
+        if self._is_in_body and self._declared_bytes:
+            missing_bytes = self._declared_bytes - self._counted_body_bytes
+            return data[position : position + max(1, missing_bytes)]
+        piece = data[position : position + SLICE_BYTES]
+        earlier = self._parsed_end
+        index = (earlier + piece).find(_HEAD_END)
+        if index < 0:
+            return piece
+        return piece[: index + len(_HEAD_END) - len(earlier)]
+
+    def _replace_parser(self) -> None:
+        """Ends a body in chunks.
+
+        The parser of aiohttp would add its last trailer to the fields of the
+        next request.
+        """
+        if self._parser is None:
+            return
+        self._parser = http_parser.HttpRequestParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web_protocol.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=web_protocol.MAX_MSG_QUEUE_SIZE,
+        )
 
     def _find_block(self, event_count: int) -> _Block | None:
         """Returns why no further bytes may be parsed, if so."""
@@ -469,6 +510,16 @@
         if self._block is _Block.PIPELINE and self.transport is not None:
             self._parse()
 
+    def _count_requests(self) -> int:
+        """Counts newly parsed requests; returns their length as received."""
+        new_count = self._request_count - self._counted_requests
+        self._counted_requests = self._request_count
+        byte_count = 0
+        if new_count:
+            for message, payload in list(self._messages)[-new_count:]:
+                byte_count += self._add_request(message, payload)
+        return byte_count
+
     def _add_request(self, message: Any, payload: streams.StreamReader) -> int:
         """Counts a parsed request; returns its length as received."""
         cost = caller_account.REQUEST_OVERHEAD_BYTES
@@ -484,7 +535,9 @@
         self._body = payload
         self._counted_body_bytes = 0
         self._declared_bytes = 0
-        if not payload.is_eof() and not message.chunked:
+        # Bytes that are no valid request have no encoding.
+        self._is_chunked = getattr(message, "chunked", False)
+        if not payload.is_eof() and not self._is_chunked:
             self._declared_bytes = int(
                 message.headers.get("Content-Length", "0")
             )
@@ -507,16 +560,23 @@
     def _add_trailers(self, byte_count: int) -> None:
         """Counts bytes of a body without data; refuses too many of them."""
         self._partial_bytes += byte_count
-        if self._partial_bytes > MAX_TRAILER_BYTES and self._body is not None:
-            self._body.set_exception(
-                http_exceptions.BadHttpMessage("trailers too long")
-            )
+        if self._partial_bytes > MAX_TRAILER_BYTES:
+            self._refuse_body("trailers too long")
+
+    def _refuse_body(self, reason: str) -> None:
+        """Lets the handler of the last request answer that it is malformed."""
+        if self._body is not None:
+            self._body.set_exception(http_exceptions.BadHttpMessage(reason))
 
     def _end_request(self) -> None:
         """Releases what an answered request took, and parses on."""
         self._end_reservation()
         if self._request_costs:
             self._request_costs.popleft()
+        if self._request_count > self._counted_requests:
+            # aiohttp itself parses what came behind a declined upgrade.
+            self._count_requests()
+            self._partial_bytes = 0
         if not (self._messages or self._reading_paused or self._buffer_paused):
             # Its parser counts a request whose body came after its handler had
             # started once too often, and may stop before the queue is full.
@@ -545,6 +605,11 @@
     def _try_hold(self) -> bool:
         """Counts what is held; returns whether more may be read."""
         base = self._base_bytes()
+        if self._is_reading_body and self._granted_bytes == self._wanted_bytes:
+            # A body in progress must not wait, or it would keep its
+            # reservation from others that wait as well.
+            self._update_held()
+            return True
         is_held = self._resources.account.try_hold(
             self._holding, base + self._granted_bytes, base + self._wanted_bytes
         )
--- a/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
+++ b/packages/daemon/src/hyssopwind/daemon/tests/test_frontend.py
@@ -22,6 +22,7 @@
 from hyssopwind.daemon import serving
 from hyssopwind.daemon import tracing
 from hyssopwind.daemon.gateway import caller_resources
+from hyssopwind.transport import boot_clock
 
 RUNS_ALONE = True  # real sockets and times
 
@@ -362,6 +363,104 @@
         writer.close()
         self.assertGreater(held_bytes, 600_000)
 
+    # Between the end of a run and its answer, a reclamation closed the
+    # connection, as its caller had sent nothing while it waited.
+    async def test_reclamation_spares_a_run_that_has_just_ended(self):
+        ticket = await self.fetch_ticket()
+        self.servers.release = asyncio.Event()
+        text = self.request("POST", body="pay", Hyssopwind_Ticket=ticket)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        while not self.servers.attempt_requests:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(caller_account.RECLAIM_SILENCE_SECONDS)
+        account = self.resources.account
+        finish = account.finish
+
+        def finish_and_reclaim(holding):
+            finish(holding)
+            for each in account.find_reclaimable(boot_clock.now(), 1):
+                self.resources._connections[each].reclaim()
+
+        with mock.patch.object(account, "finish", finish_and_reclaim):
+            self.servers.release.set()
+            data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 200", data)
+
+    # The parser told only of another request, and the handler waited for 10 s.
+    async def test_malformed_chunk_in_a_later_piece_is_refused(self):
+        text = self.request("POST", Transfer_Encoding="chunked")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text.encode())
+        await asyncio.sleep(0.05)
+        writer.write(b"zz\r\nabcd\r\n0\r\n\r\n")
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 400", data)
+        self.assertIn(b"not-run", data)
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
+    # aiohttp's parser added the last trailer to the fields of the next request.
+    async def test_trailer_is_no_field_of_the_next_request(self):
+        first = self.request("PUT", Transfer_Encoding="chunked")
+        first = first.replace("close", "x")
+        for trailers in ("X-Trail: t\r\n", "X-A: a\r\nX-Trail: t\r\n"):
+            for pause_seconds in (0.0, 0.05):
+                self.servers.attempt_requests.clear()
+                body = f"1\r\na\r\n0\r\n{trailers}\r\n"
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.port
+                )
+                writer.write((first + body).encode())
+                await asyncio.sleep(pause_seconds)
+                writer.write(self.request("PUT", body="b").encode())
+                data = await asyncio.wait_for(reader.read(), 5.0)
+                writer.close()
+                self.assertEqual(data.count(b"HTTP/1.1 200"), 2)
+                for each in self.servers.attempt_requests:
+                    self.assertNotIn("X-Trail", dict(each.fields))
+
+    # A body whose memory was reserved stopped when others came, kept its
+    # reservation, and was answered 408 after 10 s.
+    async def test_reserved_body_is_read_while_others_hold_the_rest(self):
+        account = self.resources.account
+        others = account.open(caller_account.Listener.CALLERS, boot_clock.now())
+        others.is_waiting = True  # so that it is not reclaimed
+        self.addCleanup(account.close, others)
+        text = self.request("PUT", body="x" * 900)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text[:-100].encode())
+        await asyncio.sleep(0.05)
+        account.set_held(others, account.limits.total_bytes)
+        writer.write(text[-100:-50].encode())
+        await asyncio.sleep(0.05)
+        writer.write(text[-50:].encode())
+        data = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        self.assertIn(b"HTTP/1.1 200", data)
+
+    # A body behind a declined upgrade stayed counted after its answer.
+    async def test_request_behind_a_declined_upgrade_is_counted(self):
+        first = self.request(Upgrade="websocket").replace("close", "Upgrade")
+        second = self.request("PUT", body="x" * 900).replace("close", "x")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write((first + second[:-800]).encode())
+        data = b""
+        async with asyncio.timeout(5.0):
+            while data.count(b"HTTP/1.1 200") < 1:
+                data += await reader.read(65_536)
+            for position in range(800, 0, -100):
+                end = 100 - position or None
+                writer.write(second[-position:end].encode())
+                await asyncio.sleep(0.01)
+            while data.count(b"HTTP/1.1 200") < 2:
+                data += await reader.read(65_536)
+        await asyncio.sleep(0.05)
+        held_bytes = self.resources.account.held_bytes
+        writer.close()
+        self.assertLess(held_bytes, caller_account.CONNECTION_BYTES + 2_500)
+
     async def test_oversized_field_is_refused(self):
         answer = await self.send(self.request(X_Long="x" * 20_000))
         self.assertIn(" 400 ", answer[0])
