Revert "Retry reserves: late requests leave what all others need"

A late request was hardly ever sent again, as its own failure made the share of failed attempts at least 0.2. Its tests go with it.

--- a/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
+++ b/packages/core/src/hyssopwind/core/dispatch/retry_reserves.py
@@ -57,7 +57,6 @@
         work_seconds: expected seconds of its work.
         kind: why it is sent again.
         is_caller_retry: whether its caller came back after a refusal.
-        is_late: whether its answer cannot be in target any more.
         classes: the priorities of its service in the configuration in force;
             if empty, those seen lately count.
     """
@@ -66,7 +65,6 @@
     work_seconds: float = 0.0
     kind: RetryKind = RetryKind.RETRY
     is_caller_retry: bool = False
-    is_late: bool = False
     classes: frozenset[priorities.Priority] = frozenset()
 
 
@@ -268,11 +266,8 @@
             return
 
     def record_retry(self, demand: RetryDemand, now: float) -> None:
-        """Records a retry that was allowed.
-
-        Hedges and retries of late requests meet no need of a class.
-        """
-        if demand.kind is RetryKind.HEDGE or demand.is_late:
+        """Records a retry that was allowed; hedges meet no need of a class."""
+        if demand.kind is RetryKind.HEDGE:
             return
         one_class = self._classes.get(demand.priority)
         if one_class is None:
@@ -310,26 +305,19 @@
         """Returns the number of retries that a request leaves to others.
 
         It is 0 if the service has one class only. If it has several, a hedge
-        and a late request leave what the retries of all of them need: a hedge
-        is speculative, while a retry follows a failure, and a late answer is
-        worth a fraction of one in target. Without recent failures that is 0.
+        leaves what the retries of all of them need: it is speculative, while a
+        retry follows a failure. Without recent failures that is 0.
         """
-        reserved = 0.0
-        if demand.kind is RetryKind.RETRY:
-            reserved = self._reserved_for_more_urgent(demand)
-            if not demand.is_late:
-                ratio = RETURNED_RATIO if demand.is_caller_retry else 1.0
-                return ratio * reserved
-        if not self.has_several(demand):
-            return reserved
-        failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
-        return max(
-            reserved,
-            sum(
+        if demand.kind is RetryKind.HEDGE:
+            if not self.has_several(demand):
+                return 0.0
+            failure_ratio = min(MAX_FAILURE_RATIO, self._failure_ratio)
+            return sum(
                 load.needed_count
                 for _, load in self._loads(demand, failure_ratio)
-            ),
-        )
+            )
+        reserved = self._reserved_for_more_urgent(demand)
+        return RETURNED_RATIO * reserved if demand.is_caller_retry else reserved
 
     def _loads(
         self, demand: RetryDemand, failure_ratio: float
--- a/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
+++ b/packages/daemon/src/hyssopwind/daemon/gateway/dispatcher.py
@@ -21,7 +21,6 @@
 from hyssopwind.core.dispatch import retry_reserves
 from hyssopwind.core.dispatch import search_refusals
 from hyssopwind.core.dispatch import server_selection
-from hyssopwind.core.dispatch import slot_reserves
 from hyssopwind.core.fleet import fleet_members
 from hyssopwind.core.fleet import handovers
 from hyssopwind.core.routing import splitting
@@ -802,20 +801,11 @@
     def _retry_demand(
         self, context: _RequestContext, kind: retry_reserves.RetryKind
     ) -> retry_reserves.RetryDemand:
-        now = boot_clock.now()
-        work_seconds = self._picker.expected_work_seconds(context.route)
-        timing = server_selection.RequestTiming(
-            work_seconds,
-            now - context.request.arrived_at + context.spent_seconds,
-            context.route.latency_target_seconds,
-            context.deadline - now,
-        )
         return retry_reserves.RetryDemand(
             context.priority,
-            work_seconds,
+            self._picker.expected_work_seconds(context.route),
             kind,
             is_caller_retry=context.is_caller_retry,
-            is_late=slot_reserves.is_late(timing),
             classes=self._priority_classes.of_service(
                 context.service, self._platform_state.catalogue.configuration
             ),
@@ -826,16 +816,16 @@
         context: _RequestContext,
         kind: retry_reserves.RetryKind = retry_reserves.RetryKind.RETRY,
     ) -> bool:
-        # Requests of an earlier priority may be in the window.
-        demand = (
-            self._retry_demand(context, kind)
-            if self._has_several_classes(context.service)
-            else None
-        )
+        demand = self._retry_demand(context, kind)
+        has_several_classes = self._has_several_classes(context.service)
         is_allowed = self._retry_budget.try_acquire(
-            context.service, boot_clock.now(), self._daemon_count(), demand
+            context.service,
+            boot_clock.now(),
+            self._daemon_count(),
+            # Requests of an earlier priority may be in the window.
+            demand if has_several_classes else None,
         )
-        if demand is None:
+        if not has_several_classes:
             return is_allowed
         if is_allowed:
             label = priorities.label(demand.priority)
