Review: errors of a script are no finding

Cause: an exception in a script ended it with 1, as a broken rule does, and a signal left its processes behind. Done: both end it with 2, after it has ended what it started.

--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -381,9 +381,11 @@
 
 def run_case(main):
     """Runs a case and exits with 0, 1 or 2, as its result."""
+    # Ends the case and all that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(main(os.environ.get("TROUBLE", "1") != "0"))
-    except (CannotRunError, OSError) as error:
+    except Exception as error:  # An error of the case shows no fault.
         print(f"could not run: {error!r}")
         sys.exit(2)
     sys.exit(1 if broken else 0)
